--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -2,6 +2,7 @@
 // bounded by the constants below.
 #pragma once
 
+#include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/stored_objects.h"
 #include "jasminecroft/core/types.h"
 
@@ -202,10 +203,76 @@
   bool operator==(const rumor &) const = default;
 };
 
+/// What hosts that batch together know of each other.
+struct batching_host {
+  entry_host_id Host;
+  zone_id Zone;
+  endpoint Address;
+  /// Thousandths of a core; hosts with more own more queues.
+  std::uint32_t Capacity = 0;
+  bool operator==(const batching_host &) const = default;
+};
+/// Tells a host that the sender lives; also asks whether the receiver does.
+struct host_greeting {
+  batching_host Self;
+  bool WantsReply = false;
+  /// The sender takes no more jobs.
+  bool Leaving = false;
+  /// Version of the operator's configuration that the sender uses.
+  config_version Config;
+  /// Other hosts that the sender knows, for those that start without a list.
+  std::vector<batching_host> Others;
+  bool operator==(const host_greeting &) const = default;
+};
+/// Asks for, or hands over, the operator's configuration as the platform wrote
+/// it, for hosts that cannot reach the platform.
+struct operator_config_pull {
+  config_version Have;
+  bool operator==(const operator_config_pull &) const = default;
+};
+struct operator_config_push {
+  config_version Version;
+  std::string Text;
+  bool operator==(const operator_config_push &) const = default;
+};
+/// Asks the owner of a queue for pieces.
+struct pieces_wanted {
+  piece_job Job;
+  bool operator==(const pieces_wanted &) const = default;
+};
+struct pieces_accepted {
+  piece_job_id Job;
+  /// How long the pieces are expected to wait.
+  core_duration Wait{0};
+  bool operator==(const pieces_accepted &) const = default;
+};
+struct pieces_made {
+  piece_job_id Job;
+  std::vector<made_piece> Pieces;
+  bool operator==(const pieces_made &) const = default;
+};
+struct pieces_failed {
+  piece_job_id Job;
+  piece_failure Failure = piece_failure::NotMade;
+  bool operator==(const pieces_failed &) const = default;
+};
+struct pieces_cancelled {
+  piece_job_id Job;
+  bool operator==(const pieces_cancelled &) const = default;
+};
+/// Results that nobody needs any more.
+struct results_released {
+  std::vector<result_handle> Results;
+  bool operator==(const results_released &) const = default;
+};
+
 using peer_body =
     std::variant<probe, probe_ack, indirect_probe, indirect_ack, config_pull,
                  config_push, host_list_pull, host_list_push, claim_query,
-                 claim_query_reply, rumor, config_changes>;
+                 claim_query_reply, rumor, config_changes, host_greeting,
+                 operator_config_pull, operator_config_push, pieces_wanted,
+                 pieces_accepted, pieces_made, pieces_failed, pieces_cancelled,
+                 results_released>;
 
 /// A message with its sender; messages of other fleets are refused.
 struct peer_message {
--- /dev/null
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -0,0 +1,213 @@
+// The queue in front of a pool's batching backend servers. One entry host, the
+// owner, keeps it for all hosts: only full calls use these servers well, and a
+// single host has too few pieces to fill one.
+#pragma once
+
+#include "jasminecroft/core/serving/backend_directory.h"
+#include "jasminecroft/core/serving/pieces.h"
+#include "jasminecroft/core/serving/retry_budget.h"
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace jasminecroft {
+
+using batch_id = strong_number<struct batch_tag>;
+
+/// Why a whole batch has no results.
+enum class batch_failure {
+  /// No byte of the call left this host.
+  NotConnected,
+  /// The server did not take the call; nothing was made.
+  Refused,
+  /// The server is leaving or is not the expected one.
+  Gone,
+  /// The call broke or its answer was unreadable.
+  Broken,
+  TimedOut,
+};
+
+/// What the owner has others do.
+class batch_actions {
+public:
+  virtual ~batch_actions() = default;
+  virtual void runBatch(batch_id Batch, const backend_entry &Server,
+                        std::vector<batch_item> Items,
+                        core_duration Timeout) = 0;
+  virtual void freeResults(const backend_entry &Server,
+                           std::vector<result_handle> Results) = 0;
+  virtual void onPiecesMade(const entry_host_id &Host, piece_job_id Job,
+                            std::vector<made_piece> Pieces) = 0;
+  virtual void onJobFailed(const entry_host_id &Host, piece_job_id Job,
+                           piece_failure Failure) = 0;
+};
+
+/// Queues, batches and placement for all pools that this host owns. State is
+/// soft: a host that loses it asks another owner for the same pieces again,
+/// and two owners of one pool only make smaller batches.
+class batch_owner {
+public:
+  batch_owner(batch_actions &Actions, backend_directory &Servers,
+              retry_budget &Budget)
+      : Actions(Actions), Servers(Servers), Budget(Budget) {}
+
+  /// Takes the rules of all pools.
+  void configure(const std::map<pool_id, serving_pool> &Pools);
+
+  /// Queues a job and returns how long its pieces are expected to wait.
+  core_duration submit(const entry_host_id &Host, const piece_job &Job,
+                       core_time Now);
+  /// Forgets a job; results of pieces that are being made are freed.
+  void cancel(const entry_host_id &Host, piece_job_id Job);
+  void release(const std::vector<result_handle> &Results, core_time Now);
+
+  void onBatchAnswered(batch_id Batch,
+                       const std::vector<batch_item_result> &Results,
+                       core_time Now);
+  void onBatchFailed(batch_id Batch, batch_failure Failure, core_time Now);
+
+  /// Starts what can start; called after each change and at nextWakeup.
+  void pump(core_time Now);
+  std::optional<core_time> nextWakeup(core_time Now) const;
+
+  /// How long a job that comes now is expected to wait.
+  core_duration expectedWait(const pool_id &Pool, const zone_id &Zone,
+                             core_time Now);
+  std::size_t waitingPieces(const pool_id &Pool, const zone_id &Zone) const;
+  /// Whether nothing waits and nothing is being made.
+  bool idle() const { return Jobs.empty() && Batches.empty(); }
+  /// Calls and pieces started so far.
+  std::uint64_t batchesStarted() const { return LastBatch; }
+  std::uint64_t piecesStarted() const { return Pieces; }
+
+private:
+  using job_key = std::pair<entry_host_id, piece_job_id>;
+
+  struct job_state {
+    entry_host_id Host;
+    piece_job Job;
+    core_time Deadline;
+    core_time StartBy;
+    /// Pieces not yet in a batch, in order.
+    std::deque<std::uint32_t> Waiting;
+    /// Pieces without a result.
+    std::size_t Missing = 0;
+    /// Servers that failed to make a piece of it.
+    std::set<backend_id> Avoid;
+    std::vector<made_piece> Made;
+  };
+
+  /// Jobs with waiting pieces for the servers of a pool, or of its part in one
+  /// zone.
+  struct queue_state {
+    std::vector<job_key> Jobs;
+  };
+  struct queue_key {
+    pool_id Pool;
+    /// Empty: all zones.
+    zone_id Zone;
+    std::strong_ordering operator<=>(const queue_key &) const = default;
+  };
+
+  struct batch_piece {
+    job_key Job;
+    std::uint32_t Piece = 0;
+    /// It was queued again because the call is overdue.
+    bool Requeued = false;
+  };
+
+  struct batch_state {
+    queue_key Queue;
+    backend_entry Server;
+    std::vector<batch_piece> Pieces;
+    std::uint64_t Bytes = 0;
+    core_time Started;
+    core_duration Expected{0};
+    bool Overdue = false;
+    core_time overdueAt() const;
+  };
+
+  /// What the owner knows of one server.
+  struct maker_state {
+    /// The batch that it works on.
+    std::optional<batch_id> Running;
+    core_time FreeAt;
+    /// Smoothed ratio of the time that calls took to the time expected.
+    double Slowness = 1;
+    core_time SlownessAt;
+    /// Bytes of results that are there or being made.
+    std::uint64_t RoomUsed = 0;
+    /// No batch before this time.
+    core_time BlockedUntil;
+    std::vector<result_handle> ToFree;
+    core_time FreeBy;
+  };
+
+  struct kept_result {
+    backend_id Server;
+    std::uint64_t Bytes = 0;
+    core_time Expires;
+  };
+
+  struct candidate {
+    backend_state *Server = nullptr;
+    core_time FreeAt;
+    double Slowness = 1;
+    std::uint64_t RoomLeft = 0;
+    bool Idle = false;
+  };
+
+  static queue_key queueOf(const piece_job &Job);
+  std::vector<job_key> &queue(const queue_key &Key) { return Queues[Key].Jobs; }
+  void pumpQueue(const queue_key &Key, core_time Now);
+  void dropHopeless(const queue_key &Key, core_time Now);
+  void sortQueue(std::vector<job_key> &Queue, core_time Now) const;
+  std::vector<candidate> candidates(const queue_key &Key, core_time Now);
+  std::optional<std::size_t> earliest(const std::vector<candidate> &Makers,
+                                      const job_state &Job,
+                                      const batch_rules &Rules,
+                                      core_time Now) const;
+  void startBatch(const queue_key &Key, candidate &Maker,
+                  std::vector<batch_piece> Pieces, core_time Now);
+  std::vector<batch_piece> fill(const std::vector<job_key> &Order,
+                                std::size_t &Next, const candidate &Maker,
+                                const batch_rules &Rules) const;
+  void takeResult(const batch_state &Batch, const batch_piece &Piece,
+                  const batch_item_result &Result, core_time Now);
+  void keepResult(const batch_state &Batch, const result_handle &Result,
+                  std::uint64_t Bytes, core_time Now);
+  void repeatPieces(batch_state &Batch, bool AtFault, bool Charged,
+                    core_time Now);
+  void requeue(const batch_piece &Piece);
+  void failJob(const job_key &Key, piece_failure Failure);
+  void dropJob(const job_key &Key);
+  void freeAt(const backend_id &Server, const result_handle &Result,
+              core_time Now);
+  void flushFrees(const backend_id &Id, maker_state &Maker);
+  void expireResults(core_time Now);
+  void checkOverdue(core_time Now);
+  double slowness(const maker_state &Maker, core_time Now) const;
+  void observe(const batch_state &Batch, core_time Now);
+
+  batch_actions &Actions;
+  backend_directory &Servers;
+  retry_budget &Budget;
+  std::map<pool_id, batch_rules> Pools;
+  std::map<queue_key, queue_state> Queues;
+  std::map<job_key, job_state> Jobs;
+  std::map<batch_id, batch_state> Batches;
+  std::map<backend_id, maker_state> Makers;
+  std::map<result_handle, kept_result> Kept;
+  core_time NextExpiry;
+  std::uint64_t LastBatch = 0;
+  std::uint64_t Pieces = 0;
+};
+
+/// The time that a call of Pieces pieces takes at a server that is not slowed.
+core_duration expectedCallTime(const batch_rules &Rules, std::size_t Pieces);
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -0,0 +1,55 @@
+// The entry hosts that batch together, and which of them owns which queue.
+#pragma once
+
+#include "jasminecroft/core/peer_messages.h"
+#include "jasminecroft/core/types.h"
+
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace jasminecroft {
+
+/// Hosts are learned from the platform and from greetings. A host that leaves
+/// a message unanswered is suspected and owns nothing until it is heard again.
+class fleet_hosts {
+public:
+  explicit fleet_hosts(batching_host Self) : Self(std::move(Self)) {}
+
+  /// Adds a host or takes its new address. A host that is already known keeps
+  /// its state.
+  void add(const batching_host &Host, core_time Now);
+  /// The host has left or is leaving.
+  void remove(const entry_host_id &Host);
+  /// True if the host was suspected until now.
+  bool onHeard(const entry_host_id &Host, core_time Now);
+  /// True if the host was not suspected yet.
+  bool suspect(const entry_host_id &Host, core_time Now);
+  /// Suspected hosts that are due for another greeting; counts it as sent.
+  std::vector<batching_host> dueForGreeting(core_time Now);
+  std::optional<core_time> nextGreeting() const;
+
+  /// The live host that ranks first for a queue, or this host.
+  entry_host_id owner(std::string_view Queue) const;
+  const batching_host *find(const entry_host_id &Host) const;
+  /// Every known host but this one.
+  std::vector<batching_host> others() const;
+  /// Live hosts, this one included.
+  std::uint32_t liveCount() const;
+  const batching_host &self() const { return Self; }
+  bool suspected(const entry_host_id &Host) const;
+
+private:
+  struct host_state {
+    batching_host Host;
+    std::optional<core_time> SuspectedSince;
+    core_time GreetAt;
+    core_duration GreetingInterval{0};
+  };
+
+  batching_host Self;
+  std::map<entry_host_id, host_state> Hosts;
+};
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -0,0 +1,85 @@
+// Pieces of stages: what one host asks another to have made, and what comes
+// back.
+#pragma once
+
+#include "jasminecroft/core/types.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jasminecroft {
+
+/// The id that the caller gave its request; unique for each try of a caller.
+using caller_request_id = strong_text<struct caller_request_tag>;
+/// Number of a job, unique within one run of the host that asks.
+using piece_job_id = strong_number<struct piece_job_tag>;
+/// A result at the backend server that made it: "IP:port/name".
+using result_handle = strong_text<struct result_handle_tag>;
+
+/// Pieces of one stage of one request.
+struct piece_job {
+  piece_job_id Job;
+  caller_request_id Request;
+  pool_id Pool;
+  /// Index of the stage in its route.
+  std::uint32_t Stage = 0;
+  std::vector<std::uint32_t> Pieces;
+  /// What the pieces are made from in a stage that needs no other.
+  std::string Key;
+  /// Results that the pieces are made from in all other stages.
+  std::vector<result_handle> Inputs;
+  /// Time left until the request's deadline.
+  core_duration DeadlineIn{0};
+  /// Time left until this stage has to begin for the answer to be on time;
+  /// negative if it will be late.
+  core_duration StartBy{0};
+  std::uint32_t Priority = 0;
+  /// Approximate size of one result.
+  std::uint64_t ResultBytes = 0;
+  /// Where the results are wanted.
+  zone_id NearZone;
+  /// Zone whose servers the queue is for; empty: all servers of the pool.
+  zone_id QueueZone;
+
+  bool operator==(const piece_job &) const = default;
+};
+
+struct made_piece {
+  std::uint32_t Piece = 0;
+  result_handle Result;
+  /// Where the result lies.
+  zone_id Zone;
+
+  bool operator==(const made_piece &) const = default;
+};
+
+enum class piece_failure {
+  /// A result that the piece needs no longer exists.
+  InputGone,
+  /// It could not be made in time.
+  Late,
+  /// Several backend servers failed to make it, or there is none.
+  NotMade,
+};
+
+/// One piece as a backend server is asked for it.
+struct batch_item {
+  caller_request_id Request;
+  std::uint32_t Stage = 0;
+  std::uint32_t Piece = 0;
+  std::string Key;
+  std::vector<result_handle> Inputs;
+  core_duration Left{0};
+};
+
+enum class batch_item_problem { Late, InputGone, NoRoom, Error };
+
+/// What a backend server says of one piece: a result or a problem.
+struct batch_item_result {
+  result_handle Result;
+  batch_item_problem Problem = batch_item_problem::Error;
+  bool made() const { return !Result.empty(); }
+};
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/src/serving/backend_directory.cc
@@ -0,0 +1,165 @@
+// Merges the platform's entries with what calls have shown.
+#include "jasminecroft/core/serving/backend_directory.h"
+
+#include <algorithm>
+
+namespace jasminecroft {
+
+namespace {
+
+/// How long a server that left the list may stand in when its pool has no
+/// other; well under the time that leaving servers go on serving (2 s).
+constexpr core_duration MissingGrace = std::chrono::milliseconds(900);
+/// Entries that left are kept this long so that late news finds them.
+constexpr core_duration ForgetAfter = std::chrono::seconds(60);
+/// First pause after a failed call; doubles with each further failure.
+constexpr core_duration FirstAvoidance = std::chrono::milliseconds(400);
+/// Longest pause, about the length of a short outage of a server.
+constexpr core_duration MaxAvoidance = std::chrono::seconds(3);
+/// Weight of the newest call in the smoothed time of a call.
+constexpr double CallTimeGain = 0.2;
+constexpr std::uint32_t MaxDoublings = 3;
+
+} // namespace
+
+void backend_directory::update(const backend_entry &Entry) {
+  auto Found = Servers.find(Entry.Id);
+  if (Entry.Draining)
+    LeavingRuns.insert({Entry.Id, Entry.Run});
+  if (Found == Servers.end()) {
+    Servers[Entry.Id].Entry = Entry;
+    return;
+  }
+  backend_state &State = Found->second;
+  if (Entry.Run < State.Entry.Run || Entry.Revision < State.Entry.Revision)
+    return;
+  bool NewRun = State.Entry.Run < Entry.Run;
+  if (NewRun) {
+    std::uint32_t InFlight = State.InFlight;
+    State = backend_state{};
+    State.InFlight = InFlight;
+  }
+  State.Entry = Entry;
+  State.MissingSince.reset();
+}
+
+void backend_directory::remove(const backend_id &Id, object_version Revision,
+                               core_time Now) {
+  auto Found = Servers.find(Id);
+  if (Found == Servers.end() || Revision < Found->second.Entry.Revision)
+    return;
+  if (!Found->second.MissingSince)
+    Found->second.MissingSince = Now;
+}
+
+void backend_directory::replaceAll(const std::vector<backend_entry> &Entries,
+                                   object_version Revision, core_time Now) {
+  std::set<backend_id> Listed;
+  for (const backend_entry &Entry : Entries) {
+    Listed.insert(Entry.Id);
+    update(Entry);
+  }
+  for (const std::pair<const backend_id, backend_state> &Server : Servers)
+    if (!Listed.contains(Server.first))
+      remove(Server.first, Revision, Now);
+}
+
+void backend_directory::markLeaving(const backend_id &Id) {
+  if (const backend_state *State = find(Id))
+    LeavingRuns.insert({Id, State->Entry.Run});
+}
+
+void backend_directory::forgetOld(core_time Now) {
+  for (auto It = Servers.begin(); It != Servers.end();) {
+    const backend_state &State = It->second;
+    bool Old = State.MissingSince && Now - *State.MissingSince > ForgetAfter;
+    It = Old && State.InFlight == 0 ? Servers.erase(It) : std::next(It);
+  }
+}
+
+backend_state *backend_directory::find(const backend_id &Id) {
+  auto Found = Servers.find(Id);
+  return Found == Servers.end() ? nullptr : &Found->second;
+}
+
+const backend_state *backend_directory::find(const backend_id &Id) const {
+  auto Found = Servers.find(Id);
+  return Found == Servers.end() ? nullptr : &Found->second;
+}
+
+const backend_state *
+backend_directory::findByAddress(const endpoint &Address) const {
+  const backend_state *Best = nullptr;
+  for (const std::pair<const backend_id, backend_state> &Server : Servers) {
+    const backend_state &State = Server.second;
+    if (State.Entry.Address != Address)
+      continue;
+    if (!Best || Best->Entry.Run < State.Entry.Run)
+      Best = &State;
+  }
+  return Best;
+}
+
+bool backend_directory::isLeaving(const backend_id &Id) const {
+  const backend_state *State = find(Id);
+  return !State || State->Entry.Draining ||
+         LeavingRuns.contains({Id, State->Entry.Run});
+}
+
+std::vector<backend_state *> backend_directory::usable(const pool_id &Pool,
+                                                       core_time Now) {
+  std::vector<backend_state *> Listed;
+  std::vector<backend_state *> JustMissing;
+  for (std::pair<const backend_id, backend_state> &Server : Servers) {
+    backend_state &State = Server.second;
+    if (State.Entry.Pool != Pool || isLeaving(Server.first))
+      continue;
+    if (!State.MissingSince)
+      Listed.push_back(&State);
+    else if (Now - *State.MissingSince < MissingGrace)
+      JustMissing.push_back(&State);
+  }
+  return Listed.empty() ? JustMissing : Listed;
+}
+
+void backend_directory::onCallStarted(const backend_id &Id) {
+  if (backend_state *State = find(Id))
+    ++State->InFlight;
+}
+
+void backend_directory::onCallSucceeded(const backend_id &Id, double Micros) {
+  backend_state *State = find(Id);
+  if (!State)
+    return;
+  State->Failures = 0;
+  State->AvoidUntil = core_time{};
+  if (Micros > 0)
+    State->CallMicros += (State->CallMicros == 0 ? 1 : CallTimeGain) *
+                         (Micros - State->CallMicros);
+}
+
+void backend_directory::onCallEnded(const backend_id &Id) {
+  backend_state *State = find(Id);
+  if (State && State->InFlight > 0)
+    --State->InFlight;
+}
+
+void backend_directory::onCallFailed(const backend_id &Id, core_time Now) {
+  backend_state *State = find(Id);
+  if (!State)
+    return;
+  std::uint32_t Doublings = std::min(State->Failures, MaxDoublings);
+  core_duration Pause = std::min(FirstAvoidance * (1 << Doublings), MaxAvoidance);
+  ++State->Failures;
+  State->AvoidUntil = Now + Pause;
+}
+
+void backend_directory::onLoad(const backend_id &Id, const backend_load &Load,
+                               core_time Now) {
+  if (backend_state *State = find(Id)) {
+    State->Load = Load;
+    State->LoadAt = Now;
+  }
+}
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/src/serving/batch_owner.cc
@@ -0,0 +1,556 @@
+// Queue order, batches and what becomes of their pieces.
+#include "jasminecroft/core/serving/batch_owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A call is overdue after this many times its expected time and a pause; its
+/// pieces are then made elsewhere.
+constexpr double OverdueFactor = 2.5;
+constexpr core_duration OverduePause = milliseconds(150);
+/// A call is given up after this many times its expected time.
+constexpr int TimeoutFactor = 6;
+constexpr core_duration TimeoutPause = milliseconds(500);
+/// Pause of a server that refused a call because it is full: about the time
+/// after which a call that another owner started ends.
+constexpr core_duration FullPause = milliseconds(120);
+/// Servers that may fail to make pieces of one job before it is given up.
+constexpr std::size_t MaxFailedServers = 3;
+/// A server that failed to make a piece of a job gets the job again only if
+/// the others are busy for this long.
+constexpr core_duration FailedServerPenalty = milliseconds(600);
+/// Time in which what is known of a server's slowness fades by two thirds.
+constexpr double SlownessFadeSeconds = 3;
+constexpr double SlownessGain = 0.5;
+constexpr double MinSlowness = 0.5;
+constexpr double MaxSlowness = 8;
+/// Results to be freed are collected this long into one call.
+constexpr core_duration FreeDelay = milliseconds(100);
+constexpr std::size_t MaxFreesPerCall = 64;
+/// Part of a server's room that is used: sizes are approximate.
+constexpr double UsedRoomPart = 0.9;
+/// A server elsewhere is taken if its results are ready this much sooner.
+constexpr core_duration FarPenalty = milliseconds(40);
+constexpr core_duration ExpiryInterval = milliseconds(500);
+/// While pieces wait, what may have become possible is looked at this often:
+/// room, servers that were avoided, deadlines.
+constexpr core_duration WaitingInterval = milliseconds(50);
+/// Said when no server of the pool is known.
+constexpr core_duration NoServerWait = std::chrono::hours(1);
+
+core_duration scaled(core_duration Time, double Factor) {
+  return core_duration(static_cast<std::int64_t>(
+      static_cast<double>(Time.count()) * Factor));
+}
+
+} // namespace
+
+core_duration expectedCallTime(const batch_rules &Rules, std::size_t Pieces) {
+  return Rules.CallTime + Rules.PieceTime * static_cast<std::int64_t>(Pieces);
+}
+
+void batch_owner::configure(const std::map<pool_id, serving_pool> &All) {
+  for (const std::pair<const pool_id, serving_pool> &Pool : All)
+    if (Pool.second.Batches)
+      Pools[Pool.first] = *Pool.second.Batches;
+}
+
+batch_owner::queue_key batch_owner::queueOf(const piece_job &Job) {
+  return {Job.Pool, Job.QueueZone};
+}
+
+core_duration batch_owner::submit(const entry_host_id &Host,
+                                  const piece_job &Job, core_time Now) {
+  job_key Key{Host, Job.Job};
+  if (!Pools.contains(Job.Pool)) {
+    Actions.onJobFailed(Host, Job.Job, piece_failure::NotMade);
+    return core_duration{0};
+  }
+  core_duration Wait = expectedWait(Job.Pool, Job.QueueZone, Now);
+  if (Jobs.contains(Key))
+    return Wait;
+  job_state State;
+  State.Host = Host;
+  State.Job = Job;
+  State.Deadline = Now + Job.DeadlineIn;
+  State.StartBy = Now + Job.StartBy;
+  State.Waiting.assign(Job.Pieces.begin(), Job.Pieces.end());
+  State.Missing = Job.Pieces.size();
+  Jobs.emplace(Key, std::move(State));
+  queue(queueOf(Job)).push_back(Key);
+  return Wait;
+}
+
+void batch_owner::cancel(const entry_host_id &Host, piece_job_id Job) {
+  dropJob({Host, Job});
+}
+
+void batch_owner::dropJob(const job_key &Key) {
+  auto Found = Jobs.find(Key);
+  if (Found == Jobs.end())
+    return;
+  std::erase(queue(queueOf(Found->second.Job)), Key);
+  Jobs.erase(Found);
+}
+
+void batch_owner::failJob(const job_key &Key, piece_failure Failure) {
+  dropJob(Key);
+  Actions.onJobFailed(Key.first, Key.second, Failure);
+}
+
+void batch_owner::pump(core_time Now) {
+  if (Now >= NextExpiry) {
+    expireResults(Now);
+    NextExpiry = Now + ExpiryInterval;
+  }
+  checkOverdue(Now);
+  for (const std::pair<const queue_key, queue_state> &Queue : Queues)
+    if (!Queue.second.Jobs.empty())
+      pumpQueue(Queue.first, Now);
+  for (std::pair<const backend_id, maker_state> &Maker : Makers)
+    if (!Maker.second.ToFree.empty() && Now >= Maker.second.FreeBy)
+      flushFrees(Maker.first, Maker.second);
+}
+
+// Jobs that can still be on time go first, the most pressing one before the
+// others; late ones follow in the order of their deadlines.
+void batch_owner::sortQueue(std::vector<job_key> &Queue, core_time Now) const {
+  std::sort(Queue.begin(), Queue.end(),
+            [&](const job_key &A, const job_key &B) {
+              const job_state &Left = Jobs.at(A);
+              const job_state &Right = Jobs.at(B);
+              bool LeftLate = Left.StartBy < Now;
+              bool RightLate = Right.StartBy < Now;
+              if (LeftLate != RightLate)
+                return RightLate;
+              core_time LeftTime = LeftLate ? Left.Deadline : Left.StartBy;
+              core_time RightTime = RightLate ? Right.Deadline : Right.StartBy;
+              if (LeftTime != RightTime)
+                return LeftTime < RightTime;
+              return A < B;
+            });
+}
+
+// Tells the hosts of jobs that cannot be made before their deadline.
+void batch_owner::dropHopeless(const queue_key &Key, core_time Now) {
+  core_duration Least = expectedCallTime(Pools[Key.Pool], 1);
+  std::vector<job_key> Hopeless;
+  for (const job_key &Job : queue(Key))
+    if (Jobs.at(Job).Deadline < Now + Least)
+      Hopeless.push_back(Job);
+  for (const job_key &Job : Hopeless)
+    failJob(Job, piece_failure::Late);
+}
+
+std::vector<batch_owner::candidate>
+batch_owner::candidates(const queue_key &Key, core_time Now) {
+  std::vector<candidate> Result;
+  const batch_rules &Rules = Pools[Key.Pool];
+  std::uint64_t Room =
+      static_cast<std::uint64_t>(static_cast<double>(Rules.RoomBytes) * UsedRoomPart);
+  for (backend_state *Server : Servers.usable(Key.Pool, Now)) {
+    if (!Key.Zone.empty() && Server->Entry.Zone != Key.Zone)
+      continue;
+    maker_state &Maker = Makers[Server->Entry.Id];
+    candidate Candidate;
+    Candidate.Server = Server;
+    core_time Blocked = std::max(Maker.BlockedUntil, Server->AvoidUntil);
+    Candidate.Idle = !Maker.Running && Blocked <= Now;
+    Candidate.FreeAt = std::max(Now, Blocked);
+    if (Maker.Running)
+      Candidate.FreeAt = std::max(Candidate.FreeAt, Maker.FreeAt);
+    Candidate.Slowness = slowness(Maker, Now);
+    Candidate.RoomLeft = Room > Maker.RoomUsed ? Room - Maker.RoomUsed : 0;
+    Result.push_back(Candidate);
+  }
+  return Result;
+}
+
+// The server that is expected to have the pieces of Job ready first.
+std::optional<std::size_t>
+batch_owner::earliest(const std::vector<candidate> &Makers,
+                      const job_state &Job, const batch_rules &Rules,
+                      core_time Now) const {
+  std::optional<std::size_t> Best;
+  core_time BestTime;
+  core_duration Call = expectedCallTime(Rules, Job.Waiting.size());
+  for (std::size_t I = 0; I < Makers.size(); ++I) {
+    const candidate &Maker = Makers[I];
+    if (Maker.Idle && Maker.RoomLeft < Job.Job.ResultBytes)
+      continue;
+    core_time Ready = std::max(Maker.FreeAt, Now) + scaled(Call, Maker.Slowness);
+    if (!Job.Job.NearZone.empty() &&
+        Maker.Server->Entry.Zone != Job.Job.NearZone)
+      Ready += FarPenalty;
+    if (Job.Avoid.contains(Maker.Server->Entry.Id))
+      Ready += FailedServerPenalty;
+    if (!Best || Ready < BestTime) {
+      Best = I;
+      BestTime = Ready;
+    }
+  }
+  return Best;
+}
+
+// Takes pieces in order while the call and the server's room allow it. Next
+// moves past the jobs that have no further waiting piece.
+std::vector<batch_owner::batch_piece>
+batch_owner::fill(const std::vector<job_key> &Order, std::size_t &Next,
+                  const candidate &Maker, const batch_rules &Rules) const {
+  std::vector<batch_piece> Pieces;
+  std::uint64_t Bytes = 0;
+  for (; Next < Order.size(); ++Next) {
+    const job_state &Job = Jobs.at(Order[Next]);
+    for (std::uint32_t Piece : Job.Waiting) {
+      bool Room = !Maker.Idle || Bytes + Job.Job.ResultBytes <= Maker.RoomLeft;
+      if (Pieces.size() >= Rules.MaxPieces || !Room)
+        return Pieces;
+      Pieces.push_back({Order[Next], Piece, false});
+      Bytes += Job.Job.ResultBytes;
+    }
+  }
+  return Pieces;
+}
+
+// Gives each call's worth of pieces to the server that has them ready first.
+// If that server is busy they wait for it, and its next call is taken as full.
+void batch_owner::pumpQueue(const queue_key &Key, core_time Now) {
+  dropHopeless(Key, Now);
+  std::vector<candidate> Makers = candidates(Key, Now);
+  bool AnyIdle = std::any_of(Makers.begin(), Makers.end(),
+                             [](const candidate &Maker) { return Maker.Idle; });
+  if (!AnyIdle || queue(Key).empty())
+    return;
+  sortQueue(queue(Key), Now);
+  const batch_rules &Rules = Pools[Key.Pool];
+  const std::vector<job_key> Order = queue(Key);
+  std::size_t Next = 0;
+  for (std::size_t Calls = 0; Next < Order.size() && Calls < 2 * Makers.size();
+       ++Calls) {
+    std::optional<std::size_t> Chosen =
+        earliest(Makers, Jobs.at(Order[Next]), Rules, Now);
+    if (!Chosen)
+      return;
+    candidate &Maker = Makers[*Chosen];
+    std::vector<batch_piece> Pieces = fill(Order, Next, Maker, Rules);
+    if (Pieces.empty())
+      return;
+    if (Maker.Idle)
+      startBatch(Key, Maker, std::move(Pieces), Now);
+    else
+      Maker.FreeAt += scaled(expectedCallTime(Rules, Pieces.size()),
+                             Maker.Slowness);
+  }
+}
+
+void batch_owner::startBatch(const queue_key &Key, candidate &Maker,
+                             std::vector<batch_piece> Started, core_time Now) {
+  const backend_entry Server = Maker.Server->Entry;
+  batch_id Id(++LastBatch);
+  batch_state Batch;
+  Batch.Queue = Key;
+  Batch.Server = Server;
+  Batch.Started = Now;
+  Batch.Expected =
+      scaled(
+      expectedCallTime(Pools[Key.Pool], Started.size()), Maker.Slowness);
+  std::vector<batch_item> Items;
+  for (const batch_piece &Piece : Started) {
+    job_state &Job = Jobs.at(Piece.Job);
+    std::erase(Job.Waiting, Piece.Piece);
+    if (Job.Waiting.empty())
+      std::erase(queue(Key), Piece.Job);
+    Batch.Bytes += Job.Job.ResultBytes;
+    Items.push_back({Job.Job.Request, Job.Job.Stage, Piece.Piece, Job.Job.Key,
+                     Job.Job.Inputs, Job.Deadline - Now});
+  }
+  Pieces += Started.size();
+  Batch.Pieces = std::move(Started);
+  maker_state &Known = Makers[Server.Id];
+  flushFrees(Server.Id, Known);
+  Known.Running = Id;
+  Known.FreeAt = Now + Batch.Expected;
+  Known.RoomUsed += Batch.Bytes;
+  Maker.Idle = false;
+  Maker.FreeAt = Known.FreeAt;
+  core_duration Timeout = Batch.Expected * TimeoutFactor + TimeoutPause;
+  Batches.emplace(Id, std::move(Batch));
+  Actions.runBatch(Id, Server, std::move(Items), Timeout);
+}
+
+void batch_owner::onBatchAnswered(batch_id Id,
+                                  const std::vector<batch_item_result> &Results,
+                                  core_time Now) {
+  auto Found = Batches.find(Id);
+  if (Found == Batches.end())
+    return;
+  if (Results.size() != Found->second.Pieces.size()) {
+    onBatchFailed(Id, batch_failure::Broken, Now);
+    return;
+  }
+  batch_state Batch = std::move(Found->second);
+  Batches.erase(Found);
+  maker_state &Maker = Makers[Batch.Server.Id];
+  if (Maker.Running == Id)
+    Maker.Running.reset();
+  Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
+  observe(Batch, Now);
+  Servers.onCallSucceeded(Batch.Server.Id, 0);
+  for (std::size_t I = 0; I < Results.size(); ++I)
+    takeResult(Batch, Batch.Pieces[I], Results[I], Now);
+  for (const batch_piece &Piece : Batch.Pieces) {
+    auto Job = Jobs.find(Piece.Job);
+    if (Job == Jobs.end() || Job->second.Missing > 0)
+      continue;
+    std::vector<made_piece> Made = std::move(Job->second.Made);
+    dropJob(Piece.Job);
+    Actions.onPiecesMade(Piece.Job.first, Piece.Job.second, std::move(Made));
+  }
+}
+
+void batch_owner::keepResult(const batch_state &Batch,
+                             const result_handle &Result, std::uint64_t Bytes,
+                             core_time Now) {
+  core_duration Lifetime = Pools[Batch.Queue.Pool].ResultLifetime;
+  Kept[Result] = {Batch.Server.Id, Bytes, Now + Lifetime};
+  Makers[Batch.Server.Id].RoomUsed += Bytes;
+}
+
+void batch_owner::takeResult(const batch_state &Batch, const batch_piece &Piece,
+                             const batch_item_result &Result, core_time Now) {
+  auto Found = Jobs.find(Piece.Job);
+  bool Wanted =
+      Found != Jobs.end() &&
+      std::none_of(Found->second.Made.begin(), Found->second.Made.end(),
+                   [&Piece](const made_piece &Made) {
+                     return Made.Piece == Piece.Piece;
+                   });
+  if (!Wanted) {
+    if (Result.made())
+      freeAt(Batch.Server.Id, Result.Result, Now);
+    return;
+  }
+  job_state &Job = Found->second;
+  if (Result.made()) {
+    // A piece of an overdue call may be waiting again.
+    if (std::erase(Job.Waiting, Piece.Piece) > 0 && Job.Waiting.empty())
+      std::erase(queue(Batch.Queue), Piece.Job);
+    keepResult(Batch, Result.Result, Job.Job.ResultBytes, Now);
+    Job.Made.push_back({Piece.Piece, Result.Result, Batch.Server.Zone});
+    --Job.Missing;
+    return;
+  }
+  if (Piece.Requeued)
+    return;
+  switch (Result.Problem) {
+  case batch_item_problem::Late:
+    failJob(Piece.Job, piece_failure::Late);
+    return;
+  case batch_item_problem::InputGone:
+    failJob(Piece.Job, piece_failure::InputGone);
+    return;
+  case batch_item_problem::NoRoom:
+    Makers[Batch.Server.Id].BlockedUntil = Now + FullPause;
+    break;
+  case batch_item_problem::Error:
+    Job.Avoid.insert(Batch.Server.Id);
+    break;
+  }
+  if (Budget.take(Batch.Queue.Pool, 1, Now))
+    requeue(Piece);
+  else
+    failJob(Piece.Job, piece_failure::NotMade);
+}
+
+void batch_owner::requeue(const batch_piece &Piece) {
+  auto Found = Jobs.find(Piece.Job);
+  if (Found == Jobs.end())
+    return;
+  std::deque<std::uint32_t> &Waiting = Found->second.Waiting;
+  if (std::find(Waiting.begin(), Waiting.end(), Piece.Piece) != Waiting.end())
+    return;
+  if (Waiting.empty())
+    queue(queueOf(Found->second.Job)).push_back(Piece.Job);
+  Waiting.push_back(Piece.Piece);
+}
+
+void batch_owner::onBatchFailed(batch_id Id, batch_failure Failure,
+                                core_time Now) {
+  auto Found = Batches.find(Id);
+  if (Found == Batches.end())
+    return;
+  batch_state Batch = std::move(Found->second);
+  Batches.erase(Found);
+  maker_state &Maker = Makers[Batch.Server.Id];
+  if (Maker.Running == Id)
+    Maker.Running.reset();
+  Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
+  if (Failure == batch_failure::Gone)
+    Servers.markLeaving(Batch.Server.Id);
+  else if (Failure == batch_failure::Refused)
+    Maker.BlockedUntil = Now + FullPause;
+  else
+    Servers.onCallFailed(Batch.Server.Id, Now);
+  bool AtFault = Failure == batch_failure::Broken ||
+                 Failure == batch_failure::TimedOut;
+  repeatPieces(Batch, AtFault, Failure != batch_failure::NotConnected, Now);
+}
+
+// Queues the pieces of a batch again as far as the budget for repeats allows;
+// the jobs of the others fail.
+void batch_owner::repeatPieces(batch_state &Batch, bool AtFault, bool Charged,
+                               core_time Now) {
+  for (batch_piece &Piece : Batch.Pieces) {
+    auto Job = Jobs.find(Piece.Job);
+    if (Piece.Requeued || Job == Jobs.end())
+      continue;
+    if (AtFault)
+      Job->second.Avoid.insert(Batch.Server.Id);
+    Piece.Requeued = true;
+    bool GivenUp = Job->second.Avoid.size() >= MaxFailedServers ||
+                   (Charged && !Budget.take(Batch.Queue.Pool, 1, Now));
+    if (GivenUp)
+      failJob(Piece.Job, piece_failure::NotMade);
+    else
+      requeue(Piece);
+  }
+}
+
+core_time batch_owner::batch_state::overdueAt() const {
+  return Started + scaled(Expected, OverdueFactor) + OverduePause;
+}
+
+// Has the pieces of a call that takes far too long made elsewhere as well.
+void batch_owner::checkOverdue(core_time Now) {
+  for (std::pair<const batch_id, batch_state> &Entry : Batches) {
+    batch_state &Batch = Entry.second;
+    if (Batch.Overdue || Now < Batch.overdueAt())
+      continue;
+    Batch.Overdue = true;
+    Servers.onCallFailed(Batch.Server.Id, Now);
+    observe(Batch, Now);
+    for (batch_piece &Piece : Batch.Pieces) {
+      auto Job = Jobs.find(Piece.Job);
+      if (Job == Jobs.end() || !Budget.take(Batch.Queue.Pool, 1, Now))
+        continue;
+      Job->second.Avoid.insert(Batch.Server.Id);
+      Piece.Requeued = true;
+      requeue(Piece);
+    }
+  }
+}
+
+void batch_owner::observe(const batch_state &Batch, core_time Now) {
+  maker_state &Maker = Makers[Batch.Server.Id];
+  double Expected = static_cast<double>(
+      expectedCallTime(Pools[Batch.Queue.Pool], Batch.Pieces.size()).count());
+  double Ratio = static_cast<double>((Now - Batch.Started).count()) / Expected;
+  double Current = slowness(Maker, Now);
+  Maker.Slowness = std::clamp(Current + SlownessGain * (Ratio - Current),
+                              MinSlowness, MaxSlowness);
+  Maker.SlownessAt = Now;
+}
+
+double batch_owner::slowness(const maker_state &Maker, core_time Now) const {
+  double Age = std::chrono::duration<double>(Now - Maker.SlownessAt).count();
+  return 1 + (Maker.Slowness - 1) * std::exp(-Age / SlownessFadeSeconds);
+}
+
+void batch_owner::release(const std::vector<result_handle> &Results,
+                          core_time Now) {
+  for (const result_handle &Result : Results) {
+    auto Found = Kept.find(Result);
+    if (Found != Kept.end())
+      freeAt(Found->second.Server, Result, Now);
+  }
+}
+
+void batch_owner::freeAt(const backend_id &Server, const result_handle &Result,
+                         core_time Now) {
+  maker_state &Maker = Makers[Server];
+  auto Found = Kept.find(Result);
+  if (Found != Kept.end()) {
+    Maker.RoomUsed -= std::min(Maker.RoomUsed, Found->second.Bytes);
+    Kept.erase(Found);
+  }
+  if (Maker.ToFree.empty())
+    Maker.FreeBy = Now + FreeDelay;
+  Maker.ToFree.push_back(Result);
+  if (Maker.ToFree.size() >= MaxFreesPerCall)
+    flushFrees(Server, Maker);
+}
+
+void batch_owner::flushFrees(const backend_id &Id, maker_state &Maker) {
+  const backend_state *Server = Servers.find(Id);
+  std::vector<result_handle> Results = std::move(Maker.ToFree);
+  Maker.ToFree.clear();
+  if (Server && !Results.empty() && !Server->MissingSince)
+    Actions.freeResults(Server->Entry, std::move(Results));
+}
+
+void batch_owner::expireResults(core_time Now) {
+  for (auto It = Kept.begin(); It != Kept.end();) {
+    if (It->second.Expires > Now) {
+      ++It;
+      continue;
+    }
+    maker_state &Maker = Makers[It->second.Server];
+    Maker.RoomUsed -= std::min(Maker.RoomUsed, It->second.Bytes);
+    It = Kept.erase(It);
+  }
+}
+
+core_duration batch_owner::expectedWait(const pool_id &Pool,
+                                        const zone_id &Zone, core_time Now) {
+  auto Found = Pools.find(Pool);
+  if (Found == Pools.end())
+    return core_duration{0};
+  const batch_rules &Rules = Found->second;
+  std::vector<core_duration> Busy;
+  for (const candidate &Maker : candidates({Pool, Zone}, Now))
+    Busy.push_back(std::max(core_duration{0}, Maker.FreeAt - Now));
+  if (Busy.empty())
+    return NoServerWait;
+  std::sort(Busy.begin(), Busy.end());
+  std::size_t Batch = waitingPieces(Pool, Zone) / std::max(1U, Rules.MaxPieces);
+  std::size_t Rounds = Batch / Busy.size();
+  return Busy[Batch % Busy.size()] +
+         expectedCallTime(Rules, Rules.MaxPieces) *
+             static_cast<std::int64_t>(Rounds);
+}
+
+std::size_t batch_owner::waitingPieces(const pool_id &Pool,
+                                       const zone_id &Zone) const {
+  auto Found = Queues.find({Pool, Zone});
+  std::size_t Count = 0;
+  if (Found != Queues.end())
+    for (const job_key &Key : Found->second.Jobs)
+      Count += Jobs.at(Key).Waiting.size();
+  return Count;
+}
+
+std::optional<core_time> batch_owner::nextWakeup(core_time Now) const {
+  std::optional<core_time> Next;
+  auto Consider = [&Next](core_time Time) {
+    if (!Next || Time < *Next)
+      Next = Time;
+  };
+  for (const std::pair<const batch_id, batch_state> &Entry : Batches)
+    if (!Entry.second.Overdue)
+      Consider(Entry.second.overdueAt());
+  for (const std::pair<const backend_id, maker_state> &Maker : Makers)
+    if (!Maker.second.ToFree.empty())
+      Consider(Maker.second.FreeBy);
+  for (const std::pair<const queue_key, queue_state> &Queue : Queues)
+    if (!Queue.second.Jobs.empty())
+      Consider(Now + WaitingInterval);
+  return Next;
+}
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -0,0 +1,137 @@
+// Suspicion of hosts and weighted rendezvous hashing of queues over the rest.
+#include "jasminecroft/core/serving/fleet_hosts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <xxhash.h>
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A suspected host is greeted after this time, then at intervals that double
+/// up to the longest.
+constexpr core_duration FirstGreeting = milliseconds(300);
+constexpr core_duration LongestGreeting = seconds(5);
+/// A host that has been silent this long is forgotten; it makes itself known
+/// again when it comes back.
+constexpr core_duration ForgetAfter = seconds(60);
+
+// Grows with the capacity; the host with the highest score owns the queue.
+double score(std::string_view Queue, const batching_host &Host) {
+  std::string Text(Queue);
+  Text += '\0';
+  Text += Host.Host.Value;
+  double Hash = static_cast<double>(XXH3_64bits(Text.data(), Text.size()));
+  double Unit = (Hash + 1) / (std::ldexp(1.0, 64) + 2);
+  return -static_cast<double>(std::max(Host.Capacity, 1U)) / std::log(Unit);
+}
+
+} // namespace
+
+void fleet_hosts::add(const batching_host &Host, core_time Now) {
+  if (Host.Host == Self.Host)
+    return;
+  host_state &State = Hosts[Host.Host];
+  bool Moved = State.Host.Address != Host.Address;
+  State.Host = Host;
+  if (Moved && State.SuspectedSince) {
+    State.SuspectedSince = Now;
+    State.GreetAt = Now;
+  }
+}
+
+void fleet_hosts::remove(const entry_host_id &Host) { Hosts.erase(Host); }
+
+bool fleet_hosts::onHeard(const entry_host_id &Host, core_time) {
+  auto Found = Hosts.find(Host);
+  if (Found == Hosts.end() || !Found->second.SuspectedSince)
+    return false;
+  Found->second.SuspectedSince.reset();
+  return true;
+}
+
+bool fleet_hosts::suspect(const entry_host_id &Host, core_time Now) {
+  auto Found = Hosts.find(Host);
+  if (Found == Hosts.end() || Found->second.SuspectedSince)
+    return false;
+  Found->second.SuspectedSince = Now;
+  Found->second.GreetAt = Now + FirstGreeting;
+  Found->second.GreetingInterval = FirstGreeting;
+  return true;
+}
+
+std::vector<batching_host> fleet_hosts::dueForGreeting(core_time Now) {
+  std::vector<batching_host> Due;
+  for (auto It = Hosts.begin(); It != Hosts.end();) {
+    host_state &State = It->second;
+    if (!State.SuspectedSince || State.GreetAt > Now) {
+      ++It;
+      continue;
+    }
+    if (Now - *State.SuspectedSince > ForgetAfter) {
+      It = Hosts.erase(It);
+      continue;
+    }
+    Due.push_back(State.Host);
+    State.GreetAt = Now + State.GreetingInterval;
+    State.GreetingInterval = std::min(State.GreetingInterval * 2, LongestGreeting);
+    ++It;
+  }
+  return Due;
+}
+
+std::optional<core_time> fleet_hosts::nextGreeting() const {
+  std::optional<core_time> Next;
+  for (const std::pair<const entry_host_id, host_state> &Entry : Hosts)
+    if (Entry.second.SuspectedSince && (!Next || Entry.second.GreetAt < *Next))
+      Next = Entry.second.GreetAt;
+  return Next;
+}
+
+entry_host_id fleet_hosts::owner(std::string_view Queue) const {
+  const batching_host *Best = &Self;
+  double BestScore = score(Queue, Self);
+  for (const std::pair<const entry_host_id, host_state> &Entry : Hosts) {
+    if (Entry.second.SuspectedSince)
+      continue;
+    double Score = score(Queue, Entry.second.Host);
+    if (Score > BestScore) {
+      Best = &Entry.second.Host;
+      BestScore = Score;
+    }
+  }
+  return Best->Host;
+}
+
+const batching_host *fleet_hosts::find(const entry_host_id &Host) const {
+  if (Host == Self.Host)
+    return &Self;
+  auto Found = Hosts.find(Host);
+  return Found == Hosts.end() ? nullptr : &Found->second.Host;
+}
+
+std::vector<batching_host> fleet_hosts::others() const {
+  std::vector<batching_host> Result;
+  for (const std::pair<const entry_host_id, host_state> &Entry : Hosts)
+    Result.push_back(Entry.second.Host);
+  return Result;
+}
+
+std::uint32_t fleet_hosts::liveCount() const {
+  std::uint32_t Count = 1;
+  for (const std::pair<const entry_host_id, host_state> &Entry : Hosts)
+    Count += Entry.second.SuspectedSince ? 0 : 1;
+  return Count;
+}
+
+bool fleet_hosts::suspected(const entry_host_id &Host) const {
+  auto Found = Hosts.find(Host);
+  return Found != Hosts.end() && Found->second.SuspectedSince.has_value();
+}
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/src/serving/serving_peers.cc
@@ -0,0 +1,290 @@
+// Messages between hosts, and the serving core's public face.
+#include "serving_state.h"
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Seeds are greeted at this interval until a peer is known, a few times.
+constexpr core_duration SeedInterval = milliseconds(500);
+constexpr std::uint32_t MaxSeedGreetings = 20;
+constexpr core_duration Never = std::chrono::hours(24);
+
+} // namespace
+
+using namespace detail;
+
+void serving_impl::start(core_time) { GreetSeedsAt = Now; }
+
+host_greeting serving_impl::greeting(bool WantsReply) const {
+  host_greeting Greeting;
+  Greeting.Self = Hosts.self();
+  Greeting.WantsReply = WantsReply;
+  Greeting.Leaving = Leaving;
+  Greeting.Config = View ? View->Config->Version : config_version();
+  return Greeting;
+}
+
+// Peers and their configuration are needed from seeds only as long as the
+// platform gives none.
+void serving_impl::greetSeeds() {
+  bool Enough = View && !Hosts.others().empty();
+  if (Enough || SeedGreetings >= MaxSeedGreetings) {
+    GreetSeedsAt = Now + Never;
+    return;
+  }
+  ++SeedGreetings;
+  GreetSeedsAt = Now + SeedInterval;
+  for (const endpoint &Seed : Settings.Seeds)
+    if (Seed != Settings.PeerAddress)
+      Actions.sendToPeer({entry_host_id(Seed.Value), zone_id(), Seed, 0},
+                         greeting(true));
+}
+
+void serving_impl::onHost(const batching_host &Host, core_time) {
+  Hosts.add(Host, Now);
+}
+
+void serving_impl::onPeerUnreachable(const entry_host_id &Host) {
+  Greeted.erase(Host);
+  if (Hosts.suspect(Host, Now))
+    log(event_number::HostSuspected, event_severity::Warning,
+        "messages to a host were dropped; another owns its queues",
+        {{"host", Host.Value}});
+}
+
+// The first message to a host says who sends it, so that it can answer.
+void serving_impl::sendToHost(const entry_host_id &Host, peer_body Body) {
+  const batching_host *Known = Hosts.find(Host);
+  if (!Known || Host == Settings.Self.Host)
+    return;
+  const batching_host Target = *Known;
+  if (Greeted.insert(Host).second)
+    Actions.sendToPeer(Target, greeting(false));
+  Actions.sendToPeer(Target, std::move(Body));
+}
+
+void serving_impl::onPeer(const host_run &Sender, const peer_body &Body,
+                            core_time) {
+  if (Hosts.onHeard(Sender.Host, Now))
+    log(event_number::HostHeardAgain, event_severity::Info,
+        "suspected host is heard again", {{"host", Sender.Host.Value}});
+  std::visit([&](const auto &Message) { on(Sender, Message); }, Body);
+}
+
+void serving_impl::on(const host_run &Sender, const host_greeting &Body) {
+  if (Body.Leaving) {
+    Hosts.remove(Sender.Host);
+    Greeted.erase(Sender.Host);
+    return;
+  }
+  if (Body.Self.Host != Sender.Host)
+    return;
+  Hosts.add(Body.Self, Now);
+  for (const batching_host &Other : Body.Others)
+    if (!Hosts.find(Other.Host))
+      Hosts.add(Other, Now);
+  if (Body.WantsReply) {
+    host_greeting Reply = greeting(false);
+    Reply.Others = Hosts.others();
+    Greeted.insert(Sender.Host);
+    Actions.sendToPeer(Body.Self, std::move(Reply));
+  }
+  config_version Have = View ? View->Config->Version : config_version();
+  if (!View && Body.Config > Have)
+    sendToHost(Sender.Host, operator_config_pull{Have});
+}
+
+void serving_impl::on(const host_run &Sender,
+                        const operator_config_pull &Body) {
+  if (View && View->Config->Version > Body.Have)
+    sendToHost(Sender.Host,
+               operator_config_push{View->Config->Version, ConfigText});
+}
+
+void serving_impl::on(const host_run &, const operator_config_push &Body) {
+  if (!View || Body.Version > View->Config->Version)
+    Actions.onOperatorConfig(Body);
+}
+
+void serving_impl::on(const host_run &Sender, const pieces_wanted &Body) {
+  core_duration Wait = Owner.submit(Sender.Host, Body.Job, Now);
+  sendToHost(Sender.Host, pieces_accepted{Body.Job.Job, Wait});
+}
+
+void serving_impl::on(const host_run &, const pieces_accepted &Body) {
+  onJobAccepted(Body.Job, Body.Wait);
+}
+
+void serving_impl::on(const host_run &Sender, const pieces_made &Body) {
+  takePieces(Body.Job, Sender.Host, Body.Pieces);
+}
+
+void serving_impl::on(const host_run &, const pieces_failed &Body) {
+  takeJobFailure(Body.Job, Body.Failure);
+}
+
+void serving_impl::on(const host_run &Sender, const pieces_cancelled &Body) {
+  Owner.cancel(Sender.Host, Body.Job);
+}
+
+void serving_impl::on(const host_run &, const results_released &Body) {
+  Owner.release(Body.Results, Now);
+}
+
+void serving_impl::beginLeaving(core_time) {
+  Leaving = true;
+  for (const batching_host &Host : Hosts.others())
+    if (!Hosts.suspected(Host.Host))
+      Actions.sendToPeer(Host, greeting(false));
+}
+
+// The public face: sets the time, handles the event and lets the queues run.
+
+serving_core::serving_core(const serving_settings &Settings,
+                           serving_actions &Actions)
+    : Impl(std::make_unique<serving_impl>(Settings, Actions)) {}
+serving_core::~serving_core() = default;
+
+namespace {
+
+/// Keeps the time of the event; lets queues run when the event is handled.
+class handled_event {
+public:
+  handled_event(serving_impl &Core, core_time Time) : Core(Core) {
+    Core.Now = Time;
+  }
+  ~handled_event() { Core.Owner.pump(Core.Now); }
+  handled_event(const handled_event &) = delete;
+  handled_event &operator=(const handled_event &) = delete;
+
+private:
+  serving_impl &Core;
+};
+
+} // namespace
+
+void serving_core::start(core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->start(Now);
+}
+void serving_core::onRequest(serving_request Request, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onRequest(std::move(Request), Now);
+}
+void serving_core::onCallerLeft(request_id Request, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onCallerLeft(Request, Now);
+}
+void serving_core::onReplyWhole(call_id Call, const backend_reply_head &Head,
+                                std::string Body, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onReplyWhole(Call, Head, std::move(Body), Now);
+}
+void serving_core::onStreamHead(call_id Call, const backend_reply_head &Head,
+                                core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onStreamHead(Call, Head, Now);
+}
+void serving_core::onStreamEvents(call_id Call, std::string Text,
+                                  std::uint64_t FirstEvent,
+                                  std::uint64_t LastEvent, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onStreamEvents(Call, std::move(Text), FirstEvent, LastEvent, Now);
+}
+void serving_core::onStreamEnd(call_id Call, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onStreamEnd(Call, Now);
+}
+void serving_core::onCallFailed(call_id Call, call_failure Failure,
+                                core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onCallFailed(Call, Failure, Now);
+}
+void serving_core::onPiecesAnswered(
+    call_id Call, const std::vector<batch_item_result> &Results,
+    const std::optional<backend_load> &Load, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onPiecesAnswered(Call, Results, Load, Now);
+}
+void serving_core::onPiecesRefused(call_id Call, bool WrongServer,
+                                   core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onPiecesRefused(Call, WrongServer, Now);
+}
+bool serving_core::onConfig(std::shared_ptr<const route_config> Config,
+                            std::string Text, core_time Now) {
+  handled_event Event(*Impl, Now);
+  if (Impl->View && Config->Version <= Impl->View->Config->Version)
+    return false;
+  Impl->onConfig(std::move(Config), std::move(Text), Now);
+  return true;
+}
+void serving_core::onBackend(const backend_entry &Entry, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->Servers.update(Entry);
+}
+void serving_core::onBackendRemoved(const backend_id &Id,
+                                    object_version Revision, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->Servers.remove(Id, Revision, Now);
+}
+void serving_core::onBackendList(const std::vector<backend_entry> &Entries,
+                                 object_version Revision, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->Servers.replaceAll(Entries, Revision, Now);
+}
+void serving_core::onHost(const batching_host &Host, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onHost(Host, Now);
+}
+void serving_core::onHostRemoved(const entry_host_id &Host, core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->Hosts.remove(Host);
+}
+void serving_core::onPeer(const host_run &Sender, const peer_body &Body,
+                          core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onPeer(Sender, Body, Now);
+}
+void serving_core::onWakeup(core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onWakeup(Now);
+}
+std::optional<core_time> serving_core::nextWakeup(core_time Now) const {
+  return Impl->nextWakeup(Now);
+}
+void serving_core::beginLeaving(core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->beginLeaving(Now);
+}
+void serving_core::onPeerUnreachable(const entry_host_id &Host,
+                                     core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->onPeerUnreachable(Host);
+}
+bool serving_core::ownsNoWork() const { return Impl->Owner.idle(); }
+bool serving_core::ready() const { return Impl->ready(); }
+config_version serving_core::configVersion() const {
+  return Impl->View ? Impl->View->Config->Version : config_version();
+}
+std::shared_ptr<const route_config> serving_core::config() const {
+  return Impl->View ? Impl->View->Config : nullptr;
+}
+const backend_directory &serving_core::backends() const {
+  return Impl->Servers;
+}
+std::vector<batching_host> serving_core::peers() const {
+  return Impl->Hosts.others();
+}
+serving_counters serving_core::counters() const {
+  serving_counters Result = Impl->Counters;
+  Result.Batches = Impl->Owner.batchesStarted();
+  Result.BatchedPieces = Impl->Owner.piecesStarted();
+  return Result;
+}
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/src/serving/serving_requests.cc
@@ -0,0 +1,332 @@
+// Requests from arrival to their end: routes, keys, deadlines, final answers.
+#include "serving_state.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// When to come back to a host that has just started: a few times the time in
+/// which a host reads its configuration.
+constexpr core_duration NotReadyRetry = milliseconds(400);
+/// When to come back if a pool has no usable server: about the time in which
+/// servers that were lost are listed again.
+constexpr core_duration NoBackendRetry = milliseconds(700);
+constexpr core_duration MinRetry = milliseconds(100);
+constexpr core_duration MaxRetry = std::chrono::seconds(3);
+constexpr core_duration DirectoryCleanup = std::chrono::seconds(10);
+
+std::string inMs(core_duration Time) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(Time).count());
+}
+
+} // namespace
+
+bool promisesNotRun(refusal_kind Kind) {
+  switch (Kind) {
+  case refusal_kind::NoRoute:
+  case refusal_kind::UnknownKey:
+  case refusal_kind::NotReady:
+  case refusal_kind::Overloaded:
+  case refusal_kind::NoBackend:
+  case refusal_kind::TimedOutNotRun:
+    return true;
+  case refusal_kind::TimedOut:
+  case refusal_kind::Failed:
+    return false;
+  }
+  return false;
+}
+
+std::string_view toText(refusal_kind Kind) {
+  switch (Kind) {
+  case refusal_kind::NoRoute:
+    return "no_route";
+  case refusal_kind::UnknownKey:
+    return "unknown_key";
+  case refusal_kind::NotReady:
+    return "not_ready";
+  case refusal_kind::Overloaded:
+    return "overloaded";
+  case refusal_kind::NoBackend:
+    return "no_backend";
+  case refusal_kind::TimedOutNotRun:
+    return "timed_out_not_run";
+  case refusal_kind::TimedOut:
+    return "timed_out";
+  case refusal_kind::Failed:
+    return "failed";
+  }
+  return "failed";
+}
+
+using namespace detail;
+
+serving_impl::serving_impl(const serving_settings &Settings,
+                               serving_actions &Actions)
+    : Settings(Settings), Actions(Actions),
+      Hosts({Settings.Self.Host, Settings.Zone, Settings.PeerAddress,
+             Settings.Capacity}),
+      Budget(Settings.Retries), Owner(*this, Servers, Budget) {}
+
+request_state *serving_impl::find(request_id Request) {
+  auto Found = Requests.find(Request);
+  return Found == Requests.end() ? nullptr : &Found->second;
+}
+
+void serving_impl::log(event_number Number, event_severity Severity,
+                         std::string_view Message,
+                         std::vector<event_field> Fields) {
+  Actions.log({Number, Severity, Message, std::move(Fields)});
+}
+
+bool serving_impl::ready() const {
+  return View && !Leaving && !Servers.empty();
+}
+
+void serving_impl::onConfig(std::shared_ptr<const route_config> Config,
+                              std::string Text, core_time) {
+  log(event_number::OperatorConfigApplied, event_severity::Info,
+      "operator's configuration in force",
+      {{"version", std::to_string(Config->Version.Value)},
+       {"before", View ? std::to_string(View->Config->Version.Value) : "none"},
+       {"routes", std::to_string(Config->Routes.size())},
+       {"keys", std::to_string(Config->Keys.size())}});
+  Owner.configure(Config->Pools);
+  View = std::make_shared<const config_view>(std::move(Config));
+  ConfigText = std::move(Text);
+}
+
+pool_id serving_impl::poolOf(const serving_route &Route,
+                               const caller_request_id &Id) const {
+  std::uint64_t Total = 0;
+  for (const pool_share &Share : Route.Pools)
+    Total += Share.Weight;
+  if (Total == 0)
+    return Route.Pools.empty() ? pool_id() : Route.Pools.front().Pool;
+  std::uint64_t Point = XXH3_64bits(Id.Value.data(), Id.Value.size()) % Total;
+  for (const pool_share &Share : Route.Pools) {
+    if (Point < Share.Weight)
+      return Share.Pool;
+    Point -= Share.Weight;
+  }
+  return Route.Pools.back().Pool;
+}
+
+// The route if the caller may use it; otherwise the request is refused.
+const serving_route *serving_impl::admit(const serving_request &Request,
+                                           workspace_id &Workspace,
+                                           std::uint32_t &Priority) {
+  if (!View) {
+    refuseUnknown(Request.Number, refusal_kind::NotReady, NotReadyRetry);
+    return nullptr;
+  }
+  const serving_route *Route =
+      View->Routes.find(Request.Message->Hostname, Request.Message->Target);
+  if (!Route) {
+    refuseUnknown(Request.Number, refusal_kind::NoRoute, core_duration{0});
+    return nullptr;
+  }
+  Priority = Route->Priority;
+  if (Route->Public || !View->Config->KeysRequired)
+    return Route;
+  auto Key = View->Config->Keys.find(Request.Key);
+  if (Key == View->Config->Keys.end()) {
+    refuseUnknown(Request.Number, refusal_kind::UnknownKey, core_duration{0});
+    return nullptr;
+  }
+  Workspace = Key->second.Workspace;
+  Priority = Key->second.Priority.value_or(Priority);
+  return Route;
+}
+
+void serving_impl::onRequest(serving_request Request, core_time) {
+  ++Counters.Requests;
+  workspace_id Workspace;
+  std::uint32_t Priority = 0;
+  const serving_route *Route = admit(Request, Workspace, Priority);
+  if (!Route)
+    return;
+  request_id Number = Request.Number;
+  request_state &State = Requests[Number];
+  State.View = View;
+  State.Route = Route;
+  State.Pool = poolOf(*Route, Request.CallerId);
+  State.Workspace = std::move(Workspace);
+  State.Priority = Priority;
+  State.Arrived = Now;
+  State.Deadline =
+      Now + std::min(Route->Timeout, Request.Patience.value_or(Route->Timeout));
+  State.GoalAt = Now + Route->Goal;
+  State.LastEvent = Request.LastEvent;
+  State.Stages.resize(Route->Stages.size());
+  State.Call = std::move(Request);
+  State.Call.Pieces.resize(Route->Stages.size());
+  Counters.InProgress = Requests.size();
+  Budget.onRequest(State.Pool, Now);
+  addTimer(State.Deadline, timer_kind::Deadline, Number.Value);
+  startReadyStages(State);
+}
+
+void serving_impl::onCallerLeft(request_id Request, core_time) {
+  request_state *State = find(Request);
+  if (!State)
+    return;
+  ++Counters.CallerLeft;
+  logEnd(*State, "caller_left", 0);
+  finish(Request);
+}
+
+void serving_impl::refuseUnknown(request_id Request, refusal_kind Kind,
+                                   core_duration RetryAfter) {
+  ++Counters.Refused;
+  log(event_number::RequestRefused, event_severity::Info, "request refused",
+      {{"request", std::to_string(Request.Value)},
+       {"reason", std::string(toText(Kind))},
+       {"config", std::to_string(View ? View->Config->Version.Value : 0)}});
+  Actions.refuse(Request, {Kind, RetryAfter});
+}
+
+// Ends a request with an answer of this host. The kind is made to fit what may
+// have happened at backend servers.
+void serving_impl::giveUp(request_state &State, refusal_kind Kind,
+                            core_duration RetryAfter) {
+  if (State.MayHaveRun && promisesNotRun(Kind))
+    Kind = Kind == refusal_kind::TimedOutNotRun ? refusal_kind::TimedOut
+                                                : refusal_kind::Failed;
+  request_id Request = State.Call.Number;
+  if (State.HeadRelayed) {
+    ++Counters.BrokenOff;
+    logEnd(State, "broken_off", 0);
+    Actions.breakOff(Request);
+    finish(Request);
+    return;
+  }
+  core_duration Retry = core_duration{0};
+  if (promisesNotRun(Kind)) {
+    ++Counters.Refused;
+    Retry = std::clamp(RetryAfter, MinRetry, MaxRetry);
+  } else {
+    ++Counters.Failed;
+  }
+  logEnd(State, toText(Kind), 0);
+  Actions.refuse(Request, {Kind, Retry});
+  finish(Request);
+}
+
+void serving_impl::logEnd(const request_state &State,
+                          std::string_view Outcome, unsigned Status) {
+  std::optional<core_duration> FirstByte;
+  if (State.FirstByteAt)
+    FirstByte = *State.FirstByteAt - State.Arrived;
+  Actions.onAnswered({State.Route->Name, Outcome, FirstByte,
+                      Now - State.Arrived});
+  bool Good = Outcome == "complete";
+  std::vector<event_field> Fields = {
+      {"request", State.Call.CallerId.Value},
+      {"outcome", std::string(Outcome)},
+      {"status", std::to_string(Status)},
+      {"route", State.Route->Name.Value},
+      {"workspace", State.Workspace.Value},
+      {"config", std::to_string(State.View->Config->Version.Value)},
+      {"ms", inMs(Now - State.Arrived)},
+      {"goal_ms", inMs(State.Route->Goal)},
+      {"deadline_ms", inMs(State.Deadline - State.Arrived)},
+      {"server", State.Server.Id.Value},
+      {"sends", std::to_string(State.Sends)}};
+  if (!State.Stages.empty()) {
+    Fields.push_back({"stages_ms",
+                      State.StagesDoneAt > State.Arrived
+                          ? inMs(State.StagesDoneAt - State.Arrived)
+                          : "open"});
+    Fields.push_back({"restages", std::to_string(State.Restages)});
+  }
+  log(Good ? event_number::RequestServed : event_number::RequestEnded,
+      event_severity::Info, Good ? "request served" : "request ended",
+      std::move(Fields));
+}
+
+void serving_impl::finish(request_id Request) {
+  auto Found = Requests.find(Request);
+  if (Found == Requests.end())
+    return;
+  request_state &State = Found->second;
+  if (State.Current) {
+    call_id Call = *State.Current;
+    endCall(Call);
+    Actions.cancelCall(Call);
+  }
+  cancelJobs(State);
+  releaseAll(State);
+  Requests.erase(Found);
+  Counters.InProgress = Requests.size();
+}
+
+void serving_impl::onDeadline(request_id Request) {
+  request_state *State = find(Request);
+  if (!State)
+    return;
+  bool Sent = State->MayHaveRun || State->Current;
+  if (Sent)
+    State->MayHaveRun = true;
+  if (Sent && State->Current)
+    Servers.onCallFailed(State->Server.Id, Now);
+  giveUp(*State, Sent ? refusal_kind::TimedOut : refusal_kind::TimedOutNotRun,
+         MinRetry);
+}
+
+void serving_impl::addTimer(core_time Time, timer_kind Kind,
+                              std::uint64_t Id) {
+  Timers.emplace(Time, timer{Kind, Id});
+}
+
+void serving_impl::onTimer(const timer &Timer) {
+  switch (Timer.Kind) {
+  case timer_kind::Deadline:
+    onDeadline(request_id(Timer.Id));
+    return;
+  case timer_kind::Try:
+    onTryTimeout(call_id(Timer.Id));
+    return;
+  case timer_kind::JobAccepted:
+    onJobUnanswered(piece_job_id(Timer.Id));
+    return;
+  case timer_kind::JobDone:
+    onJobOverdue(piece_job_id(Timer.Id));
+    return;
+  }
+}
+
+void serving_impl::onWakeup(core_time) {
+  while (!Timers.empty() && Timers.begin()->first <= Now) {
+    timer Timer = Timers.begin()->second;
+    Timers.erase(Timers.begin());
+    onTimer(Timer);
+  }
+  for (const batching_host &Host : Hosts.dueForGreeting(Now))
+    Actions.sendToPeer(Host, greeting(true));
+  if (Now >= GreetSeedsAt)
+    greetSeeds();
+  Servers.forgetOld(Now);
+}
+
+std::optional<core_time> serving_impl::nextWakeup(core_time Time) const {
+  std::optional<core_time> Next = Owner.nextWakeup(Time);
+  auto Consider = [&Next](core_time Candidate) {
+    if (!Next || Candidate < *Next)
+      Next = Candidate;
+  };
+  if (!Timers.empty())
+    Consider(Timers.begin()->first);
+  if (std::optional<core_time> Greeting = Hosts.nextGreeting())
+    Consider(*Greeting);
+  Consider(std::min(GreetSeedsAt, Time + DirectoryCleanup));
+  return Next;
+}
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/core/src/serving/serving_stages.cc
@@ -0,0 +1,414 @@
+// Stages of a request: which pieces are asked of which owner, in what time,
+// and when results are no longer needed.
+#include "serving_state.h"
+
+#include <algorithm>
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An owner that has not accepted a job by then is suspected: many times the
+/// way there and back between zones.
+constexpr core_duration AcceptTime = milliseconds(150);
+/// Time beyond the expected end of a job before it is asked for again.
+constexpr core_duration JobPause = milliseconds(800);
+constexpr int JobTimeFactor = 3;
+constexpr std::uint32_t MaxRestages = 2;
+/// Time to the first event before any was seen.
+constexpr core_duration FirstHeadTime = milliseconds(150);
+/// Pools with more servers than this have a queue for each zone.
+constexpr std::size_t MaxServersPerQueue = 8;
+/// Calls are expected to be filled to this part when a stage's time is
+/// estimated.
+constexpr std::uint32_t TypicalBatchDivisor = 2;
+
+} // namespace
+
+using namespace detail;
+
+bool serving_impl::stageReady(const request_state &State,
+                                std::size_t Stage) const {
+  if (State.Stages[Stage].Phase != stage_phase::Waiting)
+    return false;
+  const std::vector<std::uint32_t> &After = State.Route->Stages[Stage].After;
+  return std::all_of(After.begin(), After.end(), [&](std::uint32_t Before) {
+    return Before < State.Stages.size() &&
+           State.Stages[Before].Phase == stage_phase::Done;
+  });
+}
+
+bool serving_impl::stagesDone(const request_state &State) const {
+  return std::all_of(State.Stages.begin(), State.Stages.end(),
+                     [](const stage_state &Stage) {
+                       return Stage.Phase == stage_phase::Done;
+                     });
+}
+
+// Stages without pieces are done at once, which may make others ready. The
+// request is looked up again after each step: an owner's answer may end it.
+void serving_impl::startReadyStages(request_state &First) {
+  request_id Request = First.Call.Number;
+  for (std::size_t Stage = 0; Stage < First.Stages.size(); ++Stage)
+    if (First.Call.Pieces[Stage] == 0)
+      First.Stages[Stage].Phase = stage_phase::Done;
+  std::size_t Count = First.Stages.size();
+  for (std::size_t Stage = 0; Stage < Count; ++Stage) {
+    request_state *State = find(Request);
+    if (!State)
+      return;
+    if (stageReady(*State, Stage))
+      askStage(*State, Stage);
+  }
+  request_state *State = find(Request);
+  if (!State || State->Current || !stagesDone(*State))
+    return;
+  State->StagesDoneAt = Now;
+  sendCall(*State);
+}
+
+// All results of the stages that Stage comes after.
+std::vector<result_handle>
+serving_impl::inputsOf(const request_state &State, std::size_t Stage) const {
+  std::vector<result_handle> Inputs;
+  for (std::uint32_t Before : State.Route->Stages[Stage].After)
+    for (const made_piece &Piece : State.Stages[Before].Results)
+      Inputs.push_back(Piece.Result);
+  return Inputs;
+}
+
+// All results of the stages that no other stage comes after.
+std::vector<result_handle>
+serving_impl::finalInputs(const request_state &State) const {
+  std::vector<bool> Consumed(State.Stages.size(), false);
+  for (const route_stage &Stage : State.Route->Stages)
+    for (std::uint32_t Before : Stage.After)
+      Consumed[Before] = true;
+  std::vector<result_handle> Inputs;
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+    if (!Consumed[Stage])
+      for (const made_piece &Piece : State.Stages[Stage].Results)
+        Inputs.push_back(Piece.Result);
+  return Inputs;
+}
+
+// Where most bytes of the request's results lie; this host's zone if none.
+zone_id serving_impl::zoneOfInputs(const request_state &State) const {
+  std::map<zone_id, std::uint64_t> Bytes;
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+    if (!State.Stages[Stage].Released)
+      for (const made_piece &Piece : State.Stages[Stage].Results)
+        Bytes[Piece.Zone] += State.Route->Stages[Stage].ResultBytes + 1;
+  zone_id Best = Settings.Zone;
+  std::uint64_t Most = 0;
+  for (const std::pair<const zone_id, std::uint64_t> &Entry : Bytes)
+    if (Entry.second > Most) {
+      Most = Entry.second;
+      Best = Entry.first;
+    }
+  return Best;
+}
+
+core_duration serving_impl::stageTime(const request_state &State,
+                                        std::size_t Stage) const {
+  const pool_id &Pool = State.Route->Stages[Stage].Pool;
+  auto Found = State.View->Config->Pools.find(Pool);
+  if (Found == State.View->Config->Pools.end() || !Found->second.Batches)
+    return core_duration{0};
+  const batch_rules &Rules = *Found->second.Batches;
+  auto Wait = Waits.find(Pool);
+  core_duration Waiting = Wait == Waits.end() ? core_duration{0} : Wait->second;
+  std::uint32_t Pieces = std::max(State.Call.Pieces[Stage],
+                                  Rules.MaxPieces / TypicalBatchDivisor);
+  return Waiting + expectedCallTime(Rules, Pieces);
+}
+
+core_duration serving_impl::answerTime(const request_state &State) const {
+  auto Found = HeadMicros.find(State.Pool);
+  if (Found == HeadMicros.end())
+    return FirstHeadTime;
+  return core_duration(static_cast<std::int64_t>(Found->second));
+}
+
+// Expected time from the end of Stage to the answer's first byte.
+core_duration serving_impl::timeAfter(const request_state &State,
+                                        std::size_t Stage) const {
+  core_duration Longest{0};
+  for (std::size_t Next = Stage + 1; Next < State.Stages.size(); ++Next) {
+    const std::vector<std::uint32_t> &After = State.Route->Stages[Next].After;
+    bool Follows =
+        std::find(After.begin(), After.end(), Stage) != After.end();
+    if (Follows && State.Call.Pieces[Next] > 0)
+      Longest = std::max(Longest, stageTime(State, Next) +
+                                      timeAfter(State, Next) -
+                                      answerTime(State));
+  }
+  return Longest + answerTime(State);
+}
+
+// Small pools have one queue. In large ones each zone has its own, so that an
+// owner's work and what its loss affects do not grow with the fleet.
+zone_id serving_impl::queueZone(const pool_id &Pool,
+                                  const request_state &State) {
+  std::vector<backend_state *> Usable = Servers.usable(Pool, Now);
+  if (Usable.size() <= MaxServersPerQueue)
+    return zone_id();
+  zone_id Near = zoneOfInputs(State);
+  for (const backend_state *Server : Usable)
+    if (Server->Entry.Zone == Near)
+      return Near;
+  return Usable.front()->Entry.Zone;
+}
+
+void serving_impl::askStage(request_state &State, std::size_t Stage) {
+  const route_stage &Plan = State.Route->Stages[Stage];
+  if (Servers.usable(Plan.Pool, Now).empty()) {
+    giveUp(State, refusal_kind::NoBackend, milliseconds(700));
+    return;
+  }
+  piece_job_id Id(++LastJob);
+  stage_state &Asked = State.Stages[Stage];
+  Asked.Phase = stage_phase::Asked;
+  Asked.Job = Id;
+  Asked.Released = false;
+  job_state &Job = JobsAsked[Id];
+  Job.Request = State.Call.Number;
+  Job.Stage = static_cast<std::uint32_t>(Stage);
+  sendJob(Id, State);
+}
+
+void serving_impl::sendJob(piece_job_id Id, request_state &State) {
+  job_state &Asked = JobsAsked[Id];
+  const route_stage &Plan = State.Route->Stages[Asked.Stage];
+  piece_job Job;
+  Job.Job = Id;
+  Job.Request = State.Call.CallerId;
+  Job.Pool = Plan.Pool;
+  Job.Stage = Asked.Stage;
+  for (std::uint32_t Piece = 0; Piece < State.Call.Pieces[Asked.Stage]; ++Piece)
+    Job.Pieces.push_back(Piece);
+  Job.Inputs = inputsOf(State, Asked.Stage);
+  if (Plan.After.empty())
+    Job.Key = State.Call.PieceKey;
+  Job.DeadlineIn = State.Deadline - Now - timeAfter(State, Asked.Stage);
+  Job.StartBy = State.GoalAt - Now - stageTime(State, Asked.Stage) -
+                timeAfter(State, Asked.Stage);
+  Job.Priority = State.Priority;
+  Job.ResultBytes = Plan.ResultBytes;
+  Job.NearZone = zoneOfInputs(State);
+  Job.QueueZone = queueZone(Plan.Pool, State);
+  Asked.Owner = Settings.BatchAlone
+                    ? Settings.Self.Host
+                    : Hosts.owner(Plan.Pool.Value + '/' + Job.QueueZone.Value);
+  Asked.Accepted = false;
+  Asked.AskedAt = Now;
+  if (Asked.Owner != Settings.Self.Host) {
+    addTimer(Now + AcceptTime, timer_kind::JobAccepted, Id.Value);
+    sendToHost(Asked.Owner, pieces_wanted{std::move(Job)});
+    return;
+  }
+  core_duration Wait = Owner.submit(Settings.Self.Host, Job, Now);
+  onJobAccepted(Id, Wait);
+}
+
+// With the owner's view of the queue it is known whether the whole chain can
+// be done in time. If not, the caller hears it now.
+void serving_impl::onJobAccepted(piece_job_id Id, core_duration Wait) {
+  auto Found = JobsAsked.find(Id);
+  if (Found == JobsAsked.end())
+    return;
+  job_state &Job = Found->second;
+  Job.Accepted = true;
+  request_state *State = find(Job.Request);
+  if (!State)
+    return;
+  const pool_id &Pool = State->Route->Stages[Job.Stage].Pool;
+  Waits[Pool] = Wait;
+  core_duration Needed =
+      stageTime(*State, Job.Stage) + timeAfter(*State, Job.Stage);
+  core_duration Left = State->Deadline - Now;
+  if (Needed > Left) {
+    giveUp(*State, refusal_kind::Overloaded, Needed - Left);
+    return;
+  }
+  core_duration Due =
+      Wait + (stageTime(*State, Job.Stage) - Wait) * JobTimeFactor + JobPause;
+  addTimer(Now + Due, timer_kind::JobDone, Id.Value);
+}
+
+// The owner is not heard of: the next in rank takes over.
+void serving_impl::onJobUnanswered(piece_job_id Id) {
+  auto Found = JobsAsked.find(Id);
+  if (Found == JobsAsked.end() || Found->second.Accepted)
+    return;
+  const entry_host_id Silent = Found->second.Owner;
+  if (Hosts.suspect(Silent, Now)) {
+    log(event_number::HostSuspected, event_severity::Warning,
+        "host does not answer; another owns its queues",
+        {{"host", Silent.Value}, {"job", std::to_string(Id.Value)}});
+    Actions.reconnectPeer(Silent);
+    Greeted.erase(Silent);
+  }
+  if (request_state *State = find(Found->second.Request))
+    sendJob(Id, *State);
+}
+
+void serving_impl::onJobOverdue(piece_job_id Id) {
+  auto Found = JobsAsked.find(Id);
+  if (Found == JobsAsked.end())
+    return;
+  request_state *State = find(Found->second.Request);
+  if (!State)
+    return;
+  log(event_number::PiecesOverdue, event_severity::Warning,
+      "pieces are overdue and asked for again",
+      {{"request", State->Call.CallerId.Value},
+       {"owner", Found->second.Owner.Value},
+       {"stage", std::to_string(Found->second.Stage)}});
+  if (Found->second.Owner == Settings.Self.Host)
+    Owner.cancel(Settings.Self.Host, Id);
+  else
+    sendToHost(Found->second.Owner, pieces_cancelled{Id});
+  sendJob(Id, *State);
+}
+
+void serving_impl::onPiecesMade(const entry_host_id &Host, piece_job_id Job,
+                                  std::vector<made_piece> Pieces) {
+  if (Host == Settings.Self.Host)
+    takePieces(Job, Host, std::move(Pieces));
+  else
+    sendToHost(Host, pieces_made{Job, std::move(Pieces)});
+}
+
+void serving_impl::onJobFailed(const entry_host_id &Host, piece_job_id Job,
+                                 piece_failure Failure) {
+  if (Host == Settings.Self.Host)
+    takeJobFailure(Job, Failure);
+  else
+    sendToHost(Host, pieces_failed{Job, Failure});
+}
+
+void serving_impl::takePieces(piece_job_id Id, const entry_host_id &From,
+                                std::vector<made_piece> Pieces) {
+  auto Found = JobsAsked.find(Id);
+  request_state *State =
+      Found == JobsAsked.end() ? nullptr : find(Found->second.Request);
+  std::set<std::uint32_t> Distinct;
+  for (const made_piece &Piece : Pieces)
+    Distinct.insert(Piece.Piece);
+  if (!State || Distinct.size() != Pieces.size() ||
+      Pieces.size() != State->Call.Pieces[Found->second.Stage]) {
+    stage_state Unwanted;
+    Unwanted.Results = std::move(Pieces);
+    Unwanted.Owner = From;
+    releaseStage(Unwanted);
+    return;
+  }
+  std::sort(Pieces.begin(), Pieces.end(),
+            [](const made_piece &A, const made_piece &B) {
+              return A.Piece < B.Piece;
+            });
+  stage_state &Stage = State->Stages[Found->second.Stage];
+  JobsAsked.erase(Found);
+  Stage.Phase = stage_phase::Done;
+  Stage.Results = std::move(Pieces);
+  Stage.Owner = From;
+  releaseUsed(*State);
+  startReadyStages(*State);
+}
+
+void serving_impl::takeJobFailure(piece_job_id Id, piece_failure Failure) {
+  auto Found = JobsAsked.find(Id);
+  if (Found == JobsAsked.end())
+    return;
+  request_state *State = find(Found->second.Request);
+  std::uint32_t Stage = Found->second.Stage;
+  JobsAsked.erase(Found);
+  if (!State)
+    return;
+  State->Stages[Stage].Phase = stage_phase::Waiting;
+  log(event_number::PiecesFailed, event_severity::Warning,
+      "pieces of a stage were not made",
+      {{"request", State->Call.CallerId.Value},
+       {"stage", std::to_string(Stage)},
+       {"reason", Failure == piece_failure::InputGone ? "input_gone"
+                  : Failure == piece_failure::Late    ? "late"
+                                                      : "not_made"}});
+  if (Failure == piece_failure::InputGone && restage(*State))
+    return;
+  refusal_kind Kind = Failure == piece_failure::Late ? refusal_kind::Overloaded
+                                                     : refusal_kind::NoBackend;
+  giveUp(*State, Kind, milliseconds(500));
+}
+
+// Begins the stages again because results were lost. False: there is no point.
+bool serving_impl::restage(request_state &State) {
+  core_duration Needed{0};
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+    if (State.Route->Stages[Stage].After.empty())
+      Needed = std::max(Needed,
+                        stageTime(State, Stage) + timeAfter(State, Stage));
+  if (State.Restages >= MaxRestages || Now + Needed > State.Deadline)
+    return false;
+  ++State.Restages;
+  cancelJobs(State);
+  releaseAll(State);
+  State.Stages.assign(State.Stages.size(), stage_state{});
+  startReadyStages(State);
+  return true;
+}
+
+void serving_impl::releaseStage(stage_state &Stage) {
+  if (Stage.Released || Stage.Results.empty())
+    return;
+  Stage.Released = true;
+  std::vector<result_handle> Results;
+  for (const made_piece &Piece : Stage.Results)
+    Results.push_back(Piece.Result);
+  if (Stage.Owner == Settings.Self.Host)
+    Owner.release(Results, Now);
+  else if (Hosts.find(Stage.Owner) && !Hosts.suspected(Stage.Owner))
+    sendToHost(Stage.Owner, results_released{std::move(Results)});
+}
+
+// Releases the results that only stages which are done have needed.
+void serving_impl::releaseUsed(request_state &State) {
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
+    bool Consumed = false;
+    bool Needed = false;
+    for (std::size_t Next = 0; Next < State.Stages.size(); ++Next) {
+      const std::vector<std::uint32_t> &After = State.Route->Stages[Next].After;
+      if (std::find(After.begin(), After.end(), Stage) == After.end())
+        continue;
+      Consumed = true;
+      Needed = Needed || State.Stages[Next].Phase != stage_phase::Done;
+    }
+    if (Consumed && !Needed)
+      releaseStage(State.Stages[Stage]);
+  }
+}
+
+void serving_impl::releaseAll(request_state &State) {
+  for (stage_state &Stage : State.Stages)
+    releaseStage(Stage);
+}
+
+void serving_impl::cancelJobs(request_state &State) {
+  for (stage_state &Stage : State.Stages) {
+    if (Stage.Phase != stage_phase::Asked)
+      continue;
+    auto Found = JobsAsked.find(Stage.Job);
+    if (Found == JobsAsked.end())
+      continue;
+    entry_host_id Host = Found->second.Owner;
+    JobsAsked.erase(Found);
+    if (Host == Settings.Self.Host)
+      Owner.cancel(Host, Stage.Job);
+    else
+      sendToHost(Host, pieces_cancelled{Stage.Job});
+  }
+}
+
+} // namespace jasminecroft
--- a/packages/entry/src/backend_client.cc
+++ b/packages/entry/src/backend_client.cc
@@ -40,7 +40,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Action.Timeout);
   exchange_request Request;
   Request.Address = Action.Address;
-  Request.Post = true;
+  Request.Method = exchange_method::Post;
   Request.Target = "/v1/run";
   Request.Timeout = Action.Timeout;
   Request.MayReuseConnection = Action.Repeatable;
@@ -270,7 +270,7 @@
       return;
     exchange_request Request;
     Request.Address = Address;
-    Request.Post = true;
+    Request.Method = exchange_method::Post;
     Request.Target = "/v1/cancel";
     Request.Body = "{\"attempt\":\"" + attemptText(Attempt) + "\"}";
     Request.Timeout = CancelTimeout;
--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -1,6 +1,7 @@
 // Connects, writes one request, reads one answer and keeps the connection.
 #include "http_exchange.h"
 
+#include "connection_pool.h"
 #include "io_types.h"
 #include "jasminecroft/entry/settings.h"
 
@@ -13,9 +14,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <map>
 #include <optional>
-#include <sys/socket.h>
 
 namespace jasminecroft::detail {
 
@@ -27,7 +26,6 @@
 
 namespace {
 
-constexpr std::size_t MaxIdlePerServer = 64;
 constexpr std::uint64_t MaxAnswerBytes = 33'554'432;
 constexpr unsigned HttpVersion11 = 11;
 
@@ -35,12 +33,18 @@
   return {Text.data(), Text.size()};
 }
 
-// Whether an idle connection has neither ended nor received anything.
-bool isQuiet(tcp_socket &Socket) {
-  char Byte = 0;
-  ssize_t Result =
-      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+http::verb verbOf(exchange_method Method) {
+  switch (Method) {
+  case exchange_method::Get:
+    return http::verb::get;
+  case exchange_method::Post:
+    return http::verb::post;
+  case exchange_method::Put:
+    return http::verb::put;
+  case exchange_method::Delete:
+    return http::verb::delete_;
+  }
+  return http::verb::get;
 }
 
 // One buffer is written faster than the serializer's many.
@@ -57,35 +61,6 @@
   return Text;
 }
 
-class connection_pool {
-public:
-  std::optional<tcp_socket> take(const endpoint &Address) {
-    std::vector<tcp_socket> &Sockets = Idle[Address];
-    while (!Sockets.empty()) {
-      tcp_socket Socket = std::move(Sockets.back());
-      Sockets.pop_back();
-      if (isQuiet(Socket)) {
-        ++Counters.Reused;
-        return Socket;
-      }
-    }
-    return std::nullopt;
-  }
-
-  void give(const endpoint &Address, tcp_socket Socket) {
-    std::vector<tcp_socket> &Sockets = Idle[Address];
-    if (Sockets.size() < MaxIdlePerServer)
-      Sockets.push_back(std::move(Socket));
-  }
-
-  void clear() { Idle.clear(); }
-
-  connection_counters Counters;
-
-private:
-  std::map<endpoint, std::vector<tcp_socket>> Idle;
-};
-
 class exchange_impl final : public http_exchange,
                             public std::enable_shared_from_this<exchange_impl> {
 public:
@@ -119,10 +94,11 @@
   void prepare() {
     http::request<http::string_body> Request;
     Request.version(HttpVersion11);
-    Request.method(Wanted.Post ? http::verb::post : http::verb::get);
+    Request.method(verbOf(Wanted.Method));
     Request.target(toBeast(Wanted.Target));
     Request.set(http::field::host, toBeast(Wanted.Address.Value));
-    if (Wanted.Post)
+    if (Wanted.Method == exchange_method::Post ||
+        Wanted.Method == exchange_method::Put)
       Request.set(http::field::content_type, "application/json");
     for (const std::pair<std::string_view, std::string> &Header :
          Wanted.Headers)
@@ -159,8 +135,7 @@
       return;
     }
     ++Pool->Counters.Opened;
-    error Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
+    prepareSocket(Socket);
     write();
   }
 
@@ -250,7 +225,7 @@
     unsigned Status = Parser->get().result_int();
     std::string Body = std::move(Parser->get().body());
     if (Parser->get().keep_alive() && Buffer.size() == 0)
-      Pool->give(Wanted.Address, std::move(Socket));
+      Pool->give(Wanted.Address, std::move(Socket), std::nullopt);
     std::shared_ptr<exchange_listener> Last = Listener;
     end();
     Last->onComplete(Status, std::move(Body));
--- a/packages/entry/src/http_exchange.h
+++ b/packages/entry/src/http_exchange.h
@@ -13,9 +13,11 @@
 
 namespace jasminecroft::detail {
 
+enum class exchange_method { Get, Post, Put, Delete };
+
 struct exchange_request {
   endpoint Address;
-  bool Post = false;
+  exchange_method Method = exchange_method::Get;
   std::string Target;
   std::vector<std::pair<std::string_view, std::string>> Headers;
   std::string Body;
--- a/packages/entry/src/jasminecroftd-main.cc
+++ b/packages/entry/src/jasminecroftd-main.cc
@@ -2,6 +2,7 @@
 #include "jasminecroft/entry/entry_supervisor.h"
 #include "jasminecroft/entry/event_logger.h"
 #include "jasminecroft/entry/exit_code.h"
+#include "jasminecroft/entry/serving_settings.h"
 #include "jasminecroft/entry/settings.h"
 
 #include <boost/program_options.hpp>
@@ -23,6 +24,9 @@
   options::options_description Description("jasminecroftd");
   Description.add_options()("settings", options::value<std::string>(),
                             "settings file, JSON with comments");
+  Description.add_options()(
+      "serve", options::value<std::string>(),
+      "serve the platform's routes; settings file filled in by the platform");
   Description.add_options()("check-settings",
                             "check the settings file and exit");
   Description.add_options()("print-settings",
@@ -50,6 +54,19 @@
   return toInt(exit_code::Usage);
 }
 
+int serve(const std::string &File, bool CheckOnly) {
+  serving_settings_result Read = readServingSettings(File);
+  if (settings_error *Error = std::get_if<settings_error>(&Read))
+    return refuseSettings(*Error, File);
+  if (CheckOnly)
+    return toInt(exit_code::Ok);
+  std::variant<exit_code, settings_error> Result =
+      runServingHost(std::get<serving_host_settings>(Read), File);
+  if (settings_error *Error = std::get_if<settings_error>(&Result))
+    return refuseSettings(*Error, File);
+  return toInt(std::get<exit_code>(Result));
+}
+
 int runWith(const options::variables_map &Arguments) {
   if (Arguments.contains("help")) {
     std::cout << makeOptions();
@@ -59,8 +76,11 @@
     std::cout << "jasminecroftd " << Version << '\n';
     return toInt(exit_code::Ok);
   }
+  if (Arguments.contains("serve"))
+    return serve(Arguments["serve"].as<std::string>(),
+                 Arguments.contains("check-settings"));
   if (!Arguments.contains("settings"))
-    return usage("--settings FILE is required");
+    return usage("--settings FILE or --serve FILE is required");
   const std::string &File = Arguments["settings"].as<std::string>();
   settings_result Read = readSettings(File);
   if (settings_error *Error = std::get_if<settings_error>(&Read))
--- /dev/null
+++ b/packages/entry/src/serving/backend_call.cc
@@ -0,0 +1,291 @@
+// Connects, writes one call, reads its answer and keeps the connection.
+#include "backend_call.h"
+
+#include "jasminecroft/entry/settings.h"
+#include "platform/replica/replica_calls.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace jasminecroft::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using error = boost::system::error_code;
+
+namespace {
+
+constexpr std::uint64_t MaxAnswerBytes = 16'777'216;
+/// A server that has not accepted a connection by then is taken as away.
+constexpr std::chrono::milliseconds ConnectTime{500};
+/// Idle connections are given up this long before their server closes them.
+constexpr std::chrono::milliseconds CloseMargin{700};
+/// Kept this long if the server does not say how long it keeps them.
+constexpr std::chrono::milliseconds UnsaidLifetime{400};
+constexpr unsigned StatusOk = 200;
+
+platform::http_head headOf(const http::response_header<> &Header) {
+  platform::http_head Head;
+  Head.Status = Header.result_int();
+  for (const http::fields::value_type &Field : Header)
+    Head.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Head;
+}
+
+class backend_call_impl final
+    : public backend_call,
+      public std::enable_shared_from_this<backend_call_impl> {
+public:
+  backend_call_impl(asio::io_context &Context,
+                    std::shared_ptr<connection_pool> Pool,
+                    backend_call_request Wanted,
+                    std::shared_ptr<backend_call_listener> Listener)
+      : Context(Context), Pool(std::move(Pool)), Wanted(std::move(Wanted)),
+        Listener(std::move(Listener)), Socket(Context), Timer(Context) {}
+
+  void start() {
+    std::optional<tcp_socket> Reused;
+    if (Wanted.MayReuseConnection)
+      Reused = Pool->take(Wanted.Address);
+    if (!Reused) {
+      connect();
+      return;
+    }
+    Socket = std::move(*Reused);
+    write();
+  }
+
+  void cancel() override { end(); }
+
+private:
+  void setTimer(std::chrono::microseconds Time) {
+    Timer.expires_after(Time);
+    Timer.async_wait([Self = shared_from_this()](const error &Error) {
+      if (!Error)
+        Self->onTimeout();
+    });
+  }
+
+  void connect() {
+    std::optional<ip_port> Parts = splitEndpoint(Wanted.Address);
+    error Error;
+    tcp::endpoint Server;
+    if (Parts)
+      Server = tcp::endpoint(asio::ip::make_address(Parts->Address, Error),
+                             Parts->Port);
+    if (!Parts || Error) {
+      asio::post(Context, [Self = shared_from_this()] {
+        Self->fail(call_failure::NotConnected);
+      });
+      return;
+    }
+    setTimer(std::min<std::chrono::microseconds>(ConnectTime, Wanted.Timeout));
+    Socket.async_connect(Server,
+                         [Self = shared_from_this()](const error &Failure) {
+                           Self->onConnected(Failure);
+                         });
+  }
+
+  void onConnected(const error &Error) {
+    if (!Listener)
+      return;
+    if (Error) {
+      fail(call_failure::NotConnected);
+      return;
+    }
+    ++Pool->Counters.Opened;
+    prepareSocket(Socket);
+    write();
+  }
+
+  void write() {
+    MayHaveLeft = true;
+    setTimer(Wanted.Timeout);
+    asio::async_write(
+        Socket, asio::buffer(Wanted.Text),
+        [Self = shared_from_this()](const error &Error, std::size_t) {
+          Self->onWritten(Error);
+        });
+  }
+
+  // A server may answer before it has read all and then close: what it said
+  // is still read.
+  void onWritten(const error &Error) {
+    if (!Listener)
+      return;
+    WriteFailed = Error.failed();
+    readHeader();
+  }
+
+  void readHeader() {
+    Parser.emplace();
+    Parser->body_limit(MaxAnswerBytes);
+    Parser->skip(Wanted.HeadOnly);
+    http::async_read_header(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](const error &Error, std::size_t) {
+          Self->onHeader(Error);
+        });
+  }
+
+  void onHeader(const error &Error) {
+    if (!Listener)
+      return;
+    if (Error) {
+      fail(call_failure::Broken);
+      return;
+    }
+    Head = headOf(Parser->get());
+    // An answer that names another request is a leftover of that request.
+    Foreign = !Wanted.CallerId.empty() &&
+              platform::isForeignReply(Head, Wanted.CallerId);
+    beast::string_view Type = Parser->get()[http::field::content_type];
+    Streaming = !Foreign && Wanted.Streamed && Head.Status == StatusOk &&
+                Type.starts_with("text/event-stream");
+    if (Streaming) {
+      Parser->body_limit(boost::none);
+      std::shared_ptr<backend_call_listener> Current = Listener;
+      Current->onStreamHead(Head);
+      if (!Listener)
+        return;
+    }
+    if (Parser->is_done())
+      complete();
+    else if (Streaming)
+      readStream();
+    else
+      readBody();
+  }
+
+  void readBody() {
+    http::async_read(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](const error &Error, std::size_t) {
+          if (!Self->Listener)
+            return;
+          if (Error)
+            Self->fail(call_failure::Broken);
+          else
+            Self->complete();
+        });
+  }
+
+  void readStream() {
+    http::async_read_some(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](const error &Error, std::size_t) {
+          Self->onStream(Error);
+        });
+  }
+
+  // The listener may cancel this call while it takes the text.
+  void onStream(const error &Error) {
+    if (!Listener)
+      return;
+    std::string Text = std::exchange(Parser->get().body(), {});
+    std::shared_ptr<backend_call_listener> Current = Listener;
+    if (!Text.empty())
+      Current->onStreamText(std::move(Text));
+    if (!Listener)
+      return;
+    if (Error)
+      fail(call_failure::Broken);
+    else if (Parser->is_done())
+      complete();
+    else
+      readStream();
+  }
+
+  void complete() {
+    if (Foreign) {
+      // The answer to this call follows on the same connection, if it stays.
+      if (Parser->get().keep_alive())
+        readHeader();
+      else
+        fail(call_failure::Broken);
+      return;
+    }
+    std::string Body = std::move(Parser->get().body());
+    if (Parser->get().keep_alive() && Buffer.size() == 0 && !WriteFailed)
+      keepConnection();
+    std::shared_ptr<backend_call_listener> Last = Listener;
+    bool WasStream = Streaming;
+    platform::http_head LastHead = std::move(Head);
+    end();
+    if (WasStream)
+      Last->onStreamEnd();
+    else
+      Last->onWhole(LastHead, std::move(Body));
+  }
+
+  void keepConnection() {
+    std::chrono::milliseconds Lifetime = UnsaidLifetime;
+    if (std::optional<std::chrono::seconds> Said = platform::keepAliveOf(Head))
+      Lifetime = *Said - CloseMargin;
+    if (Lifetime.count() > 0)
+      Pool->give(Wanted.Address, std::move(Socket), Lifetime);
+  }
+
+  void onTimeout() {
+    if (!Listener)
+      return;
+    // Other connections to a silent server may be as dead.
+    Pool->drop(Wanted.Address);
+    fail(MayHaveLeft ? call_failure::TimedOut : call_failure::NotConnected);
+  }
+
+  void fail(call_failure Failure) {
+    if (!Listener)
+      return;
+    std::shared_ptr<backend_call_listener> Last = Listener;
+    end();
+    Last->onFailed(Failure);
+  }
+
+  void end() {
+    Listener.reset();
+    Timer.cancel();
+    error Ignored;
+    Socket.close(Ignored);
+  }
+
+  asio::io_context &Context;
+  std::shared_ptr<connection_pool> Pool;
+  backend_call_request Wanted;
+  /// Absent once the call has ended.
+  std::shared_ptr<backend_call_listener> Listener;
+  tcp_socket Socket;
+  io_timer Timer;
+  std::optional<http::response_parser<http::string_body>> Parser;
+  beast::flat_buffer Buffer;
+  platform::http_head Head;
+  /// True from just before the first byte is written.
+  bool MayHaveLeft = false;
+  bool WriteFailed = false;
+  bool Streaming = false;
+  bool Foreign = false;
+};
+
+} // namespace
+
+std::shared_ptr<backend_call>
+startBackendCall(asio::io_context &Context,
+                 const std::shared_ptr<connection_pool> &Pool,
+                 backend_call_request Request,
+                 std::shared_ptr<backend_call_listener> Listener) {
+  std::shared_ptr<backend_call_impl> Call = std::make_shared<backend_call_impl>(
+      Context, Pool, std::move(Request), std::move(Listener));
+  Call->start();
+  return Call;
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/backend_call.h
@@ -0,0 +1,53 @@
+// One call to a backend server over pooled connections: raw bytes out, one
+// answer back, whole or as a stream.
+#pragma once
+
+#include "../connection_pool.h"
+#include "jasminecroft/core/serving/serving_core.h"
+#include "platform/http_text.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+namespace jasminecroft::detail {
+
+struct backend_call_request {
+  endpoint Address;
+  std::string Text;
+  /// The answer has to name it; empty if answers name nothing.
+  caller_request_id CallerId;
+  std::chrono::microseconds Timeout{0};
+  bool MayReuseConnection = true;
+  /// A successful event stream is handed on as it arrives.
+  bool Streamed = false;
+  /// The answer has no body.
+  bool HeadOnly = false;
+};
+
+/// Hears of a call, never before it was started and never after it was
+/// cancelled. Nothing follows onWhole, onStreamEnd and onFailed.
+class backend_call_listener {
+public:
+  virtual ~backend_call_listener() = default;
+  virtual void onWhole(const platform::http_head &Head, std::string Body) = 0;
+  virtual void onStreamHead(const platform::http_head &Head) = 0;
+  virtual void onStreamText(std::string Text) = 0;
+  /// The stream has ended as its framing says.
+  virtual void onStreamEnd() = 0;
+  virtual void onFailed(call_failure Failure) = 0;
+};
+
+class backend_call {
+public:
+  virtual ~backend_call() = default;
+  virtual void cancel() = 0;
+};
+
+std::shared_ptr<backend_call>
+startBackendCall(boost::asio::io_context &Context,
+                 const std::shared_ptr<connection_pool> &Pool,
+                 backend_call_request Request,
+                 std::shared_ptr<backend_call_listener> Listener);
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/caller_session.cc
@@ -0,0 +1,384 @@
+// Reading of requests within the callers' bounds, and writing of answers.
+#include "caller_session.h"
+
+#include "platform/front/caller_requests.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+namespace jasminecroft::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+/// Time for a body of the largest size on a slow link.
+constexpr std::chrono::seconds BodyTime{10};
+constexpr std::chrono::seconds WriteTime{20};
+constexpr std::chrono::seconds LingerTime{1};
+/// Text of one stream that its caller has not read yet.
+constexpr std::size_t MaxUnsentBytes = 2'097'152;
+constexpr std::size_t ReadBytes = 8'192;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned TooLarge = 413;
+constexpr unsigned HeaderTooLarge = 431;
+
+platform::http_head headOf(const http::request_header<> &Header) {
+  platform::http_head Head;
+  Head.Method = std::string(Header.method_string());
+  Head.Target = std::string(Header.target());
+  for (const http::fields::value_type &Field : Header)
+    Head.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Head;
+}
+
+// Whether the bytes are no request, as opposed to a connection that ended.
+bool isUnreadable(const boost::system::error_code &Error) {
+  return Error.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         Error != http::error::end_of_stream &&
+         Error != http::error::partial_message;
+}
+
+std::string chunk(std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Size;
+  for (std::size_t Rest = Text.size(); Rest > 0; Rest /= 16)
+    Size.insert(Size.begin(), Digits[Rest % 16]);
+  std::string Chunk = Size + "\r\n";
+  Chunk += Text;
+  Chunk += "\r\n";
+  return Chunk;
+}
+
+} // namespace
+
+caller_session::caller_session(tcp_socket Socket, caller_session_owner &Owner)
+    : Socket(std::move(Socket)), Owner(Owner) {
+  error Ignored;
+  this->Socket.set_option(tcp::no_delay(true), Ignored);
+}
+
+void caller_session::start() { awaitRequest(); }
+
+bool caller_session::busy() const {
+  return Phase != phase::Idle && Phase != phase::Closed &&
+         Phase != phase::Lingering;
+}
+
+void caller_session::setDeadline(std::chrono::microseconds Time) {
+  Deadline = clock::now() + Time;
+}
+
+void caller_session::checkDeadline(clock::time_point Now) {
+  if (!Deadline || Now < *Deadline)
+    return;
+  Deadline.reset();
+  if (Phase == phase::Reading)
+    refuseEarly(RequestTimeout, "request did not arrive in time");
+  else if (Phase == phase::Idle || Phase == phase::Finishing ||
+           Phase == phase::Lingering)
+    close();
+}
+
+void caller_session::closeIfIdle() {
+  if (Phase == phase::Idle && Buffer.size() == 0)
+    close();
+}
+
+void caller_session::awaitRequest() {
+  Phase = phase::Idle;
+  Request.reset();
+  setDeadline(Owner.bounds().IdleTimeout);
+  if (Buffer.size() > 0) {
+    onFirstBytes({}, 0);
+    return;
+  }
+  Socket.async_read_some(
+      Buffer.prepare(ReadBytes),
+      [Self = shared_from_this()](const error &Error, std::size_t Bytes) {
+        Self->onFirstBytes(Error, Bytes);
+      });
+}
+
+void caller_session::onFirstBytes(const error &Error, std::size_t Bytes) {
+  if (Phase != phase::Idle)
+    return;
+  if (Error) {
+    close();
+    return;
+  }
+  Buffer.commit(Bytes);
+  Phase = phase::Reading;
+  readHeader();
+}
+
+void caller_session::readHeader() {
+  caller_bounds Bounds = Owner.bounds();
+  setDeadline(Bounds.HeaderTimeout);
+  Parser.emplace();
+  Parser->header_limit(static_cast<std::uint32_t>(Bounds.MaxHeaderBytes));
+  Parser->body_limit(Bounds.MaxBodyBytes);
+  http::async_read_header(
+      Socket, Buffer, *Parser,
+      [Self = shared_from_this()](const error &Error, std::size_t) {
+        Self->onHeader(Error);
+      });
+}
+
+void caller_session::onHeader(const error &Error) {
+  if (Phase != phase::Reading)
+    return;
+  if (Error == http::error::header_limit) {
+    refuseEarly(HeaderTooLarge, "header too large");
+    return;
+  }
+  if (Error == http::error::body_limit) {
+    refuseEarly(TooLarge, "body too large");
+    return;
+  }
+  if (Error) {
+    if (isUnreadable(Error))
+      refuseEarly(BadRequest, "request cannot be read");
+    else
+      close();
+    return;
+  }
+  if (Parser->is_done()) {
+    dispatch();
+    return;
+  }
+  if (beast::iequals(Parser->get()[http::field::expect], "100-continue"))
+    send("HTTP/1.1 100 Continue\r\n\r\n");
+  setDeadline(BodyTime);
+  readBody();
+}
+
+void caller_session::readBody() {
+  http::async_read(Socket, Buffer, *Parser,
+                   [Self = shared_from_this()](const error &Error,
+                                               std::size_t) {
+                     Self->onBody(Error);
+                   });
+}
+
+void caller_session::onBody(const error &Error) {
+  if (Phase != phase::Reading)
+    return;
+  if (!Error)
+    dispatch();
+  else if (Error == http::error::body_limit)
+    refuseEarly(TooLarge, "body too large");
+  else if (isUnreadable(Error))
+    refuseEarly(BadRequest, "body cannot be read");
+  else
+    close();
+}
+
+void caller_session::dispatch() {
+  Phase = phase::InProgress;
+  Deadline.reset();
+  KeepAlive = Parser->keep_alive();
+  HeadOnly = Parser->get().method() == http::verb::head;
+  platform::http_head Head = headOf(Parser->get().base());
+  CallerId = platform::callerIdOf(Head);
+  platform::decoded_request Decoded = platform::decodeRequest(
+      std::move(Head), std::move(Parser->get().body()));
+  Parser.reset();
+  if (platform::request_problem *Problem =
+          std::get_if<platform::request_problem>(&Decoded)) {
+    refuseEarly(BadRequest, platform::toText(*Problem));
+    return;
+  }
+  std::shared_ptr<caller_session> Self = shared_from_this();
+  request_id Number =
+      Owner.accept(std::move(std::get<serving_request>(Decoded)), Self);
+  if (Phase == phase::InProgress || Phase == phase::Streaming) {
+    Request = Number;
+    watchCaller();
+  }
+}
+
+// A readable connection without bytes means that the caller has closed it.
+void caller_session::watchCaller() {
+  if (CallerWatched || Buffer.size() > 0)
+    return;
+  CallerWatched = true;
+  Socket.async_wait(tcp_socket::wait_read,
+                    [Self = shared_from_this()](const error &Error) {
+                      Self->CallerWatched = false;
+                      Self->onCallerReadable(Error);
+                    });
+}
+
+void caller_session::onCallerReadable(const error &Error) {
+  if (Error || !Request)
+    return;
+  errno = 0;
+  char Byte = 0;
+  ssize_t Result =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    watchCaller();
+    return;
+  }
+  if (Result > 0)
+    return;
+  request_id Gone = *Request;
+  Request.reset();
+  close();
+  Owner.onCallerLeft(Gone);
+}
+
+bool caller_session::willClose() const {
+  return !KeepAlive || Owner.closingAfterAnswers();
+}
+
+void caller_session::refuseEarly(unsigned Status, std::string_view Why) {
+  Owner.onRefusedEarly(Status, Why);
+  Phase = phase::Finishing;
+  CloseWhenWritten = true;
+  LingerWhenWritten = true;
+  setDeadline(WriteTime);
+  send(platform::encodeError(Status, true));
+}
+
+void caller_session::refuse(const refusal &Refusal) {
+  if (Phase != phase::InProgress)
+    return;
+  bool Close = willClose();
+  std::string Text = platform::encodeRefusal(Refusal, CallerId, Close);
+  finishAnswer(Close);
+  send(std::move(Text));
+}
+
+void caller_session::relayWhole(const backend_reply_head &Head,
+                                std::string Body) {
+  if (Phase != phase::InProgress)
+    return;
+  bool Close = willClose();
+  std::string Text = platform::encodeReplyHead(Head, Body.size(), Close);
+  if (!HeadOnly)
+    Text += Body;
+  finishAnswer(Close);
+  send(std::move(Text));
+}
+
+void caller_session::relayHead(const backend_reply_head &Head) {
+  if (Phase != phase::InProgress)
+    return;
+  Phase = phase::Streaming;
+  CloseWhenWritten = willClose();
+  send(platform::encodeReplyHead(Head, std::nullopt, CloseWhenWritten));
+}
+
+void caller_session::relayEvents(std::string_view Text) {
+  if (Phase != phase::Streaming)
+    return;
+  send(chunk(Text));
+  if (Unsent.size() <= MaxUnsentBytes || !Request)
+    return;
+  // The caller reads too slowly to keep the rest in memory.
+  request_id Gone = *Request;
+  close();
+  Owner.onCallerLeft(Gone);
+}
+
+void caller_session::relayEnd() {
+  if (Phase != phase::Streaming)
+    return;
+  finishAnswer(CloseWhenWritten);
+  send("0\r\n\r\n");
+}
+
+void caller_session::breakOff() { close(); }
+
+void caller_session::finishAnswer(bool Close) {
+  Phase = phase::Finishing;
+  Request.reset();
+  CloseWhenWritten = Close;
+  LingerWhenWritten = false;
+  setDeadline(WriteTime);
+}
+
+void caller_session::send(std::string Text) {
+  Unsent += Text;
+  if (Writing.empty())
+    writeNext();
+}
+
+void caller_session::writeNext() {
+  if (Phase == phase::Closed)
+    return;
+  if (Unsent.empty()) {
+    if (Phase == phase::Finishing)
+      onAnswerOut();
+    return;
+  }
+  Writing = std::exchange(Unsent, {});
+  asio::async_write(
+      Socket, asio::buffer(Writing),
+      [Self = shared_from_this()](const error &Error, std::size_t) {
+        Self->onWritten(Error);
+      });
+}
+
+void caller_session::onWritten(const error &Error) {
+  Writing.clear();
+  if (!Error) {
+    writeNext();
+    return;
+  }
+  std::optional<request_id> Gone = std::exchange(Request, std::nullopt);
+  close();
+  if (Gone)
+    Owner.onCallerLeft(*Gone);
+}
+
+void caller_session::onAnswerOut() {
+  if (LingerWhenWritten)
+    linger();
+  else if (CloseWhenWritten)
+    close();
+  else
+    awaitRequest();
+}
+
+// Closing with unread input would reset the connection, and the caller might
+// never see the answer.
+void caller_session::linger() {
+  if (Phase != phase::Lingering) {
+    Phase = phase::Lingering;
+    setDeadline(LingerTime);
+    error Ignored;
+    Socket.shutdown(tcp_socket::shutdown_send, Ignored);
+  }
+  Buffer.clear();
+  Socket.async_read_some(
+      Buffer.prepare(ReadBytes),
+      [Self = shared_from_this()](const error &Error, std::size_t) {
+        if (Error)
+          Self->close();
+        else if (Self->Phase == phase::Lingering)
+          Self->linger();
+      });
+}
+
+void caller_session::close() {
+  if (Phase == phase::Closed)
+    return;
+  Phase = phase::Closed;
+  Deadline.reset();
+  error Ignored;
+  Socket.close(Ignored);
+  Owner.onClosed(*this);
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/caller_session.h
@@ -0,0 +1,116 @@
+// One caller's connection on the serving path: requests in, answers and
+// streams out.
+#pragma once
+
+#include "../io_types.h"
+#include "jasminecroft/core/serving/serving_core.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jasminecroft::detail {
+
+class caller_session;
+
+/// What a session needs of the front that owns it.
+class caller_session_owner {
+public:
+  virtual ~caller_session_owner() = default;
+  virtual caller_bounds bounds() const = 0;
+  /// Whether connections are to end with the answer in progress.
+  virtual bool closingAfterAnswers() const = 0;
+  /// Numbers the request and hands it on; the answer may come at once.
+  virtual request_id accept(serving_request Request,
+                            const std::shared_ptr<caller_session> &Session) = 0;
+  virtual void onCallerLeft(request_id Request) = 0;
+  virtual void onRefusedEarly(unsigned Status, std::string_view Why) = 0;
+  virtual void onClosed(const caller_session &Session) = 0;
+};
+
+/// Lives as long as an operation of its socket or the owner's table holds it.
+class caller_session : public std::enable_shared_from_this<caller_session> {
+public:
+  using clock = std::chrono::steady_clock;
+
+  caller_session(tcp_socket Socket, caller_session_owner &Owner);
+  void start();
+
+  void refuse(const refusal &Refusal);
+  void relayWhole(const backend_reply_head &Head, std::string Body);
+  void relayHead(const backend_reply_head &Head);
+  void relayEvents(std::string_view Text);
+  void relayEnd();
+  /// Closes so that the caller sees the answer as cut.
+  void breakOff();
+
+  /// Ends what has run out of time.
+  void checkDeadline(clock::time_point Now);
+  /// Closes the connection if it waits for a request.
+  void closeIfIdle();
+  bool busy() const;
+
+private:
+  using error = boost::system::error_code;
+  using parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /// Idle: between requests. Reading: a request is arriving. InProgress: the
+  /// core has the request. Streaming: the same, and the head is out.
+  /// Finishing: the last bytes of an answer are being written. Lingering: the
+  /// answer is out and unread input is discarded before closing.
+  enum class phase {
+    Idle,
+    Reading,
+    InProgress,
+    Streaming,
+    Finishing,
+    Lingering,
+    Closed
+  };
+
+  void awaitRequest();
+  void onFirstBytes(const error &Error, std::size_t Bytes);
+  void readHeader();
+  void onHeader(const error &Error);
+  void readBody();
+  void onBody(const error &Error);
+  void dispatch();
+  void refuseEarly(unsigned Status, std::string_view Why);
+  void watchCaller();
+  void onCallerReadable(const error &Error);
+  void send(std::string Text);
+  void writeNext();
+  void onWritten(const error &Error);
+  void finishAnswer(bool Close);
+  void onAnswerOut();
+  void linger();
+  void close();
+  bool willClose() const;
+  void setDeadline(std::chrono::microseconds Time);
+
+  tcp_socket Socket;
+  caller_session_owner &Owner;
+  boost::beast::flat_buffer Buffer;
+  std::optional<parser> Parser;
+  phase Phase = phase::Idle;
+  std::optional<clock::time_point> Deadline;
+  /// Set while the core has the request.
+  std::optional<request_id> Request;
+  std::string CallerId;
+  bool KeepAlive = true;
+  bool HeadOnly = false;
+  bool CloseWhenWritten = false;
+  bool LingerWhenWritten = false;
+  bool CallerWatched = false;
+  /// Text being written, and text that waits behind it.
+  std::string Writing;
+  std::string Unsent;
+};
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/host_registration.cc
@@ -0,0 +1,135 @@
+// Create if absent, else replace under the revision that was found.
+#include "host_registration.h"
+
+namespace jasminecroft::detail {
+
+namespace {
+
+constexpr std::chrono::seconds CallTimeout{3};
+constexpr std::chrono::seconds RemoveTimeout{1};
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned FirstErrorStatus = 300;
+
+} // namespace
+
+class host_registration::answer final : public exchange_listener {
+public:
+  explicit answer(std::weak_ptr<host_registration> Owner)
+      : Owner(std::move(Owner)) {}
+  bool onStreamText(std::string_view) override { return false; }
+  void onComplete(unsigned Status, std::string Body) override {
+    if (std::shared_ptr<host_registration> Target = Owner.lock())
+      Target->onAnswer(Status, Body);
+  }
+  void onFailed(exchange_failure) override {
+    if (std::shared_ptr<host_registration> Target = Owner.lock())
+      Target->onFailed();
+  }
+
+private:
+  std::weak_ptr<host_registration> Owner;
+};
+
+host_registration::host_registration(boost::asio::io_context &Context,
+                                     http_client &Client, endpoint Store,
+                                     batching_host Self, incarnation Run)
+    : Client(Client), Store(std::move(Store)), Self(std::move(Self)), Run(Run),
+      Timer(Context), Pause(Run.Value) {}
+
+void host_registration::start() { perform(); }
+
+void host_registration::stop() {
+  Stopped = true;
+  Timer.cancel();
+  if (Call)
+    Call->cancel();
+}
+
+void host_registration::leave(std::function<void()> Done) {
+  Left = std::move(Done);
+  Timer.cancel();
+  if (Call)
+    Call->cancel();
+  Step = step::Remove;
+  perform();
+}
+
+void host_registration::perform() {
+  if (Stopped || Step == step::Registered)
+    return;
+  exchange_request Request;
+  Request.Address = Store;
+  Request.Timeout = CallTimeout;
+  const std::string &Name = Self.Host.Value;
+  std::string Spec = platform::encodeEntryHost(Self, Run);
+  switch (Step) {
+  case step::Create:
+    Request.Method = exchange_method::Post;
+    Request.Target = platform::kindTarget(platform::EntryHostKind);
+    Request.Body = platform::encodeObject(Name, Spec, std::nullopt);
+    break;
+  case step::Replace:
+    Request.Method = exchange_method::Put;
+    Request.Target = platform::objectTarget(platform::EntryHostKind, Name);
+    Request.Body = platform::encodeObject(Name, Spec, Found);
+    break;
+  case step::Remove:
+    Request.Method = exchange_method::Delete;
+    Request.Target = platform::objectTarget(platform::EntryHostKind, Name);
+    Request.Timeout = RemoveTimeout;
+    break;
+  case step::Registered:
+    return;
+  }
+  Call = Client.start(std::move(Request),
+                      std::make_shared<answer>(weak_from_this()));
+}
+
+void host_registration::onAnswer(unsigned Status, const std::string &Body) {
+  if (Stopped)
+    return;
+  if (Step == step::Remove) {
+    if (Left)
+      std::exchange(Left, {})();
+    return;
+  }
+  if (Status < FirstErrorStatus) {
+    Step = step::Registered;
+    return;
+  }
+  if (Status == StatusConflict) {
+    std::variant<platform::stored_object, platform::object_error> Decoded =
+        platform::decodeObject(Body);
+    if (platform::stored_object *Object =
+            std::get_if<platform::stored_object>(&Decoded)) {
+      Found = Object->Revision;
+      Step = step::Replace;
+      perform();
+      return;
+    }
+  }
+  if (Status == StatusNotFound)
+    Step = step::Create;
+  retryLater();
+}
+
+void host_registration::onFailed() {
+  if (Step == step::Remove) {
+    if (Left)
+      std::exchange(Left, {})();
+    return;
+  }
+  retryLater();
+}
+
+void host_registration::retryLater() {
+  Timer.expires_after(Pause.next());
+  Timer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Error) {
+        if (!Error)
+          Self->perform();
+      });
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/host_registration.h
@@ -0,0 +1,49 @@
+// Makes this entry host known to the others through the platform's store.
+#pragma once
+
+#include "../http_exchange.h"
+#include "../io_types.h"
+#include "store_watch.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace jasminecroft::detail {
+
+/// Keeps one object of this host in the store: creates it, replaces the one of
+/// an earlier run, and removes it when the host leaves.
+class host_registration
+    : public std::enable_shared_from_this<host_registration> {
+public:
+  host_registration(boost::asio::io_context &Context, http_client &Client,
+                    endpoint Store, batching_host Self, incarnation Run);
+  void start();
+  /// Removes the object; Done is called when that has succeeded or failed.
+  void leave(std::function<void()> Done);
+  void stop();
+
+private:
+  class answer;
+  enum class step { Create, Replace, Registered, Remove };
+
+  void perform();
+  void onAnswer(unsigned Status, const std::string &Body);
+  void onFailed();
+  void retryLater();
+
+  http_client &Client;
+  endpoint Store;
+  batching_host Self;
+  incarnation Run;
+  io_timer Timer;
+  retry_pause Pause;
+  std::shared_ptr<http_exchange> Call;
+  step Step = step::Create;
+  /// Revision of the earlier run's object that is replaced.
+  std::optional<object_version> Found;
+  std::function<void()> Left;
+  bool Stopped = false;
+};
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/line_log.cc
@@ -0,0 +1,147 @@
+// Formats events as JSON lines and writes them without blocking.
+#include "line_log.h"
+
+#include <array>
+#include <cstdio>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace jasminecroft::detail {
+
+namespace {
+
+/// Lines that wait for a slow reader of the log.
+constexpr std::size_t MaxBufferBytes = 262'144;
+/// Lines are collected this long, so that one write takes several.
+constexpr std::chrono::milliseconds FlushInterval{100};
+/// A buffer of this size is written at once.
+constexpr std::size_t FlushBytes = 16'384;
+constexpr std::chrono::seconds WindowLength{1};
+
+void appendText(std::string &Line, std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  Line += '"';
+  for (char Character : Text) {
+    unsigned char Code = static_cast<unsigned char>(Character);
+    if (Character == '"' || Character == '\\') {
+      Line += '\\';
+      Line += Character;
+    } else if (Code < 0x20) {
+      Line += "\\u00";
+      Line += Digits[Code / 16];
+      Line += Digits[Code % 16];
+    } else {
+      Line += Character;
+    }
+  }
+  Line += '"';
+}
+
+std::string_view severityName(event_severity Severity) {
+  switch (Severity) {
+  case event_severity::Info:
+    return "info";
+  case event_severity::Warning:
+    return "warning";
+  case event_severity::Error:
+    return "error";
+  }
+  return "info";
+}
+
+} // namespace
+
+std::string formatLine(const event_record &Record, std::string_view Host,
+                       std::chrono::system_clock::time_point Time) {
+  std::int64_t Ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Time.time_since_epoch())
+                        .count();
+  std::array<char, 64> Begin{};
+  int Length =
+      std::snprintf(Begin.data(), Begin.size(), "{\"time\":%lld.%03lld,\"host\":",
+                    static_cast<long long>(Ms / 1000),
+                    static_cast<long long>(Ms % 1000));
+  std::string Line(Begin.data(), static_cast<std::size_t>(Length));
+  appendText(Line, Host);
+  Line += ",\"event\":" + std::to_string(static_cast<unsigned>(Record.Number));
+  Line += ",\"severity\":";
+  appendText(Line, severityName(Record.Severity));
+  Line += ",\"message\":";
+  appendText(Line, Record.Message);
+  for (const event_field &Field : Record.Fields) {
+    Line += ',';
+    appendText(Line, Field.Name);
+    Line += ':';
+    appendText(Line, Field.Value);
+  }
+  Line += '}';
+  return Line;
+}
+
+line_log::line_log(boost::asio::io_context &Context, std::string Host,
+                   const log_settings &Settings)
+    : Host(std::move(Host)), Settings(Settings), Timer(Context) {
+  int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+}
+
+void line_log::write(const event_record &Record) {
+  if (Record.Severity < Settings.MinimumSeverity)
+    return;
+  std::chrono::steady_clock::time_point Now = std::chrono::steady_clock::now();
+  window &Window = Windows[Record.Number];
+  if (Now - Window.Began >= WindowLength) {
+    Window.Began = Now;
+    Window.Lines = 0;
+  }
+  if (Window.Lines >= Settings.MaxPerSecond) {
+    ++Window.LeftOut;
+    return;
+  }
+  ++Window.Lines;
+  event_record Written = Record;
+  if (std::uint64_t LeftOut = std::exchange(Window.LeftOut, 0))
+    Written.Fields.push_back({"left_out", std::to_string(LeftOut)});
+  if (DroppedUnreported > 0)
+    Written.Fields.push_back(
+        {"dropped_before", std::to_string(DroppedUnreported)});
+  std::string Line =
+      formatLine(Written, Host, std::chrono::system_clock::now());
+  if (Buffer.size() + Line.size() + 1 > MaxBufferBytes) {
+    ++Dropped;
+    ++DroppedUnreported;
+    return;
+  }
+  DroppedUnreported = 0;
+  Buffer += Line;
+  Buffer += '\n';
+  if (Buffer.size() >= FlushBytes)
+    flush();
+  armFlush();
+}
+
+void line_log::flush() {
+  while (!Buffer.empty()) {
+    ssize_t Written = ::write(STDOUT_FILENO, Buffer.data(), Buffer.size());
+    if (Written <= 0)
+      return;
+    Buffer.erase(0, static_cast<std::size_t>(Written));
+  }
+}
+
+void line_log::armFlush() {
+  if (Armed || Buffer.empty())
+    return;
+  Armed = true;
+  Timer.expires_after(FlushInterval);
+  Timer.async_wait([this](const boost::system::error_code &Error) {
+    Armed = false;
+    if (Error)
+      return;
+    flush();
+    armFlush();
+  });
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -0,0 +1,197 @@
+// Listeners of calls: requests that are passed on, batches, and results that
+// are freed.
+#include "serving_backends.h"
+
+#include "platform/replica/replica_calls.h"
+
+namespace jasminecroft::detail {
+
+namespace {
+
+/// A server ends its work at the time it was given; its answer may take this
+/// much longer to arrive.
+constexpr std::chrono::milliseconds AnswerSlack{250};
+constexpr std::chrono::seconds FreeTimeout{2};
+/// Longest event of a stream.
+constexpr std::size_t MaxEventBytes = 1'048'576;
+
+/// A caller's request. Streams are handed on by whole events.
+class forward_listener final : public backend_call_listener {
+public:
+  forward_listener(serving_backends &Backends, backend_results &Results,
+                   call_id Call, caller_request_id CallerId)
+      : Backends(Backends), Results(Results), Call(Call),
+        CallerId(std::move(CallerId)) {}
+
+  void onWhole(const platform::http_head &Head, std::string Body) override {
+    Backends.forget(Call);
+    Results.onReplyWhole(Call, platform::decodeReply(Head, CallerId),
+                         std::move(Body));
+  }
+
+  void onStreamHead(const platform::http_head &Head) override {
+    Results.onStreamHead(Call, platform::decodeReply(Head, CallerId));
+  }
+
+  void onStreamText(std::string Text) override {
+    Pending += Text;
+    std::size_t End = Pending.rfind("\n\n");
+    if (End == std::string::npos) {
+      if (Pending.size() > MaxEventBytes)
+        fail();
+      return;
+    }
+    std::string Whole = Pending.substr(0, End + 2);
+    Pending.erase(0, End + 2);
+    std::optional<std::uint64_t> First;
+    std::optional<std::uint64_t> Last;
+    if (!checkEvents(Whole, First, Last)) {
+      fail();
+      return;
+    }
+    Results.onStreamEvents(Call, std::move(Whole), First.value_or(0),
+                           Last.value_or(0));
+  }
+
+  void onStreamEnd() override {
+    Backends.forget(Call);
+    // A part of an event at the end means that the server broke off.
+    if (!Pending.empty())
+      Results.onCallFailed(Call, call_failure::Broken);
+    else
+      Results.onStreamEnd(Call);
+  }
+
+  void onFailed(call_failure Failure) override {
+    Backends.forget(Call);
+    Results.onCallFailed(Call, Failure);
+  }
+
+private:
+  void fail() {
+    serving_backends &Owner = Backends;
+    backend_results &Target = Results;
+    call_id Failed = Call;
+    Owner.cancel(Failed);
+    Target.onCallFailed(Failed, call_failure::Broken);
+  }
+
+  // Ids of events have to follow each other without a hole.
+  bool checkEvents(std::string_view Text, std::optional<std::uint64_t> &First,
+                   std::optional<std::uint64_t> &Last) {
+    while (!Text.empty()) {
+      std::size_t End = Text.find("\n\n");
+      std::optional<std::uint64_t> Id =
+          platform::eventId(Text.substr(0, End + 1));
+      Text.remove_prefix(End + 2);
+      if (!Id || (Newest && *Id != *Newest + 1))
+        return false;
+      Newest = Id;
+      if (!First)
+        First = Id;
+      Last = Id;
+    }
+    return true;
+  }
+
+  serving_backends &Backends;
+  backend_results &Results;
+  call_id Call;
+  caller_request_id CallerId;
+  /// Beginning of an event that is not whole yet.
+  std::string Pending;
+  std::optional<std::uint64_t> Newest;
+};
+
+class pieces_listener final : public backend_call_listener {
+public:
+  pieces_listener(serving_backends &Backends, backend_results &Results,
+                  call_id Call, std::size_t Expected)
+      : Backends(Backends), Results(Results), Call(Call), Expected(Expected) {}
+
+  void onWhole(const platform::http_head &Head, std::string Body) override {
+    Backends.forget(Call);
+    platform::decoded_pieces Decoded =
+        platform::decodePieces(Head, Body, Expected);
+    if (platform::pieces_reply *Reply =
+            std::get_if<platform::pieces_reply>(&Decoded))
+      Results.onPiecesAnswered(Call, Reply->Results, Reply->Load);
+    else if (platform::pieces_refusal *Refusal =
+                 std::get_if<platform::pieces_refusal>(&Decoded))
+      Results.onPiecesRefused(Call, Refusal->WrongServer);
+    else
+      Results.onCallFailed(Call, call_failure::Broken);
+  }
+  void onStreamHead(const platform::http_head &) override {}
+  void onStreamText(std::string) override {}
+  void onStreamEnd() override { onFailed(call_failure::Broken); }
+  void onFailed(call_failure Failure) override {
+    Backends.forget(Call);
+    Results.onCallFailed(Call, Failure);
+  }
+
+private:
+  serving_backends &Backends;
+  backend_results &Results;
+  call_id Call;
+  std::size_t Expected;
+};
+
+/// Freed results need no answer: they expire by themselves.
+class free_listener final : public backend_call_listener {
+public:
+  void onWhole(const platform::http_head &, std::string) override {}
+  void onStreamHead(const platform::http_head &) override {}
+  void onStreamText(std::string) override {}
+  void onStreamEnd() override {}
+  void onFailed(call_failure) override {}
+};
+
+} // namespace
+
+void serving_backends::forward(call_id Call, const forward_call &Forward) {
+  backend_call_request Request;
+  Request.Address = Forward.Server.Address;
+  Request.Text = platform::encodeForward(Forward);
+  Request.CallerId = Forward.CallerId;
+  Request.Timeout = Forward.Left + AnswerSlack;
+  Request.MayReuseConnection = Forward.MayReuseConnection;
+  Request.Streamed = Forward.Streamed;
+  Request.HeadOnly = Forward.Message->Method == "HEAD";
+  Calls[Call] = startBackendCall(Context, Pool, std::move(Request),
+                                 std::make_shared<forward_listener>(
+                                     *this, Results, Call, Forward.CallerId));
+}
+
+void serving_backends::runPieces(call_id Call, const backend_entry &Server,
+                                 const std::vector<batch_item> &Items,
+                                 core_duration Timeout) {
+  backend_call_request Request;
+  Request.Address = Server.Address;
+  Request.Text = platform::encodePieces(Server, Items);
+  Request.Timeout = Timeout;
+  Calls[Call] = startBackendCall(
+      Context, Pool, std::move(Request),
+      std::make_shared<pieces_listener>(*this, Results, Call, Items.size()));
+}
+
+void serving_backends::freeResults(const backend_entry &Server,
+                                   const std::vector<result_handle> &Handles) {
+  backend_call_request Request;
+  Request.Address = Server.Address;
+  Request.Text = platform::encodeFree(Server, Handles);
+  Request.Timeout = FreeTimeout;
+  startBackendCall(Context, Pool, std::move(Request),
+                   std::make_shared<free_listener>());
+}
+
+void serving_backends::cancel(call_id Call) {
+  auto Found = Calls.find(Call);
+  if (Found == Calls.end())
+    return;
+  std::shared_ptr<backend_call> Ended = Found->second;
+  Calls.erase(Found);
+  Ended->cancel();
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/serving_backends.h
@@ -0,0 +1,51 @@
+// Carries out the serving core's calls to backend servers and tells the core
+// what becomes of them.
+#pragma once
+
+#include "backend_call.h"
+#include "jasminecroft/core/serving/serving_core.h"
+
+#include <unordered_map>
+
+namespace jasminecroft::detail {
+
+/// Hears what becomes of calls; the shell adds the time.
+class backend_results {
+public:
+  virtual ~backend_results() = default;
+  virtual void onReplyWhole(call_id Call, const backend_reply_head &Head,
+                            std::string Body) = 0;
+  virtual void onStreamHead(call_id Call, const backend_reply_head &Head) = 0;
+  virtual void onStreamEvents(call_id Call, std::string Text,
+                              std::uint64_t First, std::uint64_t Last) = 0;
+  virtual void onStreamEnd(call_id Call) = 0;
+  virtual void onCallFailed(call_id Call, call_failure Failure) = 0;
+  virtual void onPiecesAnswered(call_id Call,
+                                const std::vector<batch_item_result> &Results,
+                                const std::optional<backend_load> &Load) = 0;
+  virtual void onPiecesRefused(call_id Call, bool WrongServer) = 0;
+};
+
+class serving_backends {
+public:
+  serving_backends(boost::asio::io_context &Context, backend_results &Results)
+      : Context(Context), Results(Results) {}
+
+  void forward(call_id Call, const forward_call &Forward);
+  void runPieces(call_id Call, const backend_entry &Server,
+                 const std::vector<batch_item> &Items, core_duration Timeout);
+  void freeResults(const backend_entry &Server,
+                   const std::vector<result_handle> &Handles);
+  void cancel(call_id Call);
+  /// The call has ended and is no longer known.
+  void forget(call_id Call) { Calls.erase(Call); }
+  connection_counters counters() const { return Pool->Counters; }
+
+private:
+  boost::asio::io_context &Context;
+  backend_results &Results;
+  std::shared_ptr<connection_pool> Pool = std::make_shared<connection_pool>();
+  std::unordered_map<call_id, std::shared_ptr<backend_call>> Calls;
+};
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/serving_host.cc
@@ -0,0 +1,561 @@
+// The root of an entry host on the serving path: joins the serving core with
+// callers, backend servers, the platform's store and peers.
+#include "jasminecroft/entry/serving_settings.h"
+
+#include "host_registration.h"
+#include "jasminecroft/wire/nng_transport.h"
+#include "line_log.h"
+#include "page_listener.h"
+#include "platform/front/caller_requests.h"
+#include "serving_backends.h"
+#include "serving_front.h"
+#include "serving_metrics.h"
+#include "store_watch.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <sys/resource.h>
+
+namespace jasminecroft {
+
+namespace asio = boost::asio;
+using namespace detail;
+using error = boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The balancer sends new connections until it has missed two answers, one a
+/// second.
+constexpr milliseconds BalancerLag{2'600};
+/// Connections that are idle are closed this long before the end.
+constexpr milliseconds IdleCloseLead{300};
+constexpr milliseconds ShutdownCheck{50};
+/// The process ends this long before it would be ended by force.
+constexpr milliseconds GraceMargin{500};
+constexpr std::size_t FallbackDescriptors = 1'024;
+/// Share of the descriptors that callers may hold.
+constexpr std::size_t CallersDescriptorDivisor = 2;
+
+core_time now() {
+  return core_time(std::chrono::duration_cast<core_duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::size_t maxCallers() {
+  rlimit Descriptors{};
+  std::size_t Limit = FallbackDescriptors;
+  if (getrlimit(RLIMIT_NOFILE, &Descriptors) == 0)
+    Limit = Descriptors.rlim_cur;
+  return Limit / CallersDescriptorDivisor;
+}
+
+std::optional<asio::ip::tcp::endpoint> toSocket(const endpoint &Address) {
+  std::optional<ip_port> Parts = splitEndpoint(Address);
+  if (!Parts)
+    return std::nullopt;
+  error Error;
+  asio::ip::address Ip = asio::ip::make_address(Parts->Address, Error);
+  if (Error)
+    return std::nullopt;
+  return asio::ip::tcp::endpoint(Ip, Parts->Port);
+}
+
+incarnation thisRun() {
+  return incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count()));
+}
+
+class serving_host final : private serving_actions,
+                           private serving_front_listener,
+                           private backend_results,
+                           private store_watch_listener,
+                           private peer_transport_listener {
+public:
+  serving_host(const serving_host_settings &Settings, std::string File)
+      : Settings(Settings), File(std::move(File)),
+        Self{Settings.Host, thisRun()},
+        Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
+        StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
+        Core(coreSettings(), *this), Front(Context, *this, maxCallers()),
+        Backends(Context, *this), StoreClient(makeHttpClient(Context)) {}
+
+  std::variant<exit_code, settings_error> run() {
+    if (std::optional<settings_error> Problem = startAll())
+      return *Problem;
+    write(event_number::ProcessStarted, event_severity::Info,
+          "entry host started",
+          {{"run", std::to_string(Self.Run.Value)},
+           {"zone", Settings.Zone.Value},
+           {"capacity", std::to_string(Settings.Capacity)}});
+    awaitSignal();
+    Core.start(now());
+    arm();
+    Context.run();
+    Log.flush();
+    return exit_code::Ok;
+  }
+
+private:
+  serving_settings coreSettings() const {
+    serving_settings Result;
+    Result.Self = Self;
+    Result.Zone = Settings.Zone;
+    Result.PeerAddress = Settings.Peers;
+    Result.Capacity = Settings.Capacity;
+    Result.Retries = Settings.Retries;
+    Result.Seeds = Settings.Seeds;
+    Result.BatchAlone = Settings.BatchAlone;
+    return Result;
+  }
+
+  std::optional<settings_error> startAll() {
+    nng_transport_settings Transport;
+    Transport.Fleet = Settings.Fleet;
+    Transport.Self = Self;
+    Transport.Listen = Settings.Peers;
+    transport_result Result = makeNngTransport(Context, Transport, *this);
+    if (std::holds_alternative<transport_problem>(Result))
+      return cannotListen("peers");
+    Peers = std::move(std::get<std::unique_ptr<nng_peer_transport>>(Result));
+    std::optional<asio::ip::tcp::endpoint> Callers = toSocket(Settings.Callers);
+    if (!Callers || !Front.start(*Callers))
+      return cannotListen("callers");
+    std::optional<asio::ip::tcp::endpoint> Ready =
+        toSocket(Settings.Readiness);
+    if (Ready)
+      ReadinessPage = makePageListener(
+          Context, *Ready,
+          [this](std::string_view Path) { return readinessPage(Path); });
+    if (!ReadinessPage)
+      return cannotListen("readiness");
+    if (Settings.MetricsPort != 0 && Ready)
+      MetricsPage = makePageListener(
+          Context, {Ready->address(), Settings.MetricsPort},
+          [this](std::string_view) { return page{200, renderMetrics()}; });
+    startStore();
+    return std::nullopt;
+  }
+
+  static settings_error cannotListen(std::string Key) {
+    return {settings_problem::AddressInUse, std::move(Key), 0,
+            "an address of this host that is free"};
+  }
+
+  void startStore() {
+    for (std::string_view Kind : {platform::ConfigKind, platform::BackendKind,
+                                  platform::EntryHostKind}) {
+      Watches.push_back(std::make_shared<store_watch>(
+          Context, *StoreClient, Settings.Store, Kind,
+          Self.Run.Value + Watches.size(),
+          static_cast<store_watch_listener &>(*this)));
+      Watches.back()->start();
+    }
+    Registration = std::make_shared<host_registration>(
+        Context, *StoreClient, Settings.Store,
+        batching_host{Settings.Host, Settings.Zone, Settings.Peers,
+                      Settings.Capacity},
+        Self.Run);
+    Registration->start();
+  }
+
+  page readinessPage(std::string_view Path) {
+    if (Path != platform::ReadinessPath)
+      return {404, ""};
+    return Core.ready() ? page{200, "ready\n"} : page{503, "not ready\n"};
+  }
+
+  std::string renderMetrics() {
+    serving_gauges Gauges;
+    Gauges.Connections = Front.connections();
+    Gauges.ConfigVersion = Core.configVersion().Value;
+    Gauges.Ready = Core.ready();
+    Gauges.Backends = Core.backends().all().size();
+    Gauges.Peers = Core.peers().size();
+    Gauges.BackendConnectionsOpened = Backends.counters().Opened;
+    Gauges.LogLinesDropped = Log.dropped();
+    return Metrics.render(Core.counters(), Gauges);
+  }
+
+  // Signals.
+
+  void awaitSignal() {
+    Signals.async_wait([this](const error &Error, int Signal) {
+      if (Error)
+        return;
+      if (Signal == SIGHUP)
+        reload();
+      else
+        beginShutdown();
+      awaitSignal();
+    });
+  }
+
+  // What a running process can take over is its log; the rest needs a restart,
+  // and requests in progress are not touched.
+  void reload() {
+    serving_settings_result Read = readServingSettings(File);
+    if (settings_error *Problem = std::get_if<settings_error>(&Read)) {
+      write(event_number::SettingsRefused, event_severity::Error,
+            "settings refused; the earlier ones stay in force",
+            {{"at", describe(*Problem, File)}});
+      return;
+    }
+    write(event_number::SettingsReloaded, event_severity::Info,
+          "settings read again", {{"file", File}});
+  }
+
+  void beginShutdown() {
+    if (ShuttingDown)
+      return;
+    ShuttingDown = true;
+    StopBegan = std::chrono::steady_clock::now();
+    write(event_number::ShutdownBegun, event_severity::Info,
+          "graceful shutdown begun",
+          {{"in_progress", std::to_string(Core.counters().InProgress)}});
+    Front.closeAfterAnswers();
+    Core.beginLeaving(now());
+    Registration->leave([] {});
+    checkShutdown();
+  }
+
+  void checkShutdown() {
+    milliseconds Past = std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - StopBegan);
+    if (Past >= BalancerLag && !IdleClosed) {
+      IdleClosed = true;
+      Front.stopAccepting();
+    }
+    if (IdleClosed)
+      Front.closeIdle();
+    bool Done = Past >= BalancerLag + IdleCloseLead &&
+                Core.counters().InProgress == 0 && Front.idle() &&
+                Core.ownsNoWork();
+    if (Done || Past >= Settings.Grace - GraceMargin) {
+      finishShutdown(Done);
+      return;
+    }
+    StopTimer.expires_after(ShutdownCheck);
+    StopTimer.async_wait([this](const error &Error) {
+      if (!Error)
+        checkShutdown();
+    });
+  }
+
+  void finishShutdown(bool Clean) {
+    write(event_number::ShutdownFinished,
+          Clean ? event_severity::Info : event_severity::Warning,
+          Clean ? "graceful shutdown finished"
+                : "grace is over with requests in progress",
+          {{"in_progress", std::to_string(Core.counters().InProgress)}});
+    Log.flush();
+    for (const std::shared_ptr<store_watch> &Watch : Watches)
+      Watch->stop();
+    Registration->stop();
+    Context.stop();
+  }
+
+  // Wake-ups of the core.
+
+  void arm() {
+    std::optional<core_time> Next = Core.nextWakeup(now());
+    if (!Next || (ArmedFor && *ArmedFor <= *Next))
+      return;
+    ArmedFor = Next;
+    WakeTimer.expires_at(
+        std::chrono::steady_clock::time_point(Next->time_since_epoch()));
+    WakeTimer.async_wait([this](const error &Error) {
+      if (Error)
+        return;
+      ArmedFor.reset();
+      Core.onWakeup(now());
+      arm();
+    });
+  }
+
+  void write(event_number Number, event_severity Severity,
+             std::string_view Message, std::vector<event_field> Fields) {
+    Log.write({Number, Severity, Message, std::move(Fields)});
+  }
+
+  // serving_front_listener
+  void onRequest(serving_request Request) override {
+    Core.onRequest(std::move(Request), now());
+    arm();
+  }
+  void onCallerLeft(request_id Request) override {
+    Core.onCallerLeft(Request, now());
+    arm();
+  }
+  void onRefusedEarly(unsigned Status, std::string_view Why) override {
+    write(event_number::RequestRejected, event_severity::Info,
+          "request rejected before it was whole",
+          {{"status", std::to_string(Status)}, {"why", std::string(Why)}});
+  }
+  caller_bounds bounds() const override {
+    std::shared_ptr<const route_config> Config = Core.config();
+    return Config ? Config->Bounds : caller_bounds();
+  }
+
+  // serving_actions
+  void refuse(request_id Request, const refusal &Refusal) override {
+    std::shared_ptr<caller_session> Session = Front.session(Request);
+    Front.forget(Request);
+    if (Session)
+      Session->refuse(Refusal);
+  }
+  void relayWhole(request_id Request, const backend_reply_head &Head,
+                  std::string Body) override {
+    std::shared_ptr<caller_session> Session = Front.session(Request);
+    Front.forget(Request);
+    if (Session)
+      Session->relayWhole(Head, std::move(Body));
+  }
+  void relayHead(request_id Request, const backend_reply_head &Head) override {
+    if (std::shared_ptr<caller_session> Session = Front.session(Request))
+      Session->relayHead(Head);
+  }
+  void relayEvents(request_id Request, std::string Text) override {
+    if (std::shared_ptr<caller_session> Session = Front.session(Request))
+      Session->relayEvents(Text);
+  }
+  void relayEnd(request_id Request) override {
+    std::shared_ptr<caller_session> Session = Front.session(Request);
+    Front.forget(Request);
+    if (Session)
+      Session->relayEnd();
+  }
+  void breakOff(request_id Request) override {
+    std::shared_ptr<caller_session> Session = Front.session(Request);
+    Front.forget(Request);
+    if (Session)
+      Session->breakOff();
+  }
+  void forward(call_id Call, const forward_call &Forward) override {
+    Backends.forward(Call, Forward);
+  }
+  void runPieces(call_id Call, const backend_entry &Server,
+                 std::vector<batch_item> Items,
+                 core_duration Timeout) override {
+    Metrics.observeBatch(Items.size());
+    Backends.runPieces(Call, Server, Items, Timeout);
+  }
+  void freeResults(const backend_entry &Server,
+                   std::vector<result_handle> Results) override {
+    Backends.freeResults(Server, Results);
+  }
+  void cancelCall(call_id Call) override { Backends.cancel(Call); }
+  void sendToPeer(const batching_host &Host, peer_body Body) override {
+    Peers->send(Host.Host, Host.Address,
+                peer_message{Settings.Fleet, Self, std::move(Body)});
+  }
+  void reconnectPeer(const entry_host_id &Host) override {
+    Peers->reconnect(Host);
+  }
+  void onOperatorConfig(const operator_config_push &Config) override {
+    asio::post(Context, [this, Text = Config.Text] { takeConfig(Text); });
+  }
+  void onAnswered(const answered_call &Answered) override {
+    Metrics.observe(Answered);
+  }
+  void log(const event_record &Record) override { Log.write(Record); }
+
+  // backend_results
+  void onReplyWhole(call_id Call, const backend_reply_head &Head,
+                    std::string Body) override {
+    Core.onReplyWhole(Call, Head, std::move(Body), now());
+    arm();
+  }
+  void onStreamHead(call_id Call, const backend_reply_head &Head) override {
+    Core.onStreamHead(Call, Head, now());
+    arm();
+  }
+  void onStreamEvents(call_id Call, std::string Text, std::uint64_t First,
+                      std::uint64_t Last) override {
+    Core.onStreamEvents(Call, std::move(Text), First, Last, now());
+    arm();
+  }
+  void onStreamEnd(call_id Call) override {
+    Core.onStreamEnd(Call, now());
+    arm();
+  }
+  void onCallFailed(call_id Call, call_failure Failure) override {
+    Core.onCallFailed(Call, Failure, now());
+    arm();
+  }
+  void onPiecesAnswered(call_id Call,
+                        const std::vector<batch_item_result> &Results,
+                        const std::optional<backend_load> &Load) override {
+    Core.onPiecesAnswered(Call, Results, Load, now());
+    arm();
+  }
+  void onPiecesRefused(call_id Call, bool WrongServer) override {
+    Core.onPiecesRefused(Call, WrongServer, now());
+    arm();
+  }
+
+  // store_watch_listener
+  void onObjects(std::string_view Kind,
+                 const std::vector<platform::stored_object> &Objects,
+                 object_version Current) override {
+    if (Kind == platform::BackendKind) {
+      std::vector<backend_entry> Entries;
+      for (const platform::stored_object &Object : Objects)
+        if (std::optional<backend_entry> Entry = decodeBackend(Object))
+          Entries.push_back(*Entry);
+      Core.onBackendList(Entries, Current, now());
+      arm();
+      return;
+    }
+    for (const platform::stored_object &Object : Objects)
+      onChange(Kind, Object);
+  }
+  void onChange(std::string_view Kind,
+                const platform::stored_object &Object) override {
+    if (Kind == platform::ConfigKind) {
+      if (Object.Name == platform::ConfigName && !Object.Deleted)
+        takeConfig(Object.Spec);
+    } else if (Kind == platform::BackendKind) {
+      takeBackend(Object);
+    } else {
+      takeEntryHost(Object);
+    }
+    arm();
+  }
+  void onStoreLost(std::string_view Kind, std::string_view Why) override {
+    write(event_number::PlatformAway, event_severity::Warning,
+          "platform's store cannot be read",
+          {{"kind", std::string(Kind)}, {"why", std::string(Why)}});
+  }
+  void onStoreBack(std::string_view Kind) override {
+    write(event_number::PlatformBack, event_severity::Info,
+          "platform's store is read again", {{"kind", std::string(Kind)}});
+  }
+
+  void takeConfig(const std::string &Text) {
+    std::variant<std::shared_ptr<const route_config>, platform::object_error>
+        Decoded = platform::decodeConfig(Text);
+    if (platform::object_error *Problem =
+            std::get_if<platform::object_error>(&Decoded)) {
+      write(event_number::OperatorConfigUnreadable, event_severity::Error,
+            "operator's configuration cannot be read; the earlier one stays",
+            {{"problem", std::string(platform::toText(Problem->Problem))},
+             {"field", Problem->Where}});
+      return;
+    }
+    Core.onConfig(std::get<std::shared_ptr<const route_config>>(Decoded), Text,
+                  now());
+    arm();
+  }
+
+  std::optional<backend_entry>
+  decodeBackend(const platform::stored_object &Object) {
+    std::variant<backend_entry, platform::object_error> Decoded =
+        platform::decodeBackend(Object);
+    if (platform::object_error *Problem =
+            std::get_if<platform::object_error>(&Decoded)) {
+      write(event_number::BackendEntryUnreadable, event_severity::Warning,
+            "entry of a backend server cannot be read and is ignored",
+            {{"server", Object.Name},
+             {"problem", std::string(platform::toText(Problem->Problem))},
+             {"field", Problem->Where}});
+      return std::nullopt;
+    }
+    return std::get<backend_entry>(Decoded);
+  }
+
+  void takeBackend(const platform::stored_object &Object) {
+    std::optional<backend_entry> Entry;
+    if (!Object.Deleted)
+      Entry = decodeBackend(Object);
+    if (!Entry) {
+      write(event_number::BackendUnlisted, event_severity::Info,
+            "backend server left the list",
+            {{"server", Object.Name},
+             {"revision", std::to_string(Object.Revision.Value)}});
+      Core.onBackendRemoved(backend_id(Object.Name), Object.Revision, now());
+      return;
+    }
+    write(event_number::BackendListed, event_severity::Info,
+          "backend server listed",
+          {{"server", Object.Name},
+           {"pool", Entry->Pool.Value},
+           {"state", Entry->Draining ? "draining" : "ready"},
+           {"revision", std::to_string(Object.Revision.Value)}});
+    Core.onBackend(*Entry, now());
+  }
+
+  void takeEntryHost(const platform::stored_object &Object) {
+    if (Object.Deleted) {
+      Core.onHostRemoved(entry_host_id(Object.Name), now());
+      return;
+    }
+    std::variant<batching_host, platform::object_error> Decoded =
+        platform::decodeEntryHost(Object);
+    if (batching_host *Host = std::get_if<batching_host>(&Decoded))
+      Core.onHost(*Host, now());
+    else
+      write(event_number::BackendEntryUnreadable, event_severity::Warning,
+            "entry of an entry host cannot be read and is ignored",
+            {{"host", Object.Name}});
+  }
+
+  // peer_transport_listener
+  void onReceived(peer_message Message) override {
+    Core.onPeer(Message.Sender, Message.Body, now());
+    arm();
+  }
+  void onUnreachable(const entry_host_id &Host) override {
+    Core.onPeerUnreachable(Host, now());
+    arm();
+  }
+  void onRefused(const refused_peer_message &Refused) override {
+    write(event_number::PeerMessageRefused, event_severity::Warning,
+          "peer message refused",
+          {{"sender", Refused.Sender},
+           {"reason", std::string(toText(Refused.Reason))}});
+  }
+  void onBroken(transport_problem) override {
+    write(event_number::ChildRestarted, event_severity::Error,
+          "peer transport failed; the process ends", {});
+    Context.stop();
+  }
+
+  serving_host_settings Settings;
+  std::string File;
+  host_run Self;
+  asio::io_context Context{1};
+  asio::signal_set Signals;
+  io_timer WakeTimer;
+  io_timer StopTimer;
+  line_log Log;
+  serving_metrics Metrics;
+  serving_core Core;
+  serving_front Front;
+  serving_backends Backends;
+  std::unique_ptr<http_client> StoreClient;
+  std::vector<std::shared_ptr<store_watch>> Watches;
+  std::shared_ptr<host_registration> Registration;
+  std::unique_ptr<nng_peer_transport> Peers;
+  std::unique_ptr<page_listener> ReadinessPage;
+  std::unique_ptr<page_listener> MetricsPage;
+  /// Time that WakeTimer waits for; absent if it does not run.
+  std::optional<core_time> ArmedFor;
+  bool ShuttingDown = false;
+  bool IdleClosed = false;
+  std::chrono::steady_clock::time_point StopBegan;
+};
+
+} // namespace
+
+std::variant<exit_code, settings_error>
+runServingHost(const serving_host_settings &Settings, const std::string &File) {
+  serving_host Host(Settings, File);
+  return Host.run();
+}
+
+} // namespace jasminecroft
--- /dev/null
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -0,0 +1,119 @@
+// Registry, families and their text form.
+#include "serving_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+#include <map>
+
+namespace jasminecroft::detail {
+
+namespace {
+
+/// Bounds in seconds, from a plain call's goal to a stream's deadline.
+const prometheus::Histogram::BucketBoundaries LatencyBounds = {
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 1.7, 2.7, 5, 10, 20};
+const prometheus::Histogram::BucketBoundaries BatchBounds = {1,  2,  4,  8,
+                                                             14, 20, 38, 56};
+/// Routes beyond this number share one label.
+constexpr std::size_t MaxRoutes = 64;
+
+double inSeconds(core_duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+} // namespace
+
+class serving_metrics::implementation {
+public:
+  implementation()
+      : FirstByte(prometheus::BuildHistogram()
+                      .Name("jasminecroft_first_byte_seconds")
+                      .Help("Time from a request to its answer's first byte")
+                      .Register(Registry)),
+        Whole(prometheus::BuildHistogram()
+                  .Name("jasminecroft_request_seconds")
+                  .Help("Time from a request to its answer's end")
+                  .Register(Registry)),
+        Outcomes(prometheus::BuildCounter()
+                     .Name("jasminecroft_requests_total")
+                     .Help("Requests by route and outcome")
+                     .Register(Registry)),
+        Batches(prometheus::BuildHistogram()
+                    .Name("jasminecroft_batch_pieces")
+                    .Help("Pieces of each call to a batching backend server")
+                    .Register(Registry)
+                    .Add({}, BatchBounds)),
+        Values(prometheus::BuildGauge()
+                   .Name("jasminecroft_state")
+                   .Help("State and counts since the start, by name")
+                   .Register(Registry)) {}
+
+  std::string route(const route_id &Route) {
+    if (Routes.size() >= MaxRoutes && !Routes.contains(Route))
+      return "other";
+    Routes[Route] = true;
+    return Route.Value;
+  }
+
+  void set(const char *Name, double Value) {
+    Values.Add({{"name", Name}}).Set(Value);
+  }
+
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Histogram> &FirstByte;
+  prometheus::Family<prometheus::Histogram> &Whole;
+  prometheus::Family<prometheus::Counter> &Outcomes;
+  prometheus::Histogram &Batches;
+  prometheus::Family<prometheus::Gauge> &Values;
+  std::map<route_id, bool> Routes;
+};
+
+serving_metrics::serving_metrics()
+    : Impl(std::make_unique<implementation>()) {}
+serving_metrics::~serving_metrics() = default;
+
+void serving_metrics::observe(const answered_call &Answered) {
+  std::string Route = Impl->route(Answered.Route);
+  Impl->Outcomes
+      .Add({{"route", Route}, {"outcome", std::string(Answered.Outcome)}})
+      .Increment();
+  if (Answered.FirstByte)
+    Impl->FirstByte.Add({{"route", Route}}, LatencyBounds)
+        .Observe(inSeconds(*Answered.FirstByte));
+  Impl->Whole.Add({{"route", Route}}, LatencyBounds)
+      .Observe(inSeconds(Answered.Whole));
+}
+
+void serving_metrics::observeBatch(std::size_t Pieces) {
+  Impl->Batches.Observe(static_cast<double>(Pieces));
+}
+
+std::string serving_metrics::render(const serving_counters &Counters,
+                                    const serving_gauges &Gauges) {
+  Impl->set("requests", static_cast<double>(Counters.Requests));
+  Impl->set("complete", static_cast<double>(Counters.Complete));
+  Impl->set("refused", static_cast<double>(Counters.Refused));
+  Impl->set("failed", static_cast<double>(Counters.Failed));
+  Impl->set("broken_off", static_cast<double>(Counters.BrokenOff));
+  Impl->set("caller_left", static_cast<double>(Counters.CallerLeft));
+  Impl->set("repeats", static_cast<double>(Counters.Repeats));
+  Impl->set("batches", static_cast<double>(Counters.Batches));
+  Impl->set("batched_pieces", static_cast<double>(Counters.BatchedPieces));
+  Impl->set("in_progress", static_cast<double>(Counters.InProgress));
+  Impl->set("connections", static_cast<double>(Gauges.Connections));
+  Impl->set("config_version", static_cast<double>(Gauges.ConfigVersion));
+  Impl->set("ready", Gauges.Ready ? 1 : 0);
+  Impl->set("backends", static_cast<double>(Gauges.Backends));
+  Impl->set("peers", static_cast<double>(Gauges.Peers));
+  Impl->set("backend_connections_opened",
+            static_cast<double>(Gauges.BackendConnectionsOpened));
+  Impl->set("log_lines_dropped", static_cast<double>(Gauges.LogLinesDropped));
+  return prometheus::TextSerializer().Serialize(Impl->Registry.Collect());
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/serving_metrics.h
@@ -0,0 +1,38 @@
+// Counters and latency histograms of the serving path, in the text format that
+// monitoring systems read.
+#pragma once
+
+#include "jasminecroft/core/serving/serving_core.h"
+
+#include <memory>
+#include <string>
+
+namespace jasminecroft::detail {
+
+/// Values read at the time of a scrape.
+struct serving_gauges {
+  std::size_t Connections = 0;
+  std::uint64_t ConfigVersion = 0;
+  bool Ready = false;
+  std::size_t Backends = 0;
+  std::size_t Peers = 0;
+  std::uint64_t BackendConnectionsOpened = 0;
+  std::uint64_t LogLinesDropped = 0;
+};
+
+class serving_metrics {
+public:
+  serving_metrics();
+  ~serving_metrics();
+
+  void observe(const answered_call &Answered);
+  void observeBatch(std::size_t Pieces);
+  std::string render(const serving_counters &Counters,
+                     const serving_gauges &Gauges);
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/store_watch.h
@@ -0,0 +1,80 @@
+// Keeps this host's view of one kind of objects in the platform's store: lists
+// them once, then waits for changes.
+#pragma once
+
+#include "../http_exchange.h"
+#include "../io_types.h"
+#include "platform/store/store_objects.h"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jasminecroft::detail {
+
+class store_watch_listener {
+public:
+  virtual ~store_watch_listener() = default;
+  /// All objects of the kind, as of Current.
+  virtual void onObjects(std::string_view Kind,
+                         const std::vector<platform::stored_object> &Objects,
+                         object_version Current) = 0;
+  virtual void onChange(std::string_view Kind,
+                        const platform::stored_object &Object) = 0;
+  /// Calls fail; what is known may be out of date.
+  virtual void onStoreLost(std::string_view Kind, std::string_view Why) = 0;
+  virtual void onStoreBack(std::string_view Kind) = 0;
+};
+
+/// Pauses between failed calls: doubling, spread so that hosts that failed
+/// together do not come back together.
+class retry_pause {
+public:
+  explicit retry_pause(std::uint64_t Seed) : Random(Seed) {}
+  std::chrono::milliseconds next();
+  void reset() { Last = std::chrono::milliseconds(0); }
+
+private:
+  std::mt19937_64 Random;
+  std::chrono::milliseconds Last{0};
+};
+
+class store_watch : public std::enable_shared_from_this<store_watch> {
+public:
+  store_watch(boost::asio::io_context &Context, http_client &Client,
+              endpoint Store, std::string_view Kind, std::uint64_t Seed,
+              store_watch_listener &Listener);
+  void start();
+  void stop();
+
+private:
+  class answer;
+
+  void list();
+  void watch();
+  void call(std::string Target, std::chrono::microseconds Timeout);
+  void onAnswer(unsigned Status, const std::string &Body);
+  void onListed(const std::string &Body);
+  void onEvents(const std::string &Body);
+  void onFailed(std::string_view Why);
+  void retryLater();
+
+  http_client &Client;
+  endpoint Store;
+  std::string_view Kind;
+  store_watch_listener &Listener;
+  io_timer Timer;
+  retry_pause Pause;
+  std::shared_ptr<http_exchange> Call;
+  bool Listing = true;
+  bool Stopped = false;
+  bool Lost = false;
+  /// Objects of the pages read so far.
+  std::vector<platform::stored_object> Pages;
+  object_version FirstPage;
+  object_version Since;
+};
+
+} // namespace jasminecroft::detail
--- a/packages/wire/include/jasminecroft/wire/nng_transport.h
+++ b/packages/wire/include/jasminecroft/wire/nng_transport.h
@@ -82,6 +82,8 @@
 class nng_peer_transport : public peer_transport {
 public:
   virtual peer_transport_counters counters() const = 0;
+  /// Ends the connection to a peer; the next message opens a new one.
+  virtual void reconnect(const entry_host_id &Host) = 0;
   /// Whether no message waits to be sent.
   virtual bool idle() const = 0;
 };
--- a/packages/wire/src/nng_transport.cc
+++ b/packages/wire/src/nng_transport.cc
@@ -108,6 +108,8 @@
     nng_close(Socket);
   }
 
+  void reconnect(const entry_host_id &Host) override { Peers.erase(Host); }
+
   peer_transport_counters counters() const override { return Counters; }
 
   bool idle() const override {
@@ -266,6 +268,7 @@
     Impl->send(Host, Address, Message);
   }
   void close() override { Impl->close(); }
+  void reconnect(const entry_host_id &Host) override { Impl->reconnect(Host); }
   peer_transport_counters counters() const override { return Impl->counters(); }
   bool idle() const override { return Impl->idle(); }
 
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -3,6 +3,7 @@
 
 #include "cbor_check.h"
 #include "peer_codec_config.h"
+#include "peer_codec_pieces.h"
 
 #include <algorithm>
 #include <type_traits>
@@ -32,6 +33,15 @@
   ClaimQueryReply = 10,
   Rumor = 11,
   ConfigChanges = 12,
+  HostGreeting = 13,
+  OperatorConfigPull = 14,
+  OperatorConfigPush = 15,
+  PiecesWanted = 16,
+  PiecesAccepted = 17,
+  PiecesMade = 18,
+  PiecesFailed = 19,
+  PiecesCancelled = 20,
+  ResultsReleased = 21,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -202,6 +212,9 @@
   cbor_value operator()(const config_changes &B) const {
     return writeRecord(writeList(B.Changes, writeChange), B.Digest);
   }
+  template <typename Body> cbor_value operator()(const Body &B) const {
+    return writeBody(B);
+  }
 };
 
 template <typename Body> struct number_of;
@@ -234,6 +247,29 @@
 template <>
 struct number_of<config_changes> : number_constant<body_number::ConfigChanges> {
 };
+template <>
+struct number_of<host_greeting> : number_constant<body_number::HostGreeting> {};
+template <>
+struct number_of<operator_config_pull>
+    : number_constant<body_number::OperatorConfigPull> {};
+template <>
+struct number_of<operator_config_push>
+    : number_constant<body_number::OperatorConfigPush> {};
+template <>
+struct number_of<pieces_wanted> : number_constant<body_number::PiecesWanted> {};
+template <>
+struct number_of<pieces_accepted>
+    : number_constant<body_number::PiecesAccepted> {};
+template <>
+struct number_of<pieces_made> : number_constant<body_number::PiecesMade> {};
+template <>
+struct number_of<pieces_failed> : number_constant<body_number::PiecesFailed> {};
+template <>
+struct number_of<pieces_cancelled>
+    : number_constant<body_number::PiecesCancelled> {};
+template <>
+struct number_of<results_released>
+    : number_constant<body_number::ResultsReleased> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
@@ -318,6 +354,8 @@
   return std::holds_alternative<config_push>(Body) ||
          std::holds_alternative<config_changes>(Body) ||
          std::holds_alternative<host_list_push>(Body) ||
+         std::holds_alternative<operator_config_push>(Body) ||
+         std::holds_alternative<host_greeting>(Body) ||
          std::holds_alternative<claim_query_reply>(Body);
 }
 
--- /dev/null
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -0,0 +1,148 @@
+// Fields of the batching messages, in order.
+#include "peer_codec_pieces.h"
+
+namespace jasminecroft::detail {
+
+namespace {
+
+constexpr std::size_t MaxHosts = 512;
+constexpr std::size_t MaxConfigTextBytes = 1'048'576;
+constexpr std::size_t MaxPiecesPerJob = 256;
+constexpr std::size_t MaxInputsPerJob = 512;
+constexpr std::size_t MaxResults = 1'024;
+
+cbor_value writeHost(const batching_host &Host) {
+  return writeRecord(Host.Host.Value, Host.Zone.Value, Host.Address.Value,
+                     Host.Capacity);
+}
+
+void readHost(field_reader &Reader, batching_host &Host) {
+  Reader.id("host", Host.Host);
+  Reader.id("zone", Host.Zone);
+  Reader.id("address", Host.Address);
+  Host.Capacity = Reader.number32("capacity");
+}
+
+cbor_value writeHandle(const result_handle &Result) {
+  return writeRecord(Result.Value);
+}
+
+void readHandle(field_reader &Reader, result_handle &Result) {
+  Reader.id("result", Result);
+}
+
+cbor_value writeNumber(std::uint32_t Number) { return writeRecord(Number); }
+
+void readNumber(field_reader &Reader, std::uint32_t &Number) {
+  Number = Reader.number32("number");
+}
+
+cbor_value writeMade(const made_piece &Piece) {
+  return writeRecord(Piece.Piece, Piece.Result.Value, Piece.Zone.Value);
+}
+
+void readMade(field_reader &Reader, made_piece &Piece) {
+  Piece.Piece = Reader.number32("piece");
+  Reader.id("result", Piece.Result);
+  Reader.id("zone", Piece.Zone);
+}
+
+cbor_value writeJob(const piece_job &Job) {
+  return writeRecord(Job.Job.Value, Job.Request.Value, Job.Pool.Value,
+                     Job.Stage, writeList(Job.Pieces, writeNumber), Job.Key,
+                     writeList(Job.Inputs, writeHandle), Job.DeadlineIn.count(),
+                     Job.StartBy.count(), Job.Priority, Job.ResultBytes,
+                     Job.NearZone.Value, Job.QueueZone.Value);
+}
+
+void readJob(field_reader &Reader, piece_job &Job) {
+  Reader.version("job", Job.Job);
+  Reader.id("request", Job.Request);
+  Reader.id("pool", Job.Pool);
+  Job.Stage = Reader.number32("stage");
+  Reader.list("pieces", Job.Pieces, MaxPiecesPerJob, readNumber);
+  Job.Key = Reader.text("key");
+  Reader.list("inputs", Job.Inputs, MaxInputsPerJob, readHandle);
+  Job.DeadlineIn = core_duration(Reader.signedNumber("deadline_in"));
+  Job.StartBy = core_duration(Reader.signedNumber("start_by"));
+  Job.Priority = Reader.number32("priority");
+  Job.ResultBytes = Reader.number("result_bytes");
+  Reader.id("near_zone", Job.NearZone);
+  Reader.id("queue_zone", Job.QueueZone);
+}
+
+} // namespace
+
+cbor_value writeBody(const host_greeting &Body) {
+  return writeRecord(writeHost(Body.Self), Body.WantsReply, Body.Leaving,
+                     Body.Config.Value, writeList(Body.Others, writeHost));
+}
+void readBody(field_reader &Reader, host_greeting &Body) {
+  Reader.record("self", Body.Self, readHost);
+  Body.WantsReply = Reader.flag("wants_reply");
+  Body.Leaving = Reader.flag("leaving");
+  Reader.version("config", Body.Config);
+  Reader.list("others", Body.Others, MaxHosts, readHost);
+}
+
+cbor_value writeBody(const operator_config_pull &Body) {
+  return writeRecord(Body.Have.Value);
+}
+void readBody(field_reader &Reader, operator_config_pull &Body) {
+  Reader.version("have", Body.Have);
+}
+
+cbor_value writeBody(const operator_config_push &Body) {
+  return writeRecord(Body.Version.Value, Body.Text);
+}
+void readBody(field_reader &Reader, operator_config_push &Body) {
+  Reader.version("version", Body.Version);
+  Body.Text = Reader.text("text", MaxConfigTextBytes);
+}
+
+cbor_value writeBody(const pieces_wanted &Body) {
+  return writeRecord(writeJob(Body.Job));
+}
+void readBody(field_reader &Reader, pieces_wanted &Body) {
+  Reader.record("job", Body.Job, readJob);
+}
+
+cbor_value writeBody(const pieces_accepted &Body) {
+  return writeRecord(Body.Job.Value, Body.Wait.count());
+}
+void readBody(field_reader &Reader, pieces_accepted &Body) {
+  Reader.version("job", Body.Job);
+  Body.Wait = core_duration(Reader.signedNumber("wait"));
+}
+
+cbor_value writeBody(const pieces_made &Body) {
+  return writeRecord(Body.Job.Value, writeList(Body.Pieces, writeMade));
+}
+void readBody(field_reader &Reader, pieces_made &Body) {
+  Reader.version("job", Body.Job);
+  Reader.list("pieces", Body.Pieces, MaxPiecesPerJob, readMade);
+}
+
+cbor_value writeBody(const pieces_failed &Body) {
+  return writeRecord(Body.Job.Value, static_cast<unsigned>(Body.Failure));
+}
+void readBody(field_reader &Reader, pieces_failed &Body) {
+  Reader.version("job", Body.Job);
+  Body.Failure = Reader.choice("failure", piece_failure::NotMade);
+}
+
+cbor_value writeBody(const pieces_cancelled &Body) {
+  return writeRecord(Body.Job.Value);
+}
+void readBody(field_reader &Reader, pieces_cancelled &Body) {
+  Reader.version("job", Body.Job);
+}
+
+cbor_value writeBody(const results_released &Body) {
+  return writeRecord(writeList(Body.Results, writeHandle));
+}
+void readBody(field_reader &Reader, results_released &Body) {
+  Reader.list("results", Body.Results, MaxResults, readHandle);
+}
+
+} // namespace jasminecroft::detail
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -182,8 +182,32 @@
   })};
 }
 
+batching_host anyBatchingHost() {
+  return {anyId<entry_host_id>(), anyId<zone_id>(), anyId<endpoint>(), any32()};
+}
+core_duration anyDuration() {
+  return core_duration(*rc::gen::arbitrary<std::int64_t>());
+}
+piece_job anyJob() {
+  piece_job Job;
+  Job.Job = anyNumber<piece_job_id>();
+  Job.Request = anyId<caller_request_id>();
+  Job.Pool = anyId<pool_id>();
+  Job.Stage = any32();
+  Job.Pieces = some<std::uint32_t>(4, any32);
+  Job.Key = anyText(20);
+  Job.Inputs = some<result_handle>(4, [] { return anyId<result_handle>(); });
+  Job.DeadlineIn = anyDuration();
+  Job.StartBy = anyDuration();
+  Job.Priority = any32();
+  Job.ResultBytes = anyNumber<incarnation>().Value;
+  Job.NearZone = anyId<zone_id>();
+  Job.QueueZone = anyId<zone_id>();
+  return Job;
+}
+
 peer_body anyBody() {
-  switch (below(12)) {
+  switch (below(21)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -209,6 +233,32 @@
                              maybe<std::string>([] { return anyText(30); })};
   case 10:
     return rumor{anyGossip()};
+  case 11:
+    return host_greeting{anyBatchingHost(), below(2) == 0, below(2) == 0,
+                         anyNumber<config_version>(),
+                         some<batching_host>(3, anyBatchingHost)};
+  case 12:
+    return operator_config_pull{anyNumber<config_version>()};
+  case 13:
+    return operator_config_push{anyNumber<config_version>(), anyText(40)};
+  case 14:
+    return pieces_wanted{anyJob()};
+  case 15:
+    return pieces_accepted{anyNumber<piece_job_id>(), anyDuration()};
+  case 16:
+    return pieces_made{anyNumber<piece_job_id>(),
+                       some<made_piece>(4, [] {
+                         return made_piece{any32(), anyId<result_handle>(),
+                                           anyId<zone_id>()};
+                       })};
+  case 17:
+    return pieces_failed{anyNumber<piece_job_id>(),
+                         static_cast<piece_failure>(below(3))};
+  case 18:
+    return pieces_cancelled{anyNumber<piece_job_id>()};
+  case 19:
+    return results_released{
+        some<result_handle>(4, [] { return anyId<result_handle>(); })};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
--- a/support/package.cmake
+++ b/support/package.cmake
@@ -4,7 +4,8 @@
 # Files named *-main.cc belong to programs and are left out.
 function(jasminecroft_library NAME)
   file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cc
-       ${CMAKE_CURRENT_SOURCE_DIR}/src/detail/*.cc)
+       ${CMAKE_CURRENT_SOURCE_DIR}/src/detail/*.cc
+       ${CMAKE_CURRENT_SOURCE_DIR}/src/serving/*.cc)
   list(FILTER SOURCES EXCLUDE REGEX "-main\\.cc$")
   if(SOURCES)
     add_library(jasminecroft-${NAME} STATIC ${SOURCES})
