Give up connecting to the store after 0.6 s

Ruled out: lost history (no 410 in the log), peers. Change: calls to the store have a connect timeout of their own.

--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -71,11 +71,7 @@
         Listener(std::move(Listener)), Socket(Context), Timer(Context) {}
 
   void start() {
-    Timer.expires_after(Wanted.Timeout);
-    Timer.async_wait([Self = shared_from_this()](const error &Error) {
-      if (!Error)
-        Self->onTimeout();
-    });
+    setTimer(Wanted.Timeout);
     prepare();
     std::optional<tcp_socket> Reused;
     if (Wanted.MayReuseConnection)
@@ -91,6 +87,14 @@
   void cancel() override { end(); }
 
 private:
+  void setTimer(std::chrono::microseconds Time) {
+    Timer.expires_after(Time);
+    Timer.async_wait([Self = shared_from_this()](const error &Error) {
+      if (!Error)
+        Self->onTimeout();
+    });
+  }
+
   void prepare() {
     http::request<http::string_body> Request;
     Request.version(HttpVersion11);
@@ -121,6 +125,8 @@
       });
       return;
     }
+    if (Wanted.ConnectTimeout.count() > 0)
+      setTimer(Wanted.ConnectTimeout);
     Socket.async_connect(Server,
                          [Self = shared_from_this()](const error &Failure) {
                            Self->onConnected(Failure);
@@ -136,6 +142,8 @@
     }
     ++Pool->Counters.Opened;
     prepareSocket(Socket);
+    if (Wanted.ConnectTimeout.count() > 0)
+      setTimer(Wanted.Timeout);
     write();
   }
 
--- a/packages/entry/src/http_exchange.h
+++ b/packages/entry/src/http_exchange.h
@@ -22,6 +22,8 @@
   std::vector<std::pair<std::string_view, std::string>> Headers;
   std::string Body;
   std::chrono::microseconds Timeout{0};
+  /// Time for a new connection; zero: the whole timeout.
+  std::chrono::microseconds ConnectTimeout{0};
   /// False for calls that must not fail because an idle connection went stale.
   bool MayReuseConnection = true;
 };
--- a/packages/entry/src/serving/host_registration.cc
+++ b/packages/entry/src/serving/host_registration.cc
@@ -61,6 +61,7 @@
   exchange_request Request;
   Request.Address = Store;
   Request.Timeout = CallTimeout;
+  Request.ConnectTimeout = StoreConnectTime;
   const std::string &Name = Self.Host.Value;
   std::string Spec = platform::encodeEntryHost(Self, Run);
   switch (Step) {
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -88,6 +88,7 @@
   Request.Address = Store;
   Request.Target = std::move(Target);
   Request.Timeout = Timeout;
+  Request.ConnectTimeout = StoreConnectTime;
   Call = Client.start(std::move(Request),
                       std::make_shared<answer>(weak_from_this()));
 }
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -14,6 +14,10 @@
 
 namespace jasminecroft::detail {
 
+/// A store that does not accept a connection in this time is away for this
+/// host; waiting longer would delay the next try beyond the end of the outage.
+inline constexpr std::chrono::milliseconds StoreConnectTime{600};
+
 class store_watch_listener {
 public:
   virtual ~store_watch_listener() = default;
