Rank engines by the session of a prompt

Ruled out: memory of the engines (323,000 tokens found kept, none put back). Change: the last part is left out before ranking.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -34,9 +34,10 @@
   auto Pool = State.View->Config->Pools.find(State.Pool);
   if (Pool == State.View->Config->Pools.end() || !Pool->second.Engine)
     return choosePlain(Servers, Wish, Now);
+  // The last part belongs to the request alone.
   Wish.Prefix = State.Call.Prefix;
-  // The last part belongs to the request or its session alone; the one before
-  // it is shared, if there is one.
+  if (!Wish.Prefix.empty())
+    Wish.Prefix.pop_back();
   return chooseEngine(Servers, Wish, *Pool->second.Engine, Now);
 }
 
