Check jobs at other hosts instead of cancelling them; log batches

Cause: a job that waited longer than its first estimate was cancelled and asked for again, which threw pieces away that were being made. Change: an open job is asked for again under its own number every 0.7 s; an owner that has it only answers, and all open jobs of a silent owner go to the next. Batches get a log line with size, times and what waits behind them.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace jasminecroft {
@@ -31,6 +32,23 @@
   TimedOut,
 };
 
+std::string_view toText(batch_failure Failure);
+
+/// How a call of a batching server went, for the log.
+struct batch_report {
+  backend_id Server;
+  pool_id Pool;
+  std::size_t Pieces = 0;
+  core_duration Expected{0};
+  core_duration Took{0};
+  /// Absent: the call was answered.
+  std::optional<batch_failure> Failure;
+  /// It is still in progress, but its pieces are made elsewhere as well.
+  bool Overdue = false;
+  /// Pieces that wait in the same queue now.
+  std::size_t Waiting = 0;
+};
+
 /// What the owner has others do.
 class batch_actions {
 public:
@@ -44,6 +62,7 @@
                             std::vector<made_piece> Pieces) = 0;
   virtual void onJobFailed(const entry_host_id &Host, piece_job_id Job,
                            piece_failure Failure) = 0;
+  virtual void onBatchEnded(const batch_report &Report) = 0;
 };
 
 /// Queues, batches and placement for all pools that this host owns. State is
@@ -192,6 +211,8 @@
   void checkOverdue(core_time Now);
   double slowness(const maker_state &Maker, core_time Now) const;
   void observe(const batch_state &Batch, core_time Now);
+  void report(const batch_state &Batch, std::optional<batch_failure> Failure,
+              core_time Now);
 
   batch_actions &Actions;
   backend_directory &Servers;
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -51,6 +51,22 @@
 
 } // namespace
 
+std::string_view toText(batch_failure Failure) {
+  switch (Failure) {
+  case batch_failure::NotConnected:
+    return "not_connected";
+  case batch_failure::Refused:
+    return "refused";
+  case batch_failure::Gone:
+    return "gone";
+  case batch_failure::Broken:
+    return "broken";
+  case batch_failure::TimedOut:
+    return "timed_out";
+  }
+  return "broken";
+}
+
 core_duration expectedCallTime(const batch_rules &Rules, std::size_t Pieces) {
   return Rules.CallTime + Rules.PieceTime * static_cast<std::int64_t>(Pieces);
 }
@@ -301,6 +317,7 @@
     Maker.Running.reset();
   Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
   observe(Batch, Now);
+  report(Batch, std::nullopt, Now);
   Servers.onCallSucceeded(Batch.Server.Id, 0);
   for (std::size_t I = 0; I < Results.size(); ++I)
     takeResult(Batch, Batch.Pieces[I], Results[I], Now);
@@ -397,6 +414,7 @@
     Maker.BlockedUntil = Now + FullPause;
   else
     Servers.onCallFailed(Batch.Server.Id, Now);
+  report(Batch, Failure, Now);
   bool AtFault = Failure == batch_failure::Broken ||
                  Failure == batch_failure::TimedOut;
   repeatPieces(Batch, AtFault, Failure != batch_failure::NotConnected, Now);
@@ -435,6 +453,7 @@
     Batch.Overdue = true;
     Servers.onCallFailed(Batch.Server.Id, Now);
     observe(Batch, Now);
+    report(Batch, std::nullopt, Now);
     for (batch_piece &Piece : Batch.Pieces) {
       auto Job = Jobs.find(Piece.Job);
       if (Job == Jobs.end() || !Budget.take(Batch.Queue.Pool, 1, Now))
@@ -457,6 +476,20 @@
   Maker.SlownessAt = Now;
 }
 
+void batch_owner::report(const batch_state &Batch,
+                         std::optional<batch_failure> Failure, core_time Now) {
+  batch_report Report;
+  Report.Server = Batch.Server.Id;
+  Report.Pool = Batch.Queue.Pool;
+  Report.Pieces = Batch.Pieces.size();
+  Report.Expected = Batch.Expected;
+  Report.Took = Now - Batch.Started;
+  Report.Failure = Failure;
+  Report.Overdue = Batch.Overdue;
+  Report.Waiting = waitingPieces(Batch.Queue.Pool, Batch.Queue.Zone);
+  Actions.onBatchEnded(Report);
+}
+
 double batch_owner::slowness(const maker_state &Maker, core_time Now) const {
   double Age = std::chrono::duration<double>(Now - Maker.SlownessAt).count();
   return 1 + (Maker.Slowness - 1) * std::exp(-Age / SlownessFadeSeconds);
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -369,6 +369,26 @@
   Actions.runPieces(Id, Server, std::move(Items), Timeout);
 }
 
+void serving_impl::onBatchEnded(const batch_report &Report) {
+  auto InMs = [](core_duration Time) {
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(Time).count());
+  };
+  bool Good = !Report.Failure && !Report.Overdue;
+  log(Report.Overdue ? event_number::BatchOverdue : event_number::BatchEnded,
+      Good ? event_severity::Info : event_severity::Warning,
+      Report.Overdue ? "batch is overdue; its pieces are made elsewhere too"
+      : Good         ? "batch answered"
+                     : "batch failed",
+      {{"server", Report.Server.Value},
+       {"pool", Report.Pool.Value},
+       {"pieces", std::to_string(Report.Pieces)},
+       {"expected_ms", InMs(Report.Expected)},
+       {"ms", InMs(Report.Took)},
+       {"waiting", std::to_string(Report.Waiting)},
+       {"failure", Report.Failure ? std::string(toText(*Report.Failure)) : ""}});
+}
+
 void serving_impl::freeResults(const backend_entry &Server,
                                  std::vector<result_handle> Results) {
   Actions.freeResults(Server, std::move(Results));
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -54,6 +54,7 @@
     log(event_number::HostSuspected, event_severity::Warning,
         "messages to a host were dropped; another owns its queues",
         {{"host", Host.Value}});
+  askElsewhere(Host);
 }
 
 // The first message to a host says who sends it, so that it can answer.
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -296,8 +296,8 @@
   case timer_kind::JobAccepted:
     onJobUnanswered(piece_job_id(Timer.Id));
     return;
-  case timer_kind::JobDone:
-    onJobOverdue(piece_job_id(Timer.Id));
+  case timer_kind::JobCheck:
+    onJobCheck(piece_job_id(Timer.Id));
     return;
   }
 }
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -13,9 +13,9 @@
 /// An owner that has not accepted a job by then is suspected: many times the
 /// way there and back between zones.
 constexpr core_duration AcceptTime = milliseconds(150);
-/// Time beyond the expected end of a job before it is asked for again.
-constexpr core_duration JobPause = milliseconds(800);
-constexpr int JobTimeFactor = 3;
+/// A job at another host is asked about at this interval: its owner may have
+/// died since it accepted it.
+constexpr core_duration JobCheckInterval = milliseconds(700);
 constexpr std::uint32_t MaxRestages = 2;
 /// Time to the first event before any was seen.
 constexpr core_duration FirstHeadTime = milliseconds(150);
@@ -233,9 +233,8 @@
     giveUp(*State, refusal_kind::Overloaded, Needed - Left);
     return;
   }
-  core_duration Due =
-      Wait + (stageTime(*State, Job.Stage) - Wait) * JobTimeFactor + JobPause;
-  addTimer(Now + Due, timer_kind::JobDone, Id.Value);
+  if (Job.Owner != Settings.Self.Host)
+    addTimer(Now + JobCheckInterval, timer_kind::JobCheck, Id.Value);
 }
 
 // The owner is not heard of: the next in rank takes over.
@@ -251,27 +250,32 @@
     Actions.reconnectPeer(Silent);
     Greeted.erase(Silent);
   }
-  if (request_state *State = find(Found->second.Request))
-    sendJob(Id, *State);
+  askElsewhere(Silent);
+}
+
+// Asks the owners that follow in rank for all that a lost owner has not made.
+void serving_impl::askElsewhere(const entry_host_id &Lost) {
+  std::vector<piece_job_id> Open;
+  for (const std::pair<const piece_job_id, job_state> &Job : JobsAsked)
+    if (Job.second.Owner == Lost)
+      Open.push_back(Job.first);
+  for (piece_job_id Id : Open) {
+    auto Found = JobsAsked.find(Id);
+    if (Found == JobsAsked.end())
+      continue;
+    if (request_state *State = find(Found->second.Request))
+      sendJob(Id, *State);
+  }
 }
 
-void serving_impl::onJobOverdue(piece_job_id Id) {
+// Asks the owner again; one that still has the job only says how long it will
+// take, and one that was restarted takes it anew.
+void serving_impl::onJobCheck(piece_job_id Id) {
   auto Found = JobsAsked.find(Id);
   if (Found == JobsAsked.end())
     return;
-  request_state *State = find(Found->second.Request);
-  if (!State)
-    return;
-  log(event_number::PiecesOverdue, event_severity::Warning,
-      "pieces are overdue and asked for again",
-      {{"request", State->Call.CallerId.Value},
-       {"owner", Found->second.Owner.Value},
-       {"stage", std::to_string(Found->second.Stage)}});
-  if (Found->second.Owner == Settings.Self.Host)
-    Owner.cancel(Settings.Self.Host, Id);
-  else
-    sendToHost(Found->second.Owner, pieces_cancelled{Id});
-  sendJob(Id, *State);
+  if (request_state *State = find(Found->second.Request))
+    sendJob(Id, *State);
 }
 
 void serving_impl::onPiecesMade(const entry_host_id &Host, piece_job_id Job,
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -83,7 +83,7 @@
 };
 
 /// Ids that a timer may be about.
-enum class timer_kind { Deadline, Try, JobAccepted, JobDone };
+enum class timer_kind { Deadline, Try, JobAccepted, JobCheck };
 struct timer {
   timer_kind Kind = timer_kind::Deadline;
   std::uint64_t Id = 0;
@@ -132,6 +132,7 @@
                     std::vector<made_piece> Pieces) override;
   void onJobFailed(const entry_host_id &Host, piece_job_id Job,
                    piece_failure Failure) override;
+  void onBatchEnded(const batch_report &Report) override;
 
   serving_settings Settings;
   serving_actions &Actions;
@@ -182,7 +183,8 @@
   core_duration answerTime(const request_state &State) const;
   void onJobAccepted(piece_job_id Job, core_duration Wait);
   void onJobUnanswered(piece_job_id Job);
-  void onJobOverdue(piece_job_id Job);
+  void onJobCheck(piece_job_id Job);
+  void askElsewhere(const entry_host_id &Lost);
   void takePieces(piece_job_id Job, const entry_host_id &From,
                   std::vector<made_piece> Pieces);
   void takeJobFailure(piece_job_id Job, piece_failure Failure);
