Release results when their consumers have fetched them

Cause: room for results bound: calls of 7 of 14 pieces with 241 pieces waiting. Change: the owner says when all pieces of a job are in calls that have fetched their inputs; results are freed at once while room is tight. Ruled out as sole cause: the part of the room that was left unused (0.9).

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -251,6 +251,11 @@
   std::vector<made_piece> Pieces;
   bool operator==(const pieces_made &) const = default;
 };
+/// All pieces of the job are being made; their inputs may be released.
+struct inputs_fetched {
+  piece_job_id Job;
+  bool operator==(const inputs_fetched &) const = default;
+};
 struct pieces_failed {
   piece_job_id Job;
   piece_failure Failure = piece_failure::NotMade;
@@ -272,7 +277,7 @@
                  claim_query_reply, rumor, config_changes, host_greeting,
                  operator_config_pull, operator_config_push, pieces_wanted,
                  pieces_accepted, pieces_made, pieces_failed, pieces_cancelled,
-                 results_released>;
+                 results_released, inputs_fetched>;
 
 /// A message with its sender; messages of other fleets are refused.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -62,6 +62,8 @@
                             std::vector<made_piece> Pieces) = 0;
   virtual void onJobFailed(const entry_host_id &Host, piece_job_id Job,
                            piece_failure Failure) = 0;
+  /// All pieces of the job are being made and have their inputs.
+  virtual void onInputsFetched(const entry_host_id &Host, piece_job_id Job) = 0;
   virtual void onBatchEnded(const batch_report &Report) = 0;
 };
 
@@ -115,6 +117,8 @@
     std::deque<std::uint32_t> Waiting;
     /// Pieces without a result.
     std::size_t Missing = 0;
+    /// Pieces in calls that have fetched their inputs; repeats count again.
+    std::size_t Fetched = 0;
     /// Servers that failed to make a piece of it.
     std::set<backend_id> Avoid;
     std::vector<made_piece> Made;
@@ -147,6 +151,8 @@
     core_time Started;
     core_duration Expected{0};
     bool Overdue = false;
+    core_time InputsFetchedAt;
+    bool FetchReported = false;
     core_time overdueAt() const;
   };
 
@@ -160,6 +166,7 @@
     core_time SlownessAt;
     /// Bytes of results that are there or being made.
     std::uint64_t RoomUsed = 0;
+    std::uint64_t RoomBytes = 0;
     /// No batch before this time.
     core_time BlockedUntil;
     std::vector<result_handle> ToFree;
@@ -209,6 +216,7 @@
   void flushFrees(const backend_id &Id, maker_state &Maker);
   void expireResults(core_time Now);
   void checkOverdue(core_time Now);
+  void reportFetched(core_time Now);
   double slowness(const maker_state &Maker, core_time Now) const;
   void observe(const batch_state &Batch, core_time Now);
   void report(const batch_state &Batch, std::optional<batch_failure> Failure,
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -33,8 +33,11 @@
 /// Results to be freed are collected this long into one call.
 constexpr core_duration FreeDelay = milliseconds(100);
 constexpr std::size_t MaxFreesPerCall = 64;
-/// Part of a server's room that is used: sizes are approximate.
-constexpr double UsedRoomPart = 0.9;
+/// Results are freed at once if they and what is being made take up more than
+/// this part of a server's room.
+constexpr double TightRoomPart = 0.4;
+/// A call that goes to an idle server has fetched its inputs by then.
+constexpr core_duration FetchTime = milliseconds(60);
 /// A server elsewhere is taken if its results are ready this much sooner.
 constexpr core_duration FarPenalty = milliseconds(40);
 constexpr core_duration ExpiryInterval = milliseconds(500);
@@ -126,6 +129,7 @@
     NextExpiry = Now + ExpiryInterval;
   }
   checkOverdue(Now);
+  reportFetched(Now);
   for (const std::pair<const queue_key, queue_state> &Queue : Queues)
     if (!Queue.second.Jobs.empty())
       pumpQueue(Queue.first, Now);
@@ -168,8 +172,6 @@
 batch_owner::candidates(const queue_key &Key, core_time Now) {
   std::vector<candidate> Result;
   const batch_rules &Rules = Pools[Key.Pool];
-  std::uint64_t Room =
-      static_cast<std::uint64_t>(static_cast<double>(Rules.RoomBytes) * UsedRoomPart);
   for (backend_state *Server : Servers.usable(Key.Pool, Now)) {
     if (!Key.Zone.empty() && Server->Entry.Zone != Key.Zone)
       continue;
@@ -182,7 +184,9 @@
     if (Maker.Running)
       Candidate.FreeAt = std::max(Candidate.FreeAt, Maker.FreeAt);
     Candidate.Slowness = slowness(Maker, Now);
-    Candidate.RoomLeft = Room > Maker.RoomUsed ? Room - Maker.RoomUsed : 0;
+    Maker.RoomBytes = Rules.RoomBytes;
+    Candidate.RoomLeft =
+        Rules.RoomBytes > Maker.RoomUsed ? Rules.RoomBytes - Maker.RoomUsed : 0;
     Result.push_back(Candidate);
   }
   return Result;
@@ -296,6 +300,7 @@
   Maker.Idle = false;
   Maker.FreeAt = Known.FreeAt;
   core_duration Timeout = Batch.Expected * TimeoutFactor + TimeoutPause;
+  Batch.InputsFetchedAt = Now + FetchTime;
   Batches.emplace(Id, std::move(Batch));
   Actions.runBatch(Id, Server, std::move(Items), Timeout);
 }
@@ -444,6 +449,29 @@
   return Started + scaled(Expected, OverdueFactor) + OverduePause;
 }
 
+// Tells hosts of jobs whose pieces are all being made that the inputs are no
+// longer needed: results take up room where they were made.
+void batch_owner::reportFetched(core_time Now) {
+  for (std::pair<const batch_id, batch_state> &Entry : Batches) {
+    batch_state &Batch = Entry.second;
+    if (Batch.FetchReported || Now < Batch.InputsFetchedAt)
+      continue;
+    Batch.FetchReported = true;
+    std::set<job_key> Fetched;
+    for (const batch_piece &Piece : Batch.Pieces) {
+      auto Job = Jobs.find(Piece.Job);
+      if (Job == Jobs.end())
+        continue;
+      ++Job->second.Fetched;
+      bool All = Job->second.Fetched == Job->second.Job.Pieces.size();
+      if (All && !Job->second.Job.Inputs.empty())
+        Fetched.insert(Piece.Job);
+    }
+    for (const job_key &Key : Fetched)
+      Actions.onInputsFetched(Key.first, Key.second);
+  }
+}
+
 // Has the pieces of a call that takes far too long made elsewhere as well.
 void batch_owner::checkOverdue(core_time Now) {
   for (std::pair<const batch_id, batch_state> &Entry : Batches) {
@@ -508,6 +536,7 @@
                          core_time Now) {
   maker_state &Maker = Makers[Server];
   auto Found = Kept.find(Result);
+  std::uint64_t Used = Maker.RoomUsed;
   if (Found != Kept.end()) {
     Maker.RoomUsed -= std::min(Maker.RoomUsed, Found->second.Bytes);
     Kept.erase(Found);
@@ -515,6 +544,10 @@
   if (Maker.ToFree.empty())
     Maker.FreeBy = Now + FreeDelay;
   Maker.ToFree.push_back(Result);
+  bool Tight = static_cast<double>(Used) >
+               TightRoomPart * static_cast<double>(Maker.RoomBytes);
+  if (Tight)
+    Maker.FreeBy = Now;
   if (Maker.ToFree.size() >= MaxFreesPerCall)
     flushFrees(Server, Maker);
 }
@@ -574,9 +607,12 @@
     if (!Next || Time < *Next)
       Next = Time;
   };
-  for (const std::pair<const batch_id, batch_state> &Entry : Batches)
+  for (const std::pair<const batch_id, batch_state> &Entry : Batches) {
     if (!Entry.second.Overdue)
       Consider(Entry.second.overdueAt());
+    if (!Entry.second.FetchReported)
+      Consider(Entry.second.InputsFetchedAt);
+  }
   for (const std::pair<const backend_id, maker_state> &Maker : Makers)
     if (!Maker.second.ToFree.empty())
       Consider(Maker.second.FreeBy);
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -124,6 +124,10 @@
   takePieces(Body.Job, Sender.Host, Body.Pieces);
 }
 
+void serving_impl::on(const host_run &, const inputs_fetched &Body) {
+  takeInputsFetched(Body.Job);
+}
+
 void serving_impl::on(const host_run &, const pieces_failed &Body) {
   takeJobFailure(Body.Job, Body.Failure);
 }
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -294,6 +294,27 @@
     sendToHost(Host, pieces_failed{Job, Failure});
 }
 
+void serving_impl::onInputsFetched(const entry_host_id &Host,
+                                   piece_job_id Job) {
+  if (Host == Settings.Self.Host)
+    takeInputsFetched(Job);
+  else
+    sendToHost(Host, inputs_fetched{Job});
+}
+
+void serving_impl::takeInputsFetched(piece_job_id Id) {
+  auto Found = JobsAsked.find(Id);
+  request_state *State =
+      Found == JobsAsked.end() ? nullptr : find(Found->second.Request);
+  if (!State)
+    return;
+  stage_state &Stage = State->Stages[Found->second.Stage];
+  if (Stage.Phase != stage_phase::Asked)
+    return;
+  Stage.Phase = stage_phase::Fetched;
+  releaseUsed(*State);
+}
+
 void serving_impl::takePieces(piece_job_id Id, const entry_host_id &From,
                                 std::vector<made_piece> Pieces) {
   auto Found = JobsAsked.find(Id);
@@ -377,7 +398,7 @@
     sendToHost(Stage.Owner, results_released{std::move(Results)});
 }
 
-// Releases the results that only stages which are done have needed.
+// Releases the results that every stage after them has fetched.
 void serving_impl::releaseUsed(request_state &State) {
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
     bool Consumed = false;
@@ -387,7 +408,9 @@
       if (std::find(After.begin(), After.end(), Stage) == After.end())
         continue;
       Consumed = true;
-      Needed = Needed || State.Stages[Next].Phase != stage_phase::Done;
+      stage_phase Phase = State.Stages[Next].Phase;
+      Needed = Needed || Phase == stage_phase::Waiting ||
+               Phase == stage_phase::Asked;
     }
     if (Consumed && !Needed)
       releaseStage(State.Stages[Stage]);
@@ -401,7 +424,8 @@
 
 void serving_impl::cancelJobs(request_state &State) {
   for (stage_state &Stage : State.Stages) {
-    if (Stage.Phase != stage_phase::Asked)
+    if (Stage.Phase != stage_phase::Asked &&
+        Stage.Phase != stage_phase::Fetched)
       continue;
     auto Found = JobsAsked.find(Stage.Job);
     if (Found == JobsAsked.end())
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -20,7 +20,8 @@
   route_index Routes;
 };
 
-enum class stage_phase { Waiting, Asked, Done };
+/// Fetched: asked for, and its inputs are no longer needed.
+enum class stage_phase { Waiting, Asked, Fetched, Done };
 
 struct stage_state {
   stage_phase Phase = stage_phase::Waiting;
@@ -132,6 +133,7 @@
                     std::vector<made_piece> Pieces) override;
   void onJobFailed(const entry_host_id &Host, piece_job_id Job,
                    piece_failure Failure) override;
+  void onInputsFetched(const entry_host_id &Host, piece_job_id Job) override;
   void onBatchEnded(const batch_report &Report) override;
 
   serving_settings Settings;
@@ -187,6 +189,7 @@
   void askElsewhere(const entry_host_id &Lost);
   void takePieces(piece_job_id Job, const entry_host_id &From,
                   std::vector<made_piece> Pieces);
+  void takeInputsFetched(piece_job_id Job);
   void takeJobFailure(piece_job_id Job, piece_failure Failure);
   void releaseStage(stage_state &Stage);
   void releaseUsed(request_state &State);
@@ -217,6 +220,7 @@
   void on(const host_run &Sender, const pieces_wanted &Body);
   void on(const host_run &Sender, const pieces_accepted &Body);
   void on(const host_run &Sender, const pieces_made &Body);
+  void on(const host_run &Sender, const inputs_fetched &Body);
   void on(const host_run &Sender, const pieces_failed &Body);
   void on(const host_run &Sender, const pieces_cancelled &Body);
   void on(const host_run &Sender, const results_released &Body);
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -42,6 +42,7 @@
   PiecesFailed = 19,
   PiecesCancelled = 20,
   ResultsReleased = 21,
+  InputsFetched = 22,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -270,6 +271,9 @@
 template <>
 struct number_of<results_released>
     : number_constant<body_number::ResultsReleased> {};
+template <>
+struct number_of<inputs_fetched> : number_constant<body_number::InputsFetched> {
+};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -145,4 +145,12 @@
   Reader.list("results", Body.Results, MaxResults, readHandle);
 }
 
+
+cbor_value writeBody(const inputs_fetched &Body) {
+  return writeRecord(Body.Job.Value);
+}
+void readBody(field_reader &Reader, inputs_fetched &Body) {
+  Reader.version("job", Body.Job);
+}
+
 } // namespace jasminecroft::detail
--- a/packages/wire/src/peer_codec_pieces.h
+++ b/packages/wire/src/peer_codec_pieces.h
@@ -15,6 +15,7 @@
 cbor_value writeBody(const pieces_failed &Body);
 cbor_value writeBody(const pieces_cancelled &Body);
 cbor_value writeBody(const results_released &Body);
+cbor_value writeBody(const inputs_fetched &Body);
 
 void readBody(field_reader &Reader, host_greeting &Body);
 void readBody(field_reader &Reader, operator_config_pull &Body);
@@ -25,5 +26,6 @@
 void readBody(field_reader &Reader, pieces_failed &Body);
 void readBody(field_reader &Reader, pieces_cancelled &Body);
 void readBody(field_reader &Reader, results_released &Body);
+void readBody(field_reader &Reader, inputs_fetched &Body);
 
 } // namespace jasminecroft::detail
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -207,7 +207,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(21)) {
+  switch (below(22)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -259,6 +259,8 @@
   case 19:
     return results_released{
         some<result_handle>(4, [] { return anyId<result_handle>(); })};
+  case 20:
+    return inputs_fetched{anyNumber<piece_job_id>()};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
