--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -45,6 +45,8 @@
   std::optional<batch_failure> Failure;
   /// It is still in progress, but its pieces are made elsewhere as well.
   bool Overdue = false;
+  /// Part of the server's room that results take up now, in percent.
+  std::uint32_t RoomPercent = 0;
   /// Pieces that wait in the same queue now.
   std::size_t Waiting = 0;
 };
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -33,6 +33,9 @@
 /// Results to be freed are collected this long into one call.
 constexpr core_duration FreeDelay = milliseconds(100);
 constexpr std::size_t MaxFreesPerCall = 64;
+/// Part of a server's room that is planned with: sizes of results are
+/// approximate.
+constexpr double PlannedRoomPart = 0.88;
 /// Results are freed at once if they and what is being made take up more than
 /// this part of a server's room.
 constexpr double TightRoomPart = 0.4;
@@ -172,6 +175,8 @@
 batch_owner::candidates(const queue_key &Key, core_time Now) {
   std::vector<candidate> Result;
   const batch_rules &Rules = Pools[Key.Pool];
+  std::uint64_t Room = static_cast<std::uint64_t>(
+      static_cast<double>(Rules.RoomBytes) * PlannedRoomPart);
   for (backend_state *Server : Servers.usable(Key.Pool, Now)) {
     if (!Key.Zone.empty() && Server->Entry.Zone != Key.Zone)
       continue;
@@ -185,8 +190,7 @@
       Candidate.FreeAt = std::max(Candidate.FreeAt, Maker.FreeAt);
     Candidate.Slowness = slowness(Maker, Now);
     Maker.RoomBytes = Rules.RoomBytes;
-    Candidate.RoomLeft =
-        Rules.RoomBytes > Maker.RoomUsed ? Rules.RoomBytes - Maker.RoomUsed : 0;
+    Candidate.RoomLeft = Room > Maker.RoomUsed ? Room - Maker.RoomUsed : 0;
     Result.push_back(Candidate);
   }
   return Result;
@@ -514,6 +518,10 @@
   Report.Took = Now - Batch.Started;
   Report.Failure = Failure;
   Report.Overdue = Batch.Overdue;
+  const maker_state &Maker = Makers[Batch.Server.Id];
+  if (Maker.RoomBytes > 0)
+    Report.RoomPercent =
+        static_cast<std::uint32_t>(Maker.RoomUsed * 100 / Maker.RoomBytes);
   Report.Waiting = waitingPieces(Batch.Queue.Pool, Batch.Queue.Zone);
   Actions.onBatchEnded(Report);
 }
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -385,6 +385,7 @@
        {"pieces", std::to_string(Report.Pieces)},
        {"expected_ms", InMs(Report.Expected)},
        {"ms", InMs(Report.Took)},
+       {"room_percent", std::to_string(Report.RoomPercent)},
        {"waiting", std::to_string(Report.Waiting)},
        {"failure", Report.Failure ? std::string(toText(*Report.Failure)) : ""}});
 }
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -239,6 +239,8 @@
       {"deadline_ms", inMs(State.Deadline - State.Arrived)},
       {"server", State.Server.Id.Value},
       {"sends", std::to_string(State.Sends)}};
+  if (FirstByte)
+    Fields.push_back({"first_byte_ms", inMs(*FirstByte)});
   if (!State.Stages.empty()) {
     Fields.push_back({"stages_ms",
                       State.StagesDoneAt > State.Arrived
