Plan calls by earliest ready time, with zones weighed by bytes

Cause: a big result that did not fit stopped the filling of a call, jobs were cut in two, and calls took whatever came next whatever the zone of its inputs. Change: batch_plan, a pure decision: each job goes where it is ready first, far servers count as slower by what moving its bytes is worth; jobs that do not fit are passed over; stages are done near the engine that is planned when the request comes.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "jasminecroft/core/serving/backend_directory.h"
+#include "jasminecroft/core/serving/batch_plan.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/retry_budget.h"
 
@@ -181,29 +182,15 @@
     core_time Expires;
   };
 
-  struct candidate {
-    backend_state *Server = nullptr;
-    core_time FreeAt;
-    double Slowness = 1;
-    std::uint64_t RoomLeft = 0;
-    bool Idle = false;
-  };
-
   static queue_key queueOf(const piece_job &Job);
   std::vector<job_key> &queue(const queue_key &Key) { return Queues[Key].Jobs; }
   void pumpQueue(const queue_key &Key, core_time Now);
   void dropHopeless(const queue_key &Key, core_time Now);
   void sortQueue(std::vector<job_key> &Queue, core_time Now) const;
-  std::vector<candidate> candidates(const queue_key &Key, core_time Now);
-  std::optional<std::size_t> earliest(const std::vector<candidate> &Makers,
-                                      const job_state &Job,
-                                      const batch_rules &Rules,
-                                      core_time Now) const;
-  void startBatch(const queue_key &Key, candidate &Maker,
-                  std::vector<batch_piece> Pieces, core_time Now);
-  std::vector<batch_piece> fill(const std::vector<job_key> &Order,
-                                std::size_t &Next, const candidate &Maker,
-                                const batch_rules &Rules) const;
+  std::vector<planned_server> planServers(const queue_key &Key, core_time Now);
+  void startBatch(const queue_key &Key, const backend_entry &Server,
+                  double Slowness, std::vector<batch_piece> Pieces,
+                  core_time Now);
   void takeResult(const batch_state &Batch, const batch_piece &Piece,
                   const batch_item_result &Result, core_time Now);
   void keepResult(const batch_state &Batch, const result_handle &Result,
@@ -238,7 +225,4 @@
   std::uint64_t Pieces = 0;
 };
 
-/// The time that a call of Pieces pieces takes at a server that is not slowed.
-core_duration expectedCallTime(const batch_rules &Rules, std::size_t Pieces);
-
 } // namespace jasminecroft
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -37,8 +37,11 @@
   std::uint32_t Priority = 0;
   /// Approximate size of one result.
   std::uint64_t ResultBytes = 0;
-  /// Where the results are wanted.
+  /// Where the results are wanted; empty: anywhere.
   zone_id NearZone;
+  /// Where most of the inputs lie, and their size.
+  zone_id InputZone;
+  std::uint64_t InputBytes = 0;
   /// Zone whose servers the queue is for; empty: all servers of the pool.
   zone_id QueueZone;
 
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -22,9 +22,6 @@
 constexpr core_duration FullPause = milliseconds(120);
 /// Servers that may fail to make pieces of one job before it is given up.
 constexpr std::size_t MaxFailedServers = 3;
-/// A server that failed to make a piece of a job gets the job again only if
-/// the others are busy for this long.
-constexpr core_duration FailedServerPenalty = milliseconds(600);
 /// Time in which what is known of a server's slowness fades by two thirds.
 constexpr double SlownessFadeSeconds = 3;
 constexpr double SlownessGain = 0.5;
@@ -41,8 +38,6 @@
 constexpr double TightRoomPart = 0.4;
 /// A call that goes to an idle server has fetched its inputs by then.
 constexpr core_duration FetchTime = milliseconds(60);
-/// A server elsewhere is taken if its results are ready this much sooner.
-constexpr core_duration FarPenalty = milliseconds(40);
 constexpr core_duration ExpiryInterval = milliseconds(500);
 /// While pieces wait, what may have become possible is looked at this often:
 /// room, servers that were avoided, deadlines.
@@ -50,11 +45,6 @@
 /// Said when no server of the pool is known.
 constexpr core_duration NoServerWait = std::chrono::hours(1);
 
-core_duration scaled(core_duration Time, double Factor) {
-  return core_duration(static_cast<std::int64_t>(
-      static_cast<double>(Time.count()) * Factor));
-}
-
 } // namespace
 
 std::string_view toText(batch_failure Failure) {
@@ -73,10 +63,6 @@
   return "broken";
 }
 
-core_duration expectedCallTime(const batch_rules &Rules, std::size_t Pieces) {
-  return Rules.CallTime + Rules.PieceTime * static_cast<std::int64_t>(Pieces);
-}
-
 void batch_owner::configure(const std::map<pool_id, serving_pool> &All) {
   for (const std::pair<const pool_id, serving_pool> &Pool : All)
     if (Pool.second.Batches)
@@ -171,119 +157,72 @@
     failJob(Job, piece_failure::Late);
 }
 
-std::vector<batch_owner::candidate>
-batch_owner::candidates(const queue_key &Key, core_time Now) {
-  std::vector<candidate> Result;
+std::vector<planned_server> batch_owner::planServers(const queue_key &Key,
+                                                     core_time Now) {
+  std::vector<planned_server> Result;
   const batch_rules &Rules = Pools[Key.Pool];
   std::uint64_t Room = static_cast<std::uint64_t>(
       static_cast<double>(Rules.RoomBytes) * PlannedRoomPart);
-  for (backend_state *Server : Servers.usable(Key.Pool, Now)) {
+  for (const backend_state *Server : Servers.usable(Key.Pool, Now)) {
     if (!Key.Zone.empty() && Server->Entry.Zone != Key.Zone)
       continue;
     maker_state &Maker = Makers[Server->Entry.Id];
-    candidate Candidate;
-    Candidate.Server = Server;
-    core_time Blocked = std::max(Maker.BlockedUntil, Server->AvoidUntil);
-    Candidate.Idle = !Maker.Running && Blocked <= Now;
-    Candidate.FreeAt = std::max(Now, Blocked);
-    if (Maker.Running)
-      Candidate.FreeAt = std::max(Candidate.FreeAt, Maker.FreeAt);
-    Candidate.Slowness = slowness(Maker, Now);
     Maker.RoomBytes = Rules.RoomBytes;
-    Candidate.RoomLeft = Room > Maker.RoomUsed ? Room - Maker.RoomUsed : 0;
-    Result.push_back(Candidate);
+    planned_server Planned;
+    Planned.Id = Server->Entry.Id;
+    Planned.Zone = Server->Entry.Zone;
+    core_time FreeAt =
+        std::max({Now, Maker.BlockedUntil, Server->AvoidUntil});
+    Planned.Idle = !Maker.Running && FreeAt == Now;
+    if (Maker.Running)
+      FreeAt = std::max(FreeAt, Maker.FreeAt);
+    Planned.FreeIn = FreeAt - Now;
+    Planned.Slowness = slowness(Maker, Now);
+    Planned.RoomLeft = Room > Maker.RoomUsed ? Room - Maker.RoomUsed : 0;
+    Result.push_back(std::move(Planned));
   }
   return Result;
 }
 
-// The server that is expected to have the pieces of Job ready first.
-std::optional<std::size_t>
-batch_owner::earliest(const std::vector<candidate> &Makers,
-                      const job_state &Job, const batch_rules &Rules,
-                      core_time Now) const {
-  std::optional<std::size_t> Best;
-  core_time BestTime;
-  core_duration Call = expectedCallTime(Rules, Job.Waiting.size());
-  for (std::size_t I = 0; I < Makers.size(); ++I) {
-    const candidate &Maker = Makers[I];
-    if (Maker.Idle && Maker.RoomLeft < Job.Job.ResultBytes)
-      continue;
-    core_time Ready = std::max(Maker.FreeAt, Now) + scaled(Call, Maker.Slowness);
-    if (!Job.Job.NearZone.empty() &&
-        Maker.Server->Entry.Zone != Job.Job.NearZone)
-      Ready += FarPenalty;
-    if (Job.Avoid.contains(Maker.Server->Entry.Id))
-      Ready += FailedServerPenalty;
-    if (!Best || Ready < BestTime) {
-      Best = I;
-      BestTime = Ready;
-    }
-  }
-  return Best;
-}
-
-// Takes pieces in order while the call and the server's room allow it. Next
-// moves past the jobs that have no further waiting piece.
-std::vector<batch_owner::batch_piece>
-batch_owner::fill(const std::vector<job_key> &Order, std::size_t &Next,
-                  const candidate &Maker, const batch_rules &Rules) const {
-  std::vector<batch_piece> Pieces;
-  std::uint64_t Bytes = 0;
-  for (; Next < Order.size(); ++Next) {
-    const job_state &Job = Jobs.at(Order[Next]);
-    for (std::uint32_t Piece : Job.Waiting) {
-      bool Room = !Maker.Idle || Bytes + Job.Job.ResultBytes <= Maker.RoomLeft;
-      if (Pieces.size() >= Rules.MaxPieces || !Room)
-        return Pieces;
-      Pieces.push_back({Order[Next], Piece, false});
-      Bytes += Job.Job.ResultBytes;
-    }
-  }
-  return Pieces;
-}
-
-// Gives each call's worth of pieces to the server that has them ready first.
-// If that server is busy they wait for it, and its next call is taken as full.
 void batch_owner::pumpQueue(const queue_key &Key, core_time Now) {
   dropHopeless(Key, Now);
-  std::vector<candidate> Makers = candidates(Key, Now);
-  bool AnyIdle = std::any_of(Makers.begin(), Makers.end(),
-                             [](const candidate &Maker) { return Maker.Idle; });
+  std::vector<planned_server> Planned = planServers(Key, Now);
+  bool AnyIdle =
+      std::any_of(Planned.begin(), Planned.end(),
+                  [](const planned_server &Server) { return Server.Idle; });
   if (!AnyIdle || queue(Key).empty())
     return;
   sortQueue(queue(Key), Now);
-  const batch_rules &Rules = Pools[Key.Pool];
   const std::vector<job_key> Order = queue(Key);
-  std::size_t Next = 0;
-  for (std::size_t Calls = 0; Next < Order.size() && Calls < 2 * Makers.size();
-       ++Calls) {
-    std::optional<std::size_t> Chosen =
-        earliest(Makers, Jobs.at(Order[Next]), Rules, Now);
-    if (!Chosen)
-      return;
-    candidate &Maker = Makers[*Chosen];
-    std::vector<batch_piece> Pieces = fill(Order, Next, Maker, Rules);
-    if (Pieces.empty())
-      return;
-    if (Maker.Idle)
-      startBatch(Key, Maker, std::move(Pieces), Now);
-    else
-      Maker.FreeAt += scaled(expectedCallTime(Rules, Pieces.size()),
-                             Maker.Slowness);
+  std::vector<planned_job> Waiting;
+  for (const job_key &Id : Order) {
+    const job_state &Job = Jobs.at(Id);
+    Waiting.push_back({&Job.Job,
+                       {Job.Waiting.begin(), Job.Waiting.end()},
+                       &Job.Avoid});
+  }
+  for (const planned_call &Call :
+       planCalls(Pools[Key.Pool], std::move(Waiting), Planned)) {
+    std::vector<batch_piece> Started;
+    for (const std::pair<std::size_t, std::uint32_t> &Piece : Call.Pieces)
+      Started.push_back({Order[Piece.first], Piece.second, false});
+    const planned_server &Server = Planned[Call.Server];
+    if (const backend_state *State = Servers.find(Server.Id))
+      startBatch(Key, State->Entry, Server.Slowness, std::move(Started), Now);
   }
 }
 
-void batch_owner::startBatch(const queue_key &Key, candidate &Maker,
-                             std::vector<batch_piece> Started, core_time Now) {
-  const backend_entry Server = Maker.Server->Entry;
+void batch_owner::startBatch(const queue_key &Key, const backend_entry &Entry,
+                             double Slowness, std::vector<batch_piece> Started,
+                             core_time Now) {
+  const backend_entry Server = Entry;
   batch_id Id(++LastBatch);
   batch_state Batch;
   Batch.Queue = Key;
   Batch.Server = Server;
   Batch.Started = Now;
   Batch.Expected =
-      scaled(
-      expectedCallTime(Pools[Key.Pool], Started.size()), Maker.Slowness);
+      scaled(expectedCallTime(Pools[Key.Pool], Started.size()), Slowness);
   std::vector<batch_item> Items;
   for (const batch_piece &Piece : Started) {
     job_state &Job = Jobs.at(Piece.Job);
@@ -301,8 +240,6 @@
   Known.Running = Id;
   Known.FreeAt = Now + Batch.Expected;
   Known.RoomUsed += Batch.Bytes;
-  Maker.Idle = false;
-  Maker.FreeAt = Known.FreeAt;
   core_duration Timeout = Batch.Expected * TimeoutFactor + TimeoutPause;
   Batch.InputsFetchedAt = Now + FetchTime;
   Batches.emplace(Id, std::move(Batch));
@@ -587,8 +524,8 @@
     return core_duration{0};
   const batch_rules &Rules = Found->second;
   std::vector<core_duration> Busy;
-  for (const candidate &Maker : candidates({Pool, Zone}, Now))
-    Busy.push_back(std::max(core_duration{0}, Maker.FreeAt - Now));
+  for (const planned_server &Server : planServers({Pool, Zone}, Now))
+    Busy.push_back(Server.FreeIn);
   if (Busy.empty())
     return NoServerWait;
   std::sort(Busy.begin(), Busy.end());
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -170,6 +170,10 @@
   Counters.InProgress = Requests.size();
   Budget.onRequest(State.Pool, Now);
   addTimer(State.Deadline, timer_kind::Deadline, Number.Value);
+  State.PlannedZone = Settings.Zone;
+  if (!State.Stages.empty())
+    if (const backend_state *Planned = chooseServer(State))
+      State.PlannedZone = Planned->Entry.Zone;
   startReadyStages(State);
 }
 
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -79,29 +79,35 @@
   return Inputs;
 }
 
+bool serving_impl::isLastStage(const request_state &State,
+                               std::size_t Stage) const {
+  const std::vector<route_stage> &All = State.Route->Stages;
+  return std::none_of(All.begin(), All.end(), [Stage](const route_stage &Next) {
+    return std::find(Next.After.begin(), Next.After.end(), Stage) !=
+           Next.After.end();
+  });
+}
+
 // All results of the stages that no other stage comes after.
 std::vector<result_handle>
 serving_impl::finalInputs(const request_state &State) const {
-  std::vector<bool> Consumed(State.Stages.size(), false);
-  for (const route_stage &Stage : State.Route->Stages)
-    for (std::uint32_t Before : Stage.After)
-      Consumed[Before] = true;
   std::vector<result_handle> Inputs;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
-    if (!Consumed[Stage])
+    if (isLastStage(State, Stage))
       for (const made_piece &Piece : State.Stages[Stage].Results)
         Inputs.push_back(Piece.Result);
   return Inputs;
 }
 
-// Where most bytes of the request's results lie; this host's zone if none.
+// Where most bytes of the request's results lie; where they are wanted if
+// there are none yet.
 zone_id serving_impl::zoneOfInputs(const request_state &State) const {
   std::map<zone_id, std::uint64_t> Bytes;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     if (!State.Stages[Stage].Released)
       for (const made_piece &Piece : State.Stages[Stage].Results)
         Bytes[Piece.Zone] += State.Route->Stages[Stage].ResultBytes + 1;
-  zone_id Best = Settings.Zone;
+  zone_id Best = State.PlannedZone;
   std::uint64_t Most = 0;
   for (const std::pair<const zone_id, std::uint64_t> &Entry : Bytes)
     if (Entry.second > Most) {
@@ -197,7 +203,12 @@
                 timeAfter(State, Asked.Stage);
   Job.Priority = State.Priority;
   Job.ResultBytes = Plan.ResultBytes;
-  Job.NearZone = zoneOfInputs(State);
+  Job.InputZone = zoneOfInputs(State);
+  for (std::uint32_t Before : Plan.After)
+    Job.InputBytes += State.Route->Stages[Before].ResultBytes *
+                      State.Stages[Before].Results.size();
+  if (isLastStage(State, Asked.Stage))
+    Job.NearZone = State.PlannedZone;
   Job.QueueZone = queueZone(Plan.Pool, State);
   Asked.Owner = Settings.BatchAlone
                     ? Settings.Self.Host
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -44,6 +44,9 @@
   /// The final answer is due by then.
   core_time Deadline;
   core_time GoalAt;
+  /// Zone of the backend server that was chosen when the request came; stages
+  /// are done near it.
+  zone_id PlannedZone;
   std::vector<stage_state> Stages;
   /// Times that the stages were begun again.
   std::uint32_t Restages = 0;
@@ -172,6 +175,7 @@
   // Stages: serving_stages.cc.
   void startReadyStages(request_state &State);
   bool stageReady(const request_state &State, std::size_t Stage) const;
+  bool isLastStage(const request_state &State, std::size_t Stage) const;
   bool stagesDone(const request_state &State) const;
   void askStage(request_state &State, std::size_t Stage);
   void sendJob(piece_job_id Id, request_state &State);
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -52,7 +52,8 @@
                      Job.Stage, writeList(Job.Pieces, writeNumber), Job.Key,
                      writeList(Job.Inputs, writeHandle), Job.DeadlineIn.count(),
                      Job.StartBy.count(), Job.Priority, Job.ResultBytes,
-                     Job.NearZone.Value, Job.QueueZone.Value);
+                     Job.NearZone.Value, Job.InputZone.Value, Job.InputBytes,
+                     Job.QueueZone.Value);
 }
 
 void readJob(field_reader &Reader, piece_job &Job) {
@@ -68,6 +69,8 @@
   Job.Priority = Reader.number32("priority");
   Job.ResultBytes = Reader.number("result_bytes");
   Reader.id("near_zone", Job.NearZone);
+  Reader.id("input_zone", Job.InputZone);
+  Job.InputBytes = Reader.number("input_bytes");
   Reader.id("queue_zone", Job.QueueZone);
 }
 
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -202,6 +202,8 @@
   Job.Priority = any32();
   Job.ResultBytes = anyNumber<incarnation>().Value;
   Job.NearZone = anyId<zone_id>();
+  Job.InputZone = anyId<zone_id>();
+  Job.InputBytes = anyNumber<incarnation>().Value;
   Job.QueueZone = anyId<zone_id>();
   return Job;
 }
