Leaving hosts own nothing and hand over their queues

Cause: a host that left was forgotten by the others, so that its own requests got no answer from owners; it then suspected them one by one and owned the queue itself. Up to four owners sent calls to the same servers, which refused 85 of 608. Ruled out: servers' queues too short for one change of owner. Change: leaving hosts stay known but own nothing, not even for themselves; jobs with no piece in a call go to the owner that ranks first now. Pieces count for the budget of repeats where they are queued.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -10,6 +10,7 @@
 
 #include <compare>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -88,6 +89,10 @@
   /// Forgets a job; results of pieces that are being made are freed.
   void cancel(const entry_host_id &Host, piece_job_id Job);
   void release(const std::vector<result_handle> &Results, core_time Now);
+  /// Gives back jobs of queues that IsOwn denies, unless a piece of them is
+  /// being made.
+  void handOver(
+      const std::function<bool(const pool_id &, const zone_id &)> &IsOwn);
 
   void onBatchAnswered(batch_id Batch,
                        const std::vector<batch_item_result> &Results,
--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -13,6 +13,8 @@
 
 /// Hosts are learned from the platform and from greetings. A host that leaves
 /// a message unanswered is suspected and owns nothing until it is heard again.
+/// A leaving host owns nothing either, but is still talked to: it finishes its
+/// requests with the queues of others.
 class fleet_hosts {
 public:
   explicit fleet_hosts(batching_host Self) : Self(std::move(Self)) {}
@@ -20,8 +22,11 @@
   /// Adds a host or takes its new address. A host that is already known keeps
   /// its state.
   void add(const batching_host &Host, core_time Now);
-  /// The host has left or is leaving.
-  void remove(const entry_host_id &Host);
+  /// The host has just registered with the platform: it lives.
+  void revive(const entry_host_id &Host);
+  void setLeaving(const entry_host_id &Host, bool Leaving);
+  /// This host owns nothing any more, unless it is alone.
+  void setSelfLeaving() { SelfLeaving = true; }
   /// True if the host was suspected until now.
   bool onHeard(const entry_host_id &Host, core_time Now);
   /// True if the host was not suspected yet.
@@ -44,11 +49,13 @@
   struct host_state {
     batching_host Host;
     std::optional<core_time> SuspectedSince;
+    bool Leaving = false;
     core_time GreetAt;
     core_duration GreetingInterval{0};
   };
 
   batching_host Self;
+  bool SelfLeaving = false;
   std::map<entry_host_id, host_state> Hosts;
 };
 
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -64,6 +64,8 @@
   Late,
   /// Several backend servers failed to make it, or there is none.
   NotMade,
+  /// Another host owns the queue now; no call has begun.
+  OwnerChanged,
 };
 
 /// One piece as a backend server is asked for it.
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -92,6 +92,8 @@
   State.Missing = Job.Pieces.size();
   Jobs.emplace(Key, std::move(State));
   queue(queueOf(Job)).push_back(Key);
+  for (std::size_t Piece = 0; Piece < Job.Pieces.size(); ++Piece)
+    Budget.onRequest(Job.Pool, Now);
   return Wait;
 }
 
@@ -99,6 +101,19 @@
   dropJob({Host, Job});
 }
 
+void batch_owner::handOver(
+    const std::function<bool(const pool_id &, const zone_id &)> &IsOwn) {
+  std::vector<job_key> Given;
+  for (const std::pair<const queue_key, queue_state> &Queue : Queues)
+    if (!Queue.second.Jobs.empty() &&
+        !IsOwn(Queue.first.Pool, Queue.first.Zone))
+      for (const job_key &Key : Queue.second.Jobs)
+        if (Jobs.at(Key).Waiting.size() == Jobs.at(Key).Job.Pieces.size())
+          Given.push_back(Key);
+  for (const job_key &Key : Given)
+    failJob(Key, piece_failure::OwnerChanged);
+}
+
 void batch_owner::dropJob(const job_key &Key) {
   auto Found = Jobs.find(Key);
   if (Found == Jobs.end())
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -45,7 +45,19 @@
   }
 }
 
-void fleet_hosts::remove(const entry_host_id &Host) { Hosts.erase(Host); }
+void fleet_hosts::revive(const entry_host_id &Host) {
+  auto Found = Hosts.find(Host);
+  if (Found == Hosts.end())
+    return;
+  Found->second.SuspectedSince.reset();
+  Found->second.Leaving = false;
+}
+
+void fleet_hosts::setLeaving(const entry_host_id &Host, bool Leaving) {
+  auto Found = Hosts.find(Host);
+  if (Found != Hosts.end())
+    Found->second.Leaving = Leaving;
+}
 
 bool fleet_hosts::onHeard(const entry_host_id &Host, core_time) {
   auto Found = Hosts.find(Host);
@@ -95,9 +107,9 @@
 
 entry_host_id fleet_hosts::owner(std::string_view Queue) const {
   const batching_host *Best = &Self;
-  double BestScore = score(Queue, Self);
+  double BestScore = SelfLeaving ? 0 : score(Queue, Self);
   for (const std::pair<const entry_host_id, host_state> &Entry : Hosts) {
-    if (Entry.second.SuspectedSince)
+    if (Entry.second.SuspectedSince || Entry.second.Leaving)
       continue;
     double Score = score(Queue, Entry.second.Host);
     if (Score > BestScore) {
@@ -125,7 +137,7 @@
 std::uint32_t fleet_hosts::liveCount() const {
   std::uint32_t Count = 1;
   for (const std::pair<const entry_host_id, host_state> &Entry : Hosts)
-    Count += Entry.second.SuspectedSince ? 0 : 1;
+    Count += Entry.second.SuspectedSince || Entry.second.Leaving ? 0 : 1;
   return Count;
 }
 
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -46,6 +46,12 @@
 
 void serving_impl::onHost(const batching_host &Host, core_time) {
   Hosts.add(Host, Now);
+  Hosts.revive(Host.Host);
+  handOverQueues();
+}
+
+void serving_impl::onHostRemoved(const entry_host_id &Host) {
+  Hosts.setLeaving(Host, true);
 }
 
 void serving_impl::onPeerUnreachable(const entry_host_id &Host) {
@@ -70,21 +76,21 @@
 
 void serving_impl::onPeer(const host_run &Sender, const peer_body &Body,
                             core_time) {
-  if (Hosts.onHeard(Sender.Host, Now))
+  if (Hosts.onHeard(Sender.Host, Now)) {
     log(event_number::HostHeardAgain, event_severity::Info,
         "suspected host is heard again", {{"host", Sender.Host.Value}});
+    handOverQueues();
+  }
   std::visit([&](const auto &Message) { on(Sender, Message); }, Body);
 }
 
 void serving_impl::on(const host_run &Sender, const host_greeting &Body) {
-  if (Body.Leaving) {
-    Hosts.remove(Sender.Host);
-    Greeted.erase(Sender.Host);
-    return;
-  }
   if (Body.Self.Host != Sender.Host)
     return;
   Hosts.add(Body.Self, Now);
+  Hosts.setLeaving(Sender.Host, Body.Leaving);
+  if (Body.Leaving)
+    return;
   for (const batching_host &Other : Body.Others)
     if (!Hosts.find(Other.Host))
       Hosts.add(Other, Now);
@@ -142,9 +148,11 @@
 
 void serving_impl::beginLeaving(core_time) {
   Leaving = true;
+  Hosts.setSelfLeaving();
   for (const batching_host &Host : Hosts.others())
     if (!Hosts.suspected(Host.Host))
       Actions.sendToPeer(Host, greeting(false));
+  handOverQueues();
 }
 
 // The public face: sets the time, handles the event and lets the queues run.
@@ -248,7 +256,7 @@
 }
 void serving_core::onHostRemoved(const entry_host_id &Host, core_time Now) {
   handled_event Event(*Impl, Now);
-  Impl->Hosts.remove(Host);
+  Impl->onHostRemoved(Host);
 }
 void serving_core::onPeer(const host_run &Sender, const peer_body &Body,
                           core_time Now) {
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -168,6 +168,19 @@
   return Usable.front()->Entry.Zone;
 }
 
+entry_host_id serving_impl::ownerOf(const pool_id &Pool,
+                                    const zone_id &Zone) const {
+  return Hosts.owner(Pool.Value + '/' + Zone.Value);
+}
+
+// Lets the hosts that own queues now have the jobs that wait here.
+void serving_impl::handOverQueues() {
+  if (!Settings.BatchAlone)
+    Owner.handOver([this](const pool_id &Pool, const zone_id &Zone) {
+      return ownerOf(Pool, Zone) == Settings.Self.Host;
+    });
+}
+
 void serving_impl::askStage(request_state &State, std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
   if (Servers.usable(Plan.Pool, Now).empty()) {
@@ -212,7 +225,7 @@
   Job.QueueZone = queueZone(Plan.Pool, State);
   Asked.Owner = Settings.BatchAlone
                     ? Settings.Self.Host
-                    : Hosts.owner(Plan.Pool.Value + '/' + Job.QueueZone.Value);
+                    : ownerOf(Plan.Pool, Job.QueueZone);
   Asked.Accepted = false;
   Asked.AskedAt = Now;
   if (Asked.Owner != Settings.Self.Host) {
@@ -361,6 +374,10 @@
     return;
   request_state *State = find(Found->second.Request);
   std::uint32_t Stage = Found->second.Stage;
+  if (State && Failure == piece_failure::OwnerChanged) {
+    sendJob(Id, *State);
+    return;
+  }
   JobsAsked.erase(Found);
   if (!State)
     return;
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -123,6 +123,7 @@
   // Peers: serving_peers.cc.
   void start(core_time Now);
   void onHost(const batching_host &Host, core_time Now);
+  void onHostRemoved(const entry_host_id &Host);
   void onPeer(const host_run &Sender, const peer_body &Body, core_time Now);
   void beginLeaving(core_time Now);
   void onPeerUnreachable(const entry_host_id &Host);
@@ -187,6 +188,8 @@
   core_duration stageTime(const request_state &State, std::size_t Stage) const;
   core_duration timeAfter(const request_state &State, std::size_t Stage) const;
   core_duration answerTime(const request_state &State) const;
+  entry_host_id ownerOf(const pool_id &Pool, const zone_id &Zone) const;
+  void handOverQueues();
   void onJobAccepted(piece_job_id Job, core_duration Wait);
   void onJobUnanswered(piece_job_id Job);
   void onJobCheck(piece_job_id Job);
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -131,7 +131,7 @@
 }
 void readBody(field_reader &Reader, pieces_failed &Body) {
   Reader.version("job", Body.Job);
-  Body.Failure = Reader.choice("failure", piece_failure::NotMade);
+  Body.Failure = Reader.choice("failure", piece_failure::OwnerChanged);
 }
 
 cbor_value writeBody(const pieces_cancelled &Body) {
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -255,7 +255,7 @@
                        })};
   case 17:
     return pieces_failed{anyNumber<piece_job_id>(),
-                         static_cast<piece_failure>(below(3))};
+                         static_cast<piece_failure>(below(4))};
   case 18:
     return pieces_cancelled{anyNumber<piece_job_id>()};
   case 19:
