Suspect only hosts of which nothing is heard

Change: a host that was heard of meanwhile is asked again; longer queues (the bound in bytes stays).

--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -29,6 +29,8 @@
   void setSelfLeaving() { SelfLeaving = true; }
   /// True if the host was suspected until now.
   bool onHeard(const entry_host_id &Host, core_time Now);
+  /// Whether anything came from the host since Time.
+  bool heardSince(const entry_host_id &Host, core_time Time) const;
   /// True if the host was not suspected yet.
   bool suspect(const entry_host_id &Host, core_time Now);
   /// Suspected hosts that are due for another greeting; counts it as sent.
@@ -50,6 +52,7 @@
     batching_host Host;
     std::optional<core_time> SuspectedSince;
     bool Leaving = false;
+    core_time HeardAt;
     core_time GreetAt;
     core_duration GreetingInterval{0};
   };
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -59,9 +59,17 @@
     Found->second.Leaving = Leaving;
 }
 
-bool fleet_hosts::onHeard(const entry_host_id &Host, core_time) {
+bool fleet_hosts::heardSince(const entry_host_id &Host, core_time Time) const {
   auto Found = Hosts.find(Host);
-  if (Found == Hosts.end() || !Found->second.SuspectedSince)
+  return Found != Hosts.end() && Found->second.HeardAt >= Time;
+}
+
+bool fleet_hosts::onHeard(const entry_host_id &Host, core_time Now) {
+  auto Found = Hosts.find(Host);
+  if (Found == Hosts.end())
+    return false;
+  Found->second.HeardAt = Now;
+  if (!Found->second.SuspectedSince)
     return false;
   Found->second.SuspectedSince.reset();
   return true;
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -11,6 +11,8 @@
 /// Seeds are greeted at this interval until a peer is known, a few times.
 constexpr core_duration SeedInterval = milliseconds(500);
 constexpr std::uint32_t MaxSeedGreetings = 20;
+/// A host that was heard of in this time lives, whatever became of messages.
+constexpr core_duration LivelyTime = seconds(1);
 constexpr core_duration Never = std::chrono::hours(24);
 
 } // namespace
@@ -56,6 +58,8 @@
 
 void serving_impl::onPeerUnreachable(const entry_host_id &Host) {
   Greeted.erase(Host);
+  if (Hosts.heardSince(Host, Now - LivelyTime))
+    return;
   if (Hosts.suspect(Host, Now))
     log(event_number::HostSuspected, event_severity::Warning,
         "messages to a host were dropped; another owns its queues",
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -10,9 +10,10 @@
 
 using std::chrono::milliseconds;
 
-/// An owner that has not accepted a job by then is suspected: many times the
-/// way there and back between zones.
-constexpr core_duration AcceptTime = milliseconds(150);
+/// An owner that has not accepted a job by then, and of which nothing else was
+/// heard, is suspected: many times the way there and back between zones, and
+/// long enough for a host whose processor is slowed.
+constexpr core_duration AcceptTime = milliseconds(300);
 /// A job at another host is asked about at this interval: its owner may have
 /// died since it accepted it.
 constexpr core_duration JobCheckInterval = milliseconds(700);
@@ -267,6 +268,12 @@
   if (Found == JobsAsked.end() || Found->second.Accepted)
     return;
   const entry_host_id Silent = Found->second.Owner;
+  if (Hosts.heardSince(Silent, Found->second.AskedAt)) {
+    // The owner lives; the message or its answer was lost or is late.
+    if (request_state *State = find(Found->second.Request))
+      sendJob(Id, *State);
+    return;
+  }
   if (Hosts.suspect(Silent, Now)) {
     log(event_number::HostSuspected, event_severity::Warning,
         "host does not answer; another owns its queues",
--- a/packages/wire/src/nng_peer_push.cc
+++ b/packages/wire/src/nng_peer_push.cc
@@ -15,7 +15,8 @@
 constexpr nng_duration SendTimeoutMs = 1'000;
 constexpr nng_duration ReconnectMinMs = 100;
 constexpr nng_duration ReconnectMaxMs = 2'000;
-constexpr std::size_t MaxQueuedPerPeer = 64;
+/// Bursts of small messages between hosts that batch together.
+constexpr std::size_t MaxQueuedPerPeer = 2'048;
 constexpr std::size_t MaxQueuedBytesPerPeer = 2 * MaxPeerMessageBytes;
 
 } // namespace
