Do not begin requests that will be late while queues are long

Ruled out: the servers' speed (all busy, but with half-empty calls). Change: owners say the wait for jobs on time and for late ones; a request that will be late is not begun if a queue on its way is longer than a second, and waiting jobs that became late are turned away; inputs that have waited long go first. The caller hears it at once, with when to come back.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -242,8 +242,7 @@
 };
 struct pieces_accepted {
   piece_job_id Job;
-  /// How long the pieces are expected to wait.
-  core_duration Wait{0};
+  queue_wait Wait;
   bool operator==(const pieces_accepted &) const = default;
 };
 struct pieces_made {
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -84,7 +84,7 @@
   void configure(const std::map<pool_id, serving_pool> &Pools);
 
   /// Queues a job and returns how long its pieces are expected to wait.
-  core_duration submit(const entry_host_id &Host, const piece_job &Job,
+  queue_wait submit(const entry_host_id &Host, const piece_job &Job,
                        core_time Now);
   /// Forgets a job; results of pieces that are being made are freed.
   void cancel(const entry_host_id &Host, piece_job_id Job);
@@ -104,8 +104,8 @@
   std::optional<core_time> nextWakeup(core_time Now) const;
 
   /// How long a job that comes now is expected to wait.
-  core_duration expectedWait(const pool_id &Pool, const zone_id &Zone,
-                             core_time Now);
+  queue_wait expectedWait(const pool_id &Pool, const zone_id &Zone,
+                          core_time Now);
   std::size_t waitingPieces(const pool_id &Pool, const zone_id &Zone) const;
   /// Whether nothing waits and nothing is being made.
   bool idle() const { return Jobs.empty() && Batches.empty(); }
@@ -119,6 +119,7 @@
   struct job_state {
     entry_host_id Host;
     piece_job Job;
+    core_time Arrived;
     core_time Deadline;
     core_time StartBy;
     /// Pieces not yet in a batch, in order.
@@ -136,6 +137,9 @@
   /// zone.
   struct queue_state {
     std::vector<job_key> Jobs;
+    /// Smoothed size of calls that left pieces waiting: what the servers'
+    /// room allows; 0: none yet.
+    double FullCall = 0;
   };
   struct queue_key {
     pool_id Pool;
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -48,6 +48,16 @@
   bool operator==(const piece_job &) const = default;
 };
 
+/// How long a job is expected to wait in a queue.
+struct queue_wait {
+  /// If it can be on time: behind all others that can.
+  core_duration OnTime{0};
+  /// If it will be late: behind all others.
+  core_duration Late{0};
+
+  bool operator==(const queue_wait &) const = default;
+};
+
 struct made_piece {
   std::uint32_t Piece = 0;
   result_handle Result;
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -42,6 +42,12 @@
 /// While pieces wait, what may have become possible is looked at this often:
 /// room, servers that were avoided, deadlines.
 constexpr core_duration WaitingInterval = milliseconds(50);
+/// Inputs that have waited longer go before all others: about a third of the
+/// time that results are kept.
+constexpr core_duration InputPatience = milliseconds(1'200);
+/// Late jobs that nothing was made for wait at most this long.
+constexpr core_duration LongestLateWait = milliseconds(1'000);
+constexpr double FullCallGain = 0.2;
 /// Said when no server of the pool is known.
 constexpr core_duration NoServerWait = std::chrono::hours(1);
 
@@ -73,18 +79,19 @@
   return {Job.Pool, Job.QueueZone};
 }
 
-core_duration batch_owner::submit(const entry_host_id &Host,
-                                  const piece_job &Job, core_time Now) {
+queue_wait batch_owner::submit(const entry_host_id &Host, const piece_job &Job,
+                               core_time Now) {
   job_key Key{Host, Job.Job};
   if (!Pools.contains(Job.Pool)) {
     Actions.onJobFailed(Host, Job.Job, piece_failure::NotMade);
-    return core_duration{0};
+    return {};
   }
-  core_duration Wait = expectedWait(Job.Pool, Job.QueueZone, Now);
+  queue_wait Wait = expectedWait(Job.Pool, Job.QueueZone, Now);
   if (Jobs.contains(Key))
     return Wait;
   job_state State;
   State.Host = Host;
+  State.Arrived = Now;
   State.Job = Job;
   State.Deadline = Now + Job.DeadlineIn;
   State.StartBy = Now + Job.StartBy;
@@ -142,34 +149,50 @@
       flushFrees(Maker.first, Maker.second);
 }
 
-// Jobs that can still be on time go first, the most pressing one before the
-// others; late ones follow in the order of their deadlines.
+// First come jobs whose inputs have waited long, because these take up room
+// and expire. Then jobs that can still be on time, the most pressing one before
+// the others; late ones follow in the order of their deadlines.
 void batch_owner::sortQueue(std::vector<job_key> &Queue, core_time Now) const {
+  auto Rank = [Now](const job_state &Job) {
+    if (!Job.Job.Inputs.empty() && Now - Job.Arrived > InputPatience)
+      return 0;
+    return Job.StartBy < Now ? 2 : 1;
+  };
   std::sort(Queue.begin(), Queue.end(),
             [&](const job_key &A, const job_key &B) {
               const job_state &Left = Jobs.at(A);
               const job_state &Right = Jobs.at(B);
-              bool LeftLate = Left.StartBy < Now;
-              bool RightLate = Right.StartBy < Now;
-              if (LeftLate != RightLate)
-                return RightLate;
-              core_time LeftTime = LeftLate ? Left.Deadline : Left.StartBy;
-              core_time RightTime = RightLate ? Right.Deadline : Right.StartBy;
+              int LeftRank = Rank(Left);
+              int RightRank = Rank(Right);
+              if (LeftRank != RightRank)
+                return LeftRank < RightRank;
+              core_time LeftTime = LeftRank == 2 ? Left.Deadline : Left.StartBy;
+              core_time RightTime =
+                  RightRank == 2 ? Right.Deadline : Right.StartBy;
               if (LeftTime != RightTime)
                 return LeftTime < RightTime;
               return A < B;
             });
 }
 
-// Tells the hosts of jobs that cannot be made before their deadline.
+// Tells the hosts of jobs that cannot be made before their deadline. Jobs for
+// which nothing was made yet are also turned away once they are late and the
+// queue is long: their callers do better to come back than to wait behind
+// those that can be on time.
 void batch_owner::dropHopeless(const queue_key &Key, core_time Now) {
   core_duration Least = expectedCallTime(Pools[Key.Pool], 1);
+  bool Long = expectedWait(Key.Pool, Key.Zone, Now).Late > LongestLateWait;
   std::vector<job_key> Hopeless;
-  for (const job_key &Job : queue(Key))
-    if (Jobs.at(Job).Deadline < Now + Least)
-      Hopeless.push_back(Job);
-  for (const job_key &Job : Hopeless)
-    failJob(Job, piece_failure::Late);
+  for (const job_key &Id : queue(Key)) {
+    const job_state &Job = Jobs.at(Id);
+    bool Untouched = Job.Job.Inputs.empty() &&
+                     Job.Waiting.size() == Job.Job.Pieces.size();
+    bool Late = Job.StartBy < Now;
+    if (Job.Deadline < Now + Least || (Untouched && Late && Long))
+      Hopeless.push_back(Id);
+  }
+  for (const job_key &Id : Hopeless)
+    failJob(Id, piece_failure::Late);
 }
 
 std::vector<planned_server> batch_owner::planServers(const queue_key &Key,
@@ -248,6 +271,11 @@
     Items.push_back({Job.Job.Request, Job.Job.Stage, Piece.Piece, Job.Job.Key,
                      Job.Job.Inputs, Job.Deadline - Now});
   }
+  if (!queue(Key).empty()) {
+    double Size = static_cast<double>(Started.size());
+    double &FullCall = Queues[Key].FullCall;
+    FullCall += (FullCall == 0 ? 1 : FullCallGain) * (Size - FullCall);
+  }
   Pieces += Started.size();
   Batch.Pieces = std::move(Started);
   maker_state &Known = Makers[Server.Id];
@@ -532,23 +560,37 @@
   }
 }
 
-core_duration batch_owner::expectedWait(const pool_id &Pool,
-                                        const zone_id &Zone, core_time Now) {
+queue_wait batch_owner::expectedWait(const pool_id &Pool, const zone_id &Zone,
+                                     core_time Now) {
   auto Found = Pools.find(Pool);
   if (Found == Pools.end())
-    return core_duration{0};
+    return {};
   const batch_rules &Rules = Found->second;
   std::vector<core_duration> Busy;
   for (const planned_server &Server : planServers({Pool, Zone}, Now))
     Busy.push_back(Server.FreeIn);
   if (Busy.empty())
-    return NoServerWait;
+    return {NoServerWait, NoServerWait};
   std::sort(Busy.begin(), Busy.end());
-  std::size_t Batch = waitingPieces(Pool, Zone) / std::max(1U, Rules.MaxPieces);
-  std::size_t Rounds = Batch / Busy.size();
-  return Busy[Batch % Busy.size()] +
-         expectedCallTime(Rules, Rules.MaxPieces) *
-             static_cast<std::int64_t>(Rounds);
+  const queue_state &Queue = Queues[{Pool, Zone}];
+  std::size_t Full = Rules.MaxPieces;
+  if (Queue.FullCall > 0)
+    Full = static_cast<std::size_t>(std::lround(Queue.FullCall));
+  Full = std::max<std::size_t>(Full, 1);
+  std::size_t OnTime = 0;
+  std::size_t All = 0;
+  for (const job_key &Key : Queue.Jobs) {
+    const job_state &Job = Jobs.at(Key);
+    All += Job.Waiting.size();
+    OnTime += Job.StartBy < Now ? 0 : Job.Waiting.size();
+  }
+  auto WaitBehind = [&](std::size_t Pieces) {
+    std::size_t Call = Pieces / Full;
+    return Busy[Call % Busy.size()] +
+           expectedCallTime(Rules, Full) *
+               static_cast<std::int64_t>(Call / Busy.size());
+  };
+  return {WaitBehind(OnTime), WaitBehind(All)};
 }
 
 std::size_t batch_owner::waitingPieces(const pool_id &Pool,
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -122,7 +122,7 @@
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_wanted &Body) {
-  core_duration Wait = Owner.submit(Sender.Host, Body.Job, Now);
+  queue_wait Wait = Owner.submit(Sender.Host, Body.Job, Now);
   sendToHost(Sender.Host, pieces_accepted{Body.Job.Job, Wait});
 }
 
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -17,6 +17,10 @@
 /// A job at another host is asked about at this interval: its owner may have
 /// died since it accepted it.
 constexpr core_duration JobCheckInterval = milliseconds(700);
+/// What an owner said of its queue counts for nothing after this time.
+constexpr double WaitFadeSeconds = 1.5;
+/// Requests that will be late are begun only while queues are shorter.
+constexpr core_duration LongestLateWait = milliseconds(1'000);
 constexpr std::uint32_t MaxRestages = 2;
 /// Time to the first event before any was seen.
 constexpr core_duration FirstHeadTime = milliseconds(150);
@@ -118,6 +122,18 @@
   return Best;
 }
 
+// The wait in a pool's queue as its owner last said it; it counts less as it
+// gets older.
+queue_wait serving_impl::knownWait(const pool_id &Pool) const {
+  auto Found = Waits.find(Pool);
+  if (Found == Waits.end())
+    return {};
+  double Age = std::chrono::duration<double>(Now - Found->second.At).count();
+  double Part = std::clamp(1 - Age / WaitFadeSeconds, 0.0, 1.0);
+  return {scaled(Found->second.Wait.OnTime, Part),
+          scaled(Found->second.Wait.Late, Part)};
+}
+
 core_duration serving_impl::stageTime(const request_state &State,
                                         std::size_t Stage) const {
   const pool_id &Pool = State.Route->Stages[Stage].Pool;
@@ -125,8 +141,7 @@
   if (Found == State.View->Config->Pools.end() || !Found->second.Batches)
     return core_duration{0};
   const batch_rules &Rules = *Found->second.Batches;
-  auto Wait = Waits.find(Pool);
-  core_duration Waiting = Wait == Waits.end() ? core_duration{0} : Wait->second;
+  core_duration Waiting = knownWait(Pool).OnTime;
   std::uint32_t Pieces = std::max(State.Call.Pieces[Stage],
                                   Rules.MaxPieces / TypicalBatchDivisor);
   return Waiting + expectedCallTime(Rules, Pieces);
@@ -234,13 +249,13 @@
     sendToHost(Asked.Owner, pieces_wanted{std::move(Job)});
     return;
   }
-  core_duration Wait = Owner.submit(Settings.Self.Host, Job, Now);
+  queue_wait Wait = Owner.submit(Settings.Self.Host, Job, Now);
   onJobAccepted(Id, Wait);
 }
 
 // With the owner's view of the queue it is known whether the whole chain can
 // be done in time. If not, the caller hears it now.
-void serving_impl::onJobAccepted(piece_job_id Id, core_duration Wait) {
+void serving_impl::onJobAccepted(piece_job_id Id, const queue_wait &Wait) {
   auto Found = JobsAsked.find(Id);
   if (Found == JobsAsked.end())
     return;
@@ -249,8 +264,7 @@
   request_state *State = find(Job.Request);
   if (!State)
     return;
-  const pool_id &Pool = State->Route->Stages[Job.Stage].Pool;
-  Waits[Pool] = Wait;
+  Waits[State->Route->Stages[Job.Stage].Pool] = {Wait, Now};
   core_duration Needed =
       stageTime(*State, Job.Stage) + timeAfter(*State, Job.Stage);
   core_duration Left = State->Deadline - Now;
@@ -262,6 +276,27 @@
     addTimer(Now + JobCheckInterval, timer_kind::JobCheck, Id.Value);
 }
 
+// Whether the request can't be on time and a queue on its way is so long that
+// beginning it would only take room from others: its results would expire, or
+// block servers, before the next stage comes to them.
+bool serving_impl::turnedAway(request_state &State) {
+  core_duration Needed{0};
+  core_duration Longest{0};
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
+    if (State.Call.Pieces[Stage] == 0)
+      continue;
+    if (State.Route->Stages[Stage].After.empty())
+      Needed = std::max(Needed,
+                        stageTime(State, Stage) + timeAfter(State, Stage));
+    Longest = std::max(Longest, knownWait(State.Route->Stages[Stage].Pool).Late);
+  }
+  bool OnTime = Now + Needed <= State.GoalAt;
+  if (OnTime || Longest < LongestLateWait)
+    return false;
+  giveUp(State, refusal_kind::Overloaded, Longest);
+  return true;
+}
+
 // The owner is not heard of: the next in rank takes over.
 void serving_impl::onJobUnanswered(piece_job_id Id) {
   auto Found = JobsAsked.find(Id);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -190,7 +190,9 @@
   core_duration answerTime(const request_state &State) const;
   entry_host_id ownerOf(const pool_id &Pool, const zone_id &Zone) const;
   void handOverQueues();
-  void onJobAccepted(piece_job_id Job, core_duration Wait);
+  void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
+  queue_wait knownWait(const pool_id &Pool) const;
+  bool turnedAway(request_state &State);
   void onJobUnanswered(piece_job_id Job);
   void onJobCheck(piece_job_id Job);
   void askElsewhere(const entry_host_id &Lost);
@@ -248,8 +250,12 @@
   std::set<entry_host_id> Greeted;
   core_time GreetSeedsAt;
   std::uint32_t SeedGreetings = 0;
+  struct said_wait {
+    queue_wait Wait;
+    core_time At;
+  };
   /// Expected wait in each pool's queue, as owners last said it.
-  std::map<pool_id, core_duration> Waits;
+  std::map<pool_id, said_wait> Waits;
   /// Smoothed time to the first byte of a pool's answers, in microseconds.
   std::map<pool_id, double> HeadMicros;
 };
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -246,7 +246,8 @@
   case 14:
     return pieces_wanted{anyJob()};
   case 15:
-    return pieces_accepted{anyNumber<piece_job_id>(), anyDuration()};
+    return pieces_accepted{anyNumber<piece_job_id>(),
+                           {anyDuration(), anyDuration()}};
   case 16:
     return pieces_made{anyNumber<piece_job_id>(),
                        some<made_piece>(4, [] {
