Count the work that requests in progress will ask of later stages

Cause: queues of later stages answered a second too late: a burst was let in until the first of it stood in the third stage's queue. Change: each host adds the pieces that its requests will ask for, times the hosts, over the rate that owners say; what the servers do until a request gets there counts against it.

--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -54,6 +54,8 @@
   core_duration OnTime{0};
   /// If it will be late: behind all others.
   core_duration Late{0};
+  /// Pieces that the queue's servers make in a second when they are busy.
+  std::uint32_t PiecesPerSecond = 0;
 
   bool operator==(const queue_wait &) const = default;
 };
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -570,7 +570,7 @@
   for (const planned_server &Server : planServers({Pool, Zone}, Now))
     Busy.push_back(Server.FreeIn);
   if (Busy.empty())
-    return {NoServerWait, NoServerWait};
+    return {NoServerWait, NoServerWait, 0};
   std::sort(Busy.begin(), Busy.end());
   const queue_state &Queue = Queues[{Pool, Zone}];
   std::size_t Full = Rules.MaxPieces;
@@ -590,7 +590,11 @@
            expectedCallTime(Rules, Full) *
                static_cast<std::int64_t>(Call / Busy.size());
   };
-  return {WaitBehind(OnTime), WaitBehind(All)};
+  double Call =
+      std::chrono::duration<double>(expectedCallTime(Rules, Full)).count();
+  double Rate = static_cast<double>(Busy.size() * Full) / std::max(Call, 1e-3);
+  return {WaitBehind(OnTime), WaitBehind(All),
+          static_cast<std::uint32_t>(Rate)};
 }
 
 std::size_t batch_owner::waitingPieces(const pool_id &Pool,
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -130,21 +130,44 @@
     return {};
   double Age = std::chrono::duration<double>(Now - Found->second.At).count();
   double Part = std::clamp(1 - Age / WaitFadeSeconds, 0.0, 1.0);
-  return {scaled(Found->second.Wait.OnTime, Part),
-          scaled(Found->second.Wait.Late, Part)};
+  const queue_wait &Said = Found->second.Wait;
+  return {scaled(Said.OnTime, Part), scaled(Said.Late, Part),
+          Said.PiecesPerSecond};
 }
 
-core_duration serving_impl::stageTime(const request_state &State,
-                                        std::size_t Stage) const {
-  const pool_id &Pool = State.Route->Stages[Stage].Pool;
-  auto Found = State.View->Config->Pools.find(Pool);
+// Time that a pool's servers need for pieces which requests in progress will
+// ask for. Hosts are taken to have as many of them as this one.
+core_duration serving_impl::plannedTime(const pool_id &Pool) const {
+  std::uint32_t Rate = knownWait(Pool).PiecesPerSecond;
+  if (Rate == 0)
+    return core_duration{0};
+  std::uint64_t Planned = 0;
+  for (const request_map::value_type &Entry : Requests) {
+    const request_state &State = Entry.second;
+    for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+      if (State.Stages[Stage].Phase == stage_phase::Waiting &&
+          State.Route->Stages[Stage].Pool == Pool)
+        Planned += State.Call.Pieces[Stage];
+  }
+  double Seconds = static_cast<double>(Planned * Hosts.liveCount()) / Rate;
+  return core_duration(static_cast<std::int64_t>(Seconds * 1e6));
+}
+
+// The time that the pieces of a stage take once their call has begun.
+core_duration serving_impl::callTime(const request_state &State,
+                                     std::size_t Stage) const {
+  auto Found = State.View->Config->Pools.find(State.Route->Stages[Stage].Pool);
   if (Found == State.View->Config->Pools.end() || !Found->second.Batches)
     return core_duration{0};
   const batch_rules &Rules = *Found->second.Batches;
-  core_duration Waiting = knownWait(Pool).OnTime;
-  std::uint32_t Pieces = std::max(State.Call.Pieces[Stage],
-                                  Rules.MaxPieces / TypicalBatchDivisor);
-  return Waiting + expectedCallTime(Rules, Pieces);
+  return expectedCallTime(Rules, std::max(State.Call.Pieces[Stage],
+                                          Rules.MaxPieces / TypicalBatchDivisor));
+}
+
+core_duration serving_impl::stageTime(const request_state &State,
+                                      std::size_t Stage) const {
+  return knownWait(State.Route->Stages[Stage].Pool).OnTime +
+         callTime(State, Stage);
 }
 
 core_duration serving_impl::answerTime(const request_state &State) const {
@@ -276,24 +299,45 @@
     addTimer(Now + JobCheckInterval, timer_kind::JobCheck, Id.Value);
 }
 
-// Whether the request can't be on time and a queue on its way is so long that
-// beginning it would only take room from others: its results would expire, or
-// block servers, before the next stage comes to them.
-bool serving_impl::turnedAway(request_state &State) {
-  core_duration Needed{0};
-  core_duration Longest{0};
+// What a request that comes now will meet on its way through the stages. The
+// work that others are about to ask of a stage adds to its queue, and what its
+// servers do until the request gets there takes from it.
+serving_impl::forecast
+serving_impl::forecastStages(const request_state &State) const {
+  forecast Result;
+  std::vector<core_duration> Ends(State.Stages.size(), core_duration{0});
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
+    const route_stage &Plan = State.Route->Stages[Stage];
+    core_duration Start{0};
+    for (std::uint32_t Before : Plan.After)
+      if (Before < Stage)
+        Start = std::max(Start, Ends[Before]);
+    Ends[Stage] = Start;
     if (State.Call.Pieces[Stage] == 0)
       continue;
-    if (State.Route->Stages[Stage].After.empty())
-      Needed = std::max(Needed,
-                        stageTime(State, Stage) + timeAfter(State, Stage));
-    Longest = std::max(Longest, knownWait(State.Route->Stages[Stage].Pool).Late);
+    queue_wait Wait = knownWait(Plan.Pool);
+    core_duration Planned =
+        Plan.After.empty() ? core_duration{0} : plannedTime(Plan.Pool);
+    core_duration None{0};
+    core_duration OnTime = std::max(None, Wait.OnTime + Planned - Start);
+    core_duration Late = std::max(None, Wait.Late + Planned - Start);
+    Ends[Stage] = Start + OnTime + callTime(State, Stage);
+    Result.LongestLateWait = std::max(Result.LongestLateWait, Late);
+    Result.Needed = std::max(Result.Needed, Ends[Stage]);
   }
-  bool OnTime = Now + Needed <= State.GoalAt;
-  if (OnTime || Longest < LongestLateWait)
+  Result.Needed += answerTime(State);
+  return Result;
+}
+
+// Whether the request can't be on time and a queue on its way is so long that
+// beginning it would only take room from others: its results would expire, or
+// block servers, before the next stage comes to them.
+bool serving_impl::turnedAway(request_state &State) {
+  forecast Forecast = forecastStages(State);
+  bool OnTime = Now + Forecast.Needed <= State.GoalAt;
+  if (OnTime || Forecast.LongestLateWait < LongestLateWait)
     return false;
-  giveUp(State, refusal_kind::Overloaded, Longest);
+  giveUp(State, refusal_kind::Overloaded, Forecast.LongestLateWait);
   return true;
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -154,6 +154,12 @@
   core_time Now;
 
 private:
+  struct forecast {
+    /// Time until the answer's first byte, if the request is on time.
+    core_duration Needed{0};
+    /// Longest wait in one queue behind all that waits there.
+    core_duration LongestLateWait{0};
+  };
   using request_map = std::unordered_map<request_id, request_state>;
 
   // Requests.
@@ -185,6 +191,7 @@
                                       std::size_t Stage) const;
   std::vector<result_handle> finalInputs(const request_state &State) const;
   zone_id zoneOfInputs(const request_state &State) const;
+  core_duration callTime(const request_state &State, std::size_t Stage) const;
   core_duration stageTime(const request_state &State, std::size_t Stage) const;
   core_duration timeAfter(const request_state &State, std::size_t Stage) const;
   core_duration answerTime(const request_state &State) const;
@@ -192,6 +199,8 @@
   void handOverQueues();
   void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
   queue_wait knownWait(const pool_id &Pool) const;
+  core_duration plannedTime(const pool_id &Pool) const;
+  forecast forecastStages(const request_state &State) const;
   bool turnedAway(request_state &State);
   void onJobUnanswered(piece_job_id Job);
   void onJobCheck(piece_job_id Job);
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -112,12 +112,13 @@
 
 cbor_value writeBody(const pieces_accepted &Body) {
   return writeRecord(Body.Job.Value, Body.Wait.OnTime.count(),
-                     Body.Wait.Late.count());
+                     Body.Wait.Late.count(), Body.Wait.PiecesPerSecond);
 }
 void readBody(field_reader &Reader, pieces_accepted &Body) {
   Reader.version("job", Body.Job);
   Body.Wait.OnTime = core_duration(Reader.signedNumber("wait_on_time"));
   Body.Wait.Late = core_duration(Reader.signedNumber("wait_late"));
+  Body.Wait.PiecesPerSecond = Reader.number32("pieces_per_second");
 }
 
 cbor_value writeBody(const pieces_made &Body) {
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -247,7 +247,7 @@
     return pieces_wanted{anyJob()};
   case 15:
     return pieces_accepted{anyNumber<piece_job_id>(),
-                           {anyDuration(), anyDuration()}};
+                           {anyDuration(), anyDuration(), any32()}};
   case 16:
     return pieces_made{anyNumber<piece_job_id>(),
                        some<made_piece>(4, [] {
