--- /dev/null
+++ b/packages/core/test/serving-core-test.cc
@@ -0,0 +1,394 @@
+// What callers get, and what backend servers are sent, request by request.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "serving-fixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace jasminecroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+refusal_kind refusedAs(serving_fixture &Test, request_id Request) {
+  REQUIRE(Test.Actions.Refusals[Request].size() == 1);
+  return Test.Actions.Refusals[Request][0].Kind;
+}
+
+} // namespace
+
+TEST_CASE("a host without a configuration promises that nothing ran") {
+  serving_fixture Test;
+  CHECK_FALSE(Test.Core.ready());
+  request_id Request = Test.ask("plain");
+  CHECK(refusedAs(Test, Request) == refusal_kind::NotReady);
+  CHECK(Test.Actions.Refusals[Request][0].RetryAfter > core_duration{0});
+}
+
+TEST_CASE("unknown routes and keys are refused and reach no server") {
+  serving_fixture Test;
+  Test.addAll();
+  CHECK(refusedAs(Test, Test.ask("nowhere")) == refusal_kind::NoRoute);
+  CHECK(refusedAs(Test, Test.ask("plain", {}, "wrong")) ==
+        refusal_kind::UnknownKey);
+  CHECK(Test.Actions.Forwards.empty());
+}
+
+TEST_CASE("an older configuration never comes back") {
+  serving_fixture Test;
+  Test.addAll();
+  std::shared_ptr<route_config> Newer = serving_fixture::config(9);
+  Newer->Keys.clear();
+  CHECK(Test.Core.onConfig(Newer, "", Test.Now));
+  CHECK_FALSE(Test.Core.onConfig(serving_fixture::config(8), "", Test.Now));
+  CHECK(refusedAs(Test, Test.ask("plain")) == refusal_kind::UnknownKey);
+}
+
+TEST_CASE("a server's answer is passed on as it is") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("once");
+  CHECK(Test.lastForward().Workspace == workspace_id("w"));
+  CHECK(Test.lastForward().Left <= serving_fixture::Timeout);
+  Test.Core.onReplyWhole(Test.Actions.LastForward, serving_fixture::good(404),
+                         "body", Test.Now);
+  REQUIRE(Test.Actions.Whole[Request].size() == 1);
+  CHECK(Test.Actions.Whole[Request][0].first == 404);
+  CHECK(Test.Actions.Whole[Request][0].second == "body");
+}
+
+TEST_CASE("what may run once is never sent again after a broken call") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("once");
+  Test.Core.onCallFailed(Test.Actions.LastForward, call_failure::Broken,
+                         Test.Now);
+  CHECK(Test.Actions.Forwards.size() == 1);
+  CHECK(refusedAs(Test, Request) == refusal_kind::Failed);
+  CHECK_FALSE(promisesNotRun(refusal_kind::Failed));
+}
+
+TEST_CASE("what may run once goes elsewhere if no byte left or it was refused") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("once");
+  backend_id First = Test.lastForward().Server.Id;
+  Test.Core.onCallFailed(Test.Actions.LastForward, call_failure::NotConnected,
+                         Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == 2);
+  backend_id Second = Test.lastForward().Server.Id;
+  CHECK(Second != First);
+  Test.Core.onReplyWhole(Test.Actions.LastForward, serving_fixture::notRun(),
+                         "", Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == 3);
+  CHECK(Test.lastForward().Server.Id != Second);
+  Test.Core.onReplyWhole(Test.Actions.LastForward, serving_fixture::notRun(),
+                         "", Test.Now);
+  // All three have refused: it has not run, and the caller may come back.
+  CHECK(refusedAs(Test, Request) == refusal_kind::Overloaded);
+}
+
+TEST_CASE("after a call that may have run no promise is given") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("plain");
+  Test.Core.onCallFailed(Test.Actions.LastForward, call_failure::Broken,
+                         Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == 2);
+  Test.Core.onReplyWhole(Test.Actions.LastForward, serving_fixture::notRun(),
+                         "", Test.Now);
+  while (Test.Actions.Refusals[Request].empty()) {
+    std::size_t Before = Test.Actions.Forwards.size();
+    Test.Core.onReplyWhole(Test.Actions.LastForward, serving_fixture::notRun(),
+                           "", Test.Now);
+    REQUIRE((Test.Actions.Forwards.size() > Before ||
+             !Test.Actions.Refusals[Request].empty()));
+  }
+  CHECK_FALSE(promisesNotRun(refusedAs(Test, Request)));
+}
+
+TEST_CASE("an answer without signature is no answer") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("once");
+  backend_reply_head Unsigned = serving_fixture::good();
+  Unsigned.Signed = false;
+  Test.Core.onReplyWhole(Test.Actions.LastForward, Unsigned, "spoilt",
+                         Test.Now);
+  CHECK(Test.Actions.Whole[Request].empty());
+  CHECK(refusedAs(Test, Request) == refusal_kind::Failed);
+}
+
+TEST_CASE("a server that is another one gets nothing more") {
+  serving_fixture Test;
+  Test.addAll();
+  Test.ask("once");
+  backend_id First = Test.lastForward().Server.Id;
+  backend_reply_head Wrong = serving_fixture::notRun(421);
+  Wrong.WrongServer = true;
+  Test.Core.onReplyWhole(Test.Actions.LastForward, Wrong, "", Test.Now);
+  CHECK(Test.lastForward().Server.Id != First);
+  CHECK(Test.Core.backends().isLeaving(First));
+}
+
+TEST_CASE("the final answer comes at the route's timeout") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("once");
+  Test.pass(serving_fixture::Timeout - milliseconds(10));
+  CHECK(Test.Actions.Refusals[Request].empty());
+  Test.pass(milliseconds(50));
+  CHECK(refusedAs(Test, Request) == refusal_kind::TimedOut);
+  CHECK(Test.Actions.Cancelled.size() == 1);
+}
+
+TEST_CASE("a caller that leaves takes its call with it") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("once");
+  call_id Call = Test.Actions.LastForward;
+  Test.Core.onCallerLeft(Request, Test.Now);
+  CHECK(Test.Actions.Cancelled == std::vector<call_id>{Call});
+  // What still comes belongs to nobody.
+  Test.Core.onReplyWhole(Call, serving_fixture::good(), "late", Test.Now);
+  CHECK(Test.Actions.Whole[Request].empty());
+  CHECK(Test.Core.counters().InProgress == 0);
+}
+
+TEST_CASE("a silent call that may be repeated is tried elsewhere, once") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("plain");
+  call_id First = Test.Actions.LastForward;
+  Test.pass(milliseconds(600));
+  REQUIRE(Test.Actions.Forwards.size() == 2);
+  CHECK(Test.Actions.Cancelled == std::vector<call_id>{First});
+  Test.pass(milliseconds(600));
+  CHECK(Test.Actions.Forwards.size() == 2);
+  Test.Core.onReplyWhole(Test.Actions.LastForward, serving_fixture::good(),
+                         "answer", Test.Now);
+  CHECK(Test.Actions.Whole[Request].size() == 1);
+}
+
+TEST_CASE("a stream is passed on event by event and ends as its server's") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("stream");
+  call_id Call = Test.Actions.LastForward;
+  Test.Core.onStreamHead(Call, serving_fixture::good(), Test.Now);
+  Test.Core.onStreamEvents(Call, "one", 1, 1, Test.Now);
+  Test.Core.onStreamEvents(Call, "two", 2, 2, Test.Now);
+  Test.Core.onStreamEnd(Call, Test.Now);
+  CHECK(Test.Actions.Streams[Request].Text == "onetwo");
+  CHECK(Test.Actions.Streams[Request].Ended);
+}
+
+TEST_CASE("a cut stream that can't be resumed is cut for its caller too") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("stream");
+  call_id Call = Test.Actions.LastForward;
+  Test.Core.onStreamHead(Call, serving_fixture::good(), Test.Now);
+  Test.Core.onStreamEvents(Call, "one", 1, 1, Test.Now);
+  Test.Core.onCallFailed(Call, call_failure::Broken, Test.Now);
+  CHECK(Test.Actions.Streams[Request].BrokenOff);
+  CHECK_FALSE(Test.Actions.Streams[Request].Ended);
+  CHECK(Test.Actions.Forwards.size() == 1);
+}
+
+TEST_CASE("a resumable stream goes on elsewhere after its last event") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("resumable");
+  call_id Call = Test.Actions.LastForward;
+  backend_id First = Test.lastForward().Server.Id;
+  Test.Core.onStreamHead(Call, serving_fixture::good(), Test.Now);
+  Test.Core.onStreamEvents(Call, "12", 1, 2, Test.Now);
+  Test.Core.onCallFailed(Call, call_failure::Broken, Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == 2);
+  CHECK(Test.lastForward().Server.Id != First);
+  CHECK(Test.lastForward().ResumeAfter == 2);
+  Call = Test.Actions.LastForward;
+  Test.Core.onStreamHead(Call, serving_fixture::good(), Test.Now);
+  SUBCASE("at the next event") {
+    Test.Core.onStreamEvents(Call, "3", 3, 3, Test.Now);
+    Test.Core.onStreamEnd(Call, Test.Now);
+    CHECK(Test.Actions.Streams[Request].Text == "123");
+    CHECK(Test.Actions.Streams[Request].Ended);
+  }
+  SUBCASE("never with a hole or an event twice") {
+    Test.Core.onStreamEvents(Call, "x", 2, 2, Test.Now);
+    CHECK(Test.Actions.Streams[Request].Text == "12");
+    CHECK(Test.Actions.Streams[Request].BrokenOff);
+  }
+}
+
+TEST_CASE("stages run in order, with the results of those before them") {
+  serving_fixture Test;
+  Test.addAll();
+  request_id Request = Test.ask("staged", {1, 2});
+  REQUIRE(Test.Actions.Pieces.size() == 1);
+  const batch_item &First = Test.Actions.Pieces.begin()->second.Items[0];
+  CHECK(First.Stage == 0);
+  CHECK(First.Key == "piece-key");
+  CHECK(First.Inputs.empty());
+  Test.makePieces();
+  REQUIRE(Test.Actions.Forwards.size() == 1);
+  std::vector<result_handle> Inputs = Test.lastForward().Inputs;
+  REQUIRE(Inputs.size() == 2);
+  for (const result_handle &Input : Inputs)
+    CHECK(Input.Value.find("/r1.1.") != std::string::npos);
+  Test.Core.onStreamHead(Test.Actions.LastForward, serving_fixture::good(),
+                         Test.Now);
+  Test.pass(milliseconds(300));
+  // All three results are freed once nothing needs them.
+  CHECK(Test.Actions.Freed.size() == 3);
+  CHECK(Test.Actions.Refusals[Request].empty());
+}
+
+TEST_CASE("omitted stages are no work") {
+  serving_fixture Test;
+  Test.addAll();
+  Test.ask("staged", {0, 0});
+  CHECK(Test.Actions.Pieces.empty());
+  CHECK(Test.Actions.Forwards.size() == 1);
+}
+
+TEST_CASE("lost results are made again before the request is sent again") {
+  serving_fixture Test;
+  Test.addAll();
+  Test.ask("staged", {1, 2});
+  Test.makePieces();
+  REQUIRE(Test.Actions.Forwards.size() == 1);
+  backend_reply_head Gone = serving_fixture::notRun(409);
+  Gone.InputGone = true;
+  Test.Core.onReplyWhole(Test.Actions.LastForward, Gone, "", Test.Now);
+  CHECK(Test.Actions.Forwards.size() == 1);
+  Test.makePieces();
+  CHECK(Test.Actions.Forwards.size() == 2);
+}
+
+TEST_CASE("hosts fill one call together through the owner of the queue") {
+  serving_fixture Test;
+  Test.addAll();
+  batching_host Peer{entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 1};
+  Test.Core.onHost(Peer, Test.Now);
+  // Both servers are busy while jobs of two hosts come in.
+  Test.ask("staged", {1, 0});
+  Test.ask("staged", {1, 0});
+  std::size_t Busy = Test.Actions.Pieces.size();
+  for (std::uint64_t Job = 1; Job <= 3; ++Job) {
+    piece_job Wanted;
+    Wanted.Job = piece_job_id(Job);
+    Wanted.Request = caller_request_id("peer" + std::to_string(Job));
+    Wanted.Pool = pool_id("first");
+    Wanted.Pieces = {0, 1};
+    Wanted.Key = "k";
+    Wanted.DeadlineIn = seconds(2);
+    Wanted.StartBy = seconds(1);
+    Test.Core.onPeer({Peer.Host, incarnation(1)}, pieces_wanted{Wanted},
+                     Test.Now);
+  }
+  REQUIRE(Busy == 2);
+  CHECK(Test.Actions.Pieces.size() == 2);
+  Test.makePieces();
+  std::size_t Made = 0;
+  for (const std::pair<entry_host_id, peer_body> &Message : Test.Actions.Sent)
+    if (const pieces_made *Body = std::get_if<pieces_made>(&Message.second))
+      Made += Body->Pieces.size();
+  CHECK(Made == 6);
+  CHECK(Test.Core.counters().Batches <= 4);
+}
+
+TEST_CASE("an owner that is silent is replaced, one that is heard is asked again") {
+  serving_fixture Test;
+  Test.addAll();
+  for (int I = 1; I < 12; ++I)
+    Test.Core.onHost({entry_host_id("h" + std::to_string(I)), zone_id("z0"),
+                      endpoint("h:1"), 1'000'000},
+                     Test.Now);
+  auto Asked = [&Test] {
+    std::vector<entry_host_id> Hosts;
+    for (const std::pair<entry_host_id, peer_body> &Message : Test.Actions.Sent)
+      if (std::holds_alternative<pieces_wanted>(Message.second))
+        Hosts.push_back(Message.first);
+    return Hosts;
+  };
+  Test.ask("staged", {1, 0});
+  REQUIRE(Asked().size() == 1);
+  entry_host_id First = Asked()[0];
+  SUBCASE("silent") {
+    Test.pass(milliseconds(400));
+    REQUIRE(Asked().size() >= 2);
+    CHECK(Asked().back() != First);
+  }
+  SUBCASE("heard") {
+    Test.pass(milliseconds(100));
+    Test.Core.onPeer({First, incarnation(1)}, results_released{}, Test.Now);
+    Test.pass(milliseconds(300));
+    REQUIRE(Asked().size() >= 2);
+    CHECK(Asked().back() == First);
+  }
+}
+
+TEST_CASE("a leaving host gives its queue back and is still answered") {
+  serving_fixture Test;
+  Test.addAll();
+  batching_host Peer{entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 1};
+  Test.Core.onHost(Peer, Test.Now);
+  Test.ask("staged", {8, 0});
+  Test.ask("staged", {8, 0});
+  piece_job Wanted;
+  Wanted.Job = piece_job_id(5);
+  Wanted.Request = caller_request_id("peer");
+  Wanted.Pool = pool_id("first");
+  Wanted.Pieces = {0};
+  Wanted.Key = "k";
+  Wanted.DeadlineIn = seconds(2);
+  Wanted.StartBy = seconds(1);
+  Test.Core.onPeer({Peer.Host, incarnation(1)}, pieces_wanted{Wanted},
+                   Test.Now);
+  Test.Core.beginLeaving(Test.Now);
+  CHECK_FALSE(Test.Core.ready());
+  bool GivenBack = std::any_of(
+      Test.Actions.Sent.begin(), Test.Actions.Sent.end(),
+      [](const std::pair<entry_host_id, peer_body> &Message) {
+        const pieces_failed *Body = std::get_if<pieces_failed>(&Message.second);
+        return Body && Body->Failure == piece_failure::OwnerChanged;
+      });
+  CHECK(GivenBack);
+  // The peer that leaves in turn is still told what became of its jobs.
+  Test.Actions.Sent.clear();
+  host_greeting Goodbye;
+  Goodbye.Self = Peer;
+  Goodbye.Leaving = true;
+  Test.Core.onPeer({Peer.Host, incarnation(1)}, Goodbye, Test.Now);
+  Wanted.Job = piece_job_id(6);
+  Test.Core.onPeer({Peer.Host, incarnation(1)}, pieces_wanted{Wanted},
+                   Test.Now);
+  bool Answered = std::any_of(
+      Test.Actions.Sent.begin(), Test.Actions.Sent.end(),
+      [](const std::pair<entry_host_id, peer_body> &Message) {
+        return std::holds_alternative<pieces_accepted>(Message.second);
+      });
+  CHECK(Answered);
+}
+
+TEST_CASE("a request that cannot be done in time is refused at once") {
+  serving_fixture Test;
+  Test.configure();
+  Test.addServers("engine", 1);
+  Test.addServers("first", 1);
+  Test.addServers("second", 1);
+  for (int I = 0; I < 40; ++I)
+    Test.ask("staged", {8, 1});
+  std::size_t Refused = 0;
+  for (const auto &Entry : Test.Actions.Refusals)
+    for (const refusal &Refusal : Entry.second) {
+      ++Refused;
+      CHECK(promisesNotRun(Refusal.Kind));
+      CHECK(Refusal.RetryAfter > core_duration{0});
+    }
+  CHECK(Refused > 20);
+}
--- /dev/null
+++ b/packages/core/test/serving-fixture.h
@@ -0,0 +1,245 @@
+// A serving core between recorded actions, for tests.
+#pragma once
+
+#include "jasminecroft/core/serving/serving_core.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jasminecroft {
+
+/// Keeps what the core asked for.
+class recorded_actions final : public serving_actions {
+public:
+  struct stream {
+    bool Head = false;
+    std::string Text;
+    bool Ended = false;
+    bool BrokenOff = false;
+  };
+  struct pieces_call {
+    backend_entry Server;
+    std::vector<batch_item> Items;
+  };
+
+  void refuse(request_id Request, const refusal &Refusal) override {
+    Refusals[Request].push_back(Refusal);
+  }
+  void relayWhole(request_id Request, const backend_reply_head &Head,
+                  std::string Body) override {
+    Whole[Request].push_back({Head.Status, std::move(Body)});
+  }
+  void relayHead(request_id Request, const backend_reply_head &) override {
+    Streams[Request].Head = true;
+  }
+  void relayEvents(request_id Request, std::string Text) override {
+    Streams[Request].Text += Text;
+  }
+  void relayEnd(request_id Request) override { Streams[Request].Ended = true; }
+  void breakOff(request_id Request) override {
+    Streams[Request].BrokenOff = true;
+  }
+  void forward(call_id Call, const forward_call &Forward) override {
+    Forwards.emplace(Call, Forward);
+    LastForward = Call;
+  }
+  void runPieces(call_id Call, const backend_entry &Server,
+                 std::vector<batch_item> Items, core_duration) override {
+    Pieces.emplace(Call, pieces_call{Server, std::move(Items)});
+  }
+  void freeResults(const backend_entry &,
+                   std::vector<result_handle> Results) override {
+    Freed.insert(Freed.end(), Results.begin(), Results.end());
+  }
+  void cancelCall(call_id Call) override { Cancelled.push_back(Call); }
+  void sendToPeer(const batching_host &Host, peer_body Body) override {
+    Sent.emplace_back(Host.Host, std::move(Body));
+  }
+  void reconnectPeer(const entry_host_id &) override {}
+  void onOperatorConfig(const operator_config_push &) override {}
+  void onAnswered(const answered_call &) override {}
+  void log(const event_record &Record) override { Log.push_back(Record); }
+
+  std::map<request_id, std::vector<refusal>> Refusals;
+  std::map<request_id, std::vector<std::pair<unsigned, std::string>>> Whole;
+  std::map<request_id, stream> Streams;
+  std::map<call_id, forward_call> Forwards;
+  call_id LastForward;
+  std::map<call_id, pieces_call> Pieces;
+  std::vector<result_handle> Freed;
+  std::vector<call_id> Cancelled;
+  std::vector<std::pair<entry_host_id, peer_body>> Sent;
+  std::vector<event_record> Log;
+};
+
+enum class route_kind { Idempotent, AtMostOnce, Stream, ResumableStream };
+
+/// One core with a plain pool, an engine pool and two stage pools.
+class serving_fixture {
+public:
+  static constexpr std::chrono::milliseconds Timeout{2'000};
+
+  explicit serving_fixture(const std::string &Host = "h0")
+      : Core(settings(Host), Actions) {
+    Core.start(Now);
+  }
+
+  static serving_settings settings(const std::string &Host) {
+    serving_settings Settings;
+    Settings.Self = {entry_host_id(Host), incarnation(1)};
+    Settings.Zone = zone_id("z0");
+    Settings.PeerAddress = endpoint(Host + ":1");
+    Settings.Retries.Slack = 100;
+    return Settings;
+  }
+
+  static std::shared_ptr<route_config> config(std::uint64_t Version = 1) {
+    std::shared_ptr<route_config> Config = std::make_shared<route_config>();
+    Config->Version = config_version(Version);
+    Config->KeysRequired = true;
+    Config->Keys[workspace_key("key")] = {workspace_id("w"), std::nullopt};
+    Config->Routes = {route("plain", "plain", route_kind::Idempotent),
+                      route("once", "plain", route_kind::AtMostOnce),
+                      route("stream", "engine", route_kind::Stream),
+                      route("resumable", "engine", route_kind::ResumableStream),
+                      route("staged", "engine", route_kind::ResumableStream)};
+    Config->Routes[4].Stages = {{pool_id("first"), {}, 8'000},
+                                {pool_id("second"), {0}, 60'000}};
+    Config->Pools[pool_id("plain")].Name = pool_id("plain");
+    serving_pool &Engine = Config->Pools[pool_id("engine")];
+    Engine.Name = pool_id("engine");
+    Engine.Engine = engine_rules{64, 500'000};
+    for (const char *Name : {"first", "second"}) {
+      serving_pool &Pool = Config->Pools[pool_id(Name)];
+      Pool.Name = pool_id(Name);
+      batch_rules Rules;
+      Rules.MaxPieces = 8;
+      Rules.CallTime = std::chrono::milliseconds(240);
+      Rules.PieceTime = std::chrono::milliseconds(20);
+      Rules.RoomBytes = 1'500'000;
+      Rules.ResultLifetime = std::chrono::seconds(4);
+      Pool.Batches = Rules;
+    }
+    return Config;
+  }
+
+  static serving_route route(const char *Name, const char *Pool,
+                             route_kind Kind) {
+    serving_route Route;
+    Route.Name = route_id(Name);
+    Route.Hostname = "a.example";
+    Route.PathPrefix = std::string("/") + Name + "/";
+    Route.Pools = {{pool_id(Pool), 1}};
+    Route.Timeout = Timeout;
+    Route.Goal = std::chrono::milliseconds(1'500);
+    Route.MaxAttempts = 2;
+    Route.Streamed =
+        Kind == route_kind::Stream || Kind == route_kind::ResumableStream;
+    Route.Resumable = Kind == route_kind::ResumableStream;
+    Route.Repeatable = Kind == route_kind::Idempotent;
+    return Route;
+  }
+
+  void configure() { Core.onConfig(config(), "text", Now); }
+
+  void addServers(const char *Pool, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      backend_entry Entry;
+      Entry.Id = backend_id(std::string(Pool) + std::to_string(I));
+      Entry.Pool = pool_id(Pool);
+      Entry.Address = endpoint("10.0.0." + std::to_string(I) + ":80");
+      Entry.Zone = zone_id("z0");
+      Entry.Run = incarnation(1);
+      Core.onBackend(Entry, Now);
+    }
+  }
+
+  void addAll() {
+    configure();
+    addServers("plain", 3);
+    addServers("engine", 3);
+    addServers("first", 2);
+    addServers("second", 2);
+  }
+
+  request_id ask(const std::string &Path, std::vector<std::uint32_t> Pieces = {},
+                 const std::string &Key = "key") {
+    serving_request Request;
+    Request.Number = request_id(++LastRequest);
+    Request.CallerId = caller_request_id("r" + std::to_string(LastRequest));
+    std::shared_ptr<caller_message> Message =
+        std::make_shared<caller_message>();
+    Message->Method = "POST";
+    Message->Hostname = "a.example";
+    Message->Target = "/" + Path + "/";
+    Request.Message = std::move(Message);
+    Request.Key = workspace_key(Key);
+    Request.Pieces = std::move(Pieces);
+    Request.PieceKey = "piece-key";
+    request_id Number = Request.Number;
+    Core.onRequest(std::move(Request), Now);
+    return Number;
+  }
+
+  static backend_reply_head good(unsigned Status = 200) {
+    backend_reply_head Head;
+    Head.Status = Status;
+    Head.Signed = true;
+    return Head;
+  }
+
+  static backend_reply_head notRun(unsigned Status = 503) {
+    backend_reply_head Head;
+    Head.Status = Status;
+    Head.NotRun = true;
+    return Head;
+  }
+
+  /// Lets time pass, with every wake-up that the core asks for.
+  void pass(core_duration Time) {
+    core_time End = Now + Time;
+    while (std::optional<core_time> Next = Core.nextWakeup(Now)) {
+      if (*Next > End)
+        break;
+      Now = std::max(Now, *Next);
+      Core.onWakeup(Now);
+      // A wake-up that is due at once would not let time pass.
+      Now += std::chrono::microseconds(100);
+    }
+    Now = std::max(Now, End);
+  }
+
+  /// Answers every open call for pieces; handles name request and piece.
+  void makePieces() {
+    while (!Actions.Pieces.empty()) {
+      auto First = Actions.Pieces.begin();
+      call_id Call = First->first;
+      recorded_actions::pieces_call Wanted = First->second;
+      Actions.Pieces.erase(First);
+      std::vector<batch_item_result> Results;
+      for (const batch_item &Item : Wanted.Items) {
+        batch_item_result Result;
+        Result.Result = result_handle(
+            Wanted.Server.Id.Value + "/" + Item.Request.Value + "." +
+            std::to_string(Item.Stage) + "." + std::to_string(Item.Piece));
+        Results.push_back(Result);
+      }
+      pass(std::chrono::milliseconds(300));
+      Core.onPiecesAnswered(Call, Results, std::nullopt, Now);
+    }
+  }
+
+  const forward_call &lastForward() const {
+    return Actions.Forwards.at(Actions.LastForward);
+  }
+
+  recorded_actions Actions;
+  core_time Now{std::chrono::seconds(1'000)};
+  serving_core Core;
+  std::uint64_t LastRequest = 0;
+};
+
+} // namespace jasminecroft
