--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -56,7 +56,6 @@
   BackendEntryUnreadable = 606,
   PlatformAway = 701,
   PlatformBack = 702,
-  PlatformCallFailed = 703,
   PeerMessageRefused = 801,
 };
 
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -19,6 +19,10 @@
 
 namespace jasminecroft {
 
+/// Requests that will be late, and for which nothing was made yet, are begun
+/// and wait only while queues are shorter.
+inline constexpr core_duration LongestLateWait = std::chrono::seconds(1);
+
 using batch_id = strong_number<struct batch_tag>;
 
 /// Why a whole batch has no results.
@@ -85,14 +89,14 @@
 
   /// Queues a job and returns how long its pieces are expected to wait.
   queue_wait submit(const entry_host_id &Host, const piece_job &Job,
-                       core_time Now);
+                    core_time Now);
   /// Forgets a job; results of pieces that are being made are freed.
   void cancel(const entry_host_id &Host, piece_job_id Job);
   void release(const std::vector<result_handle> &Results, core_time Now);
   /// Gives back jobs of queues that IsOwn denies, unless a piece of them is
   /// being made.
-  void handOver(
-      const std::function<bool(const pool_id &, const zone_id &)> &IsOwn);
+  void
+  handOver(const std::function<bool(const pool_id &, const zone_id &)> &IsOwn);
 
   void onBatchAnswered(batch_id Batch,
                        const std::vector<batch_item_result> &Results,
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -243,6 +243,8 @@
   /// From now on this host owns no queue and tells its peers.
   void beginLeaving(core_time Now);
 
+  const host_run &self() const;
+  batching_host selfAsHost() const;
   bool ready() const;
   /// Whether no piece waits or is being made here.
   bool ownsNoWork() const;
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -149,7 +149,8 @@
   if (!State)
     return;
   std::uint32_t Doublings = std::min(State->Failures, MaxDoublings);
-  core_duration Pause = std::min(FirstAvoidance * (1 << Doublings), MaxAvoidance);
+  core_duration Pause =
+      std::min(FirstAvoidance * (1 << Doublings), MaxAvoidance);
   ++State->Failures;
   State->AvoidUntil = Now + Pause;
 }
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -10,32 +10,12 @@
 
 using std::chrono::milliseconds;
 
-/// A call is overdue after this many times its expected time and a pause; its
-/// pieces are then made elsewhere.
-constexpr double OverdueFactor = 2.5;
-constexpr core_duration OverduePause = milliseconds(150);
 /// A call is given up after this many times its expected time.
 constexpr int TimeoutFactor = 6;
 constexpr core_duration TimeoutPause = milliseconds(500);
-/// Pause of a server that refused a call because it is full: about the time
-/// after which a call that another owner started ends.
-constexpr core_duration FullPause = milliseconds(120);
-/// Servers that may fail to make pieces of one job before it is given up.
-constexpr std::size_t MaxFailedServers = 3;
-/// Time in which what is known of a server's slowness fades by two thirds.
-constexpr double SlownessFadeSeconds = 3;
-constexpr double SlownessGain = 0.5;
-constexpr double MinSlowness = 0.5;
-constexpr double MaxSlowness = 8;
-/// Results to be freed are collected this long into one call.
-constexpr core_duration FreeDelay = milliseconds(100);
-constexpr std::size_t MaxFreesPerCall = 64;
 /// Part of a server's room that is planned with: sizes of results are
 /// approximate.
 constexpr double PlannedRoomPart = 0.88;
-/// Results are freed at once if they and what is being made take up more than
-/// this part of a server's room.
-constexpr double TightRoomPart = 0.4;
 /// A call that goes to an idle server has fetched its inputs by then.
 constexpr core_duration FetchTime = milliseconds(60);
 constexpr core_duration ExpiryInterval = milliseconds(500);
@@ -45,8 +25,6 @@
 /// Inputs that have waited longer go before all others: about a third of the
 /// time that results are kept.
 constexpr core_duration InputPatience = milliseconds(1'200);
-/// Late jobs that nothing was made for wait at most this long.
-constexpr core_duration LongestLateWait = milliseconds(1'000);
 constexpr double FullCallGain = 0.2;
 /// Said when no server of the pool is known.
 constexpr core_duration NoServerWait = std::chrono::hours(1);
@@ -158,21 +136,20 @@
       return 0;
     return Job.StartBy < Now ? 2 : 1;
   };
-  std::sort(Queue.begin(), Queue.end(),
-            [&](const job_key &A, const job_key &B) {
-              const job_state &Left = Jobs.at(A);
-              const job_state &Right = Jobs.at(B);
-              int LeftRank = Rank(Left);
-              int RightRank = Rank(Right);
-              if (LeftRank != RightRank)
-                return LeftRank < RightRank;
-              core_time LeftTime = LeftRank == 2 ? Left.Deadline : Left.StartBy;
-              core_time RightTime =
-                  RightRank == 2 ? Right.Deadline : Right.StartBy;
-              if (LeftTime != RightTime)
-                return LeftTime < RightTime;
-              return A < B;
-            });
+  std::sort(
+      Queue.begin(), Queue.end(), [&](const job_key &A, const job_key &B) {
+        const job_state &Left = Jobs.at(A);
+        const job_state &Right = Jobs.at(B);
+        int LeftRank = Rank(Left);
+        int RightRank = Rank(Right);
+        if (LeftRank != RightRank)
+          return LeftRank < RightRank;
+        core_time LeftTime = LeftRank == 2 ? Left.Deadline : Left.StartBy;
+        core_time RightTime = RightRank == 2 ? Right.Deadline : Right.StartBy;
+        if (LeftTime != RightTime)
+          return LeftTime < RightTime;
+        return A < B;
+      });
 }
 
 // Tells the hosts of jobs that cannot be made before their deadline. Jobs for
@@ -185,8 +162,8 @@
   std::vector<job_key> Hopeless;
   for (const job_key &Id : queue(Key)) {
     const job_state &Job = Jobs.at(Id);
-    bool Untouched = Job.Job.Inputs.empty() &&
-                     Job.Waiting.size() == Job.Job.Pieces.size();
+    bool Untouched =
+        Job.Job.Inputs.empty() && Job.Waiting.size() == Job.Job.Pieces.size();
     bool Late = Job.StartBy < Now;
     if (Job.Deadline < Now + Least || (Untouched && Late && Long))
       Hopeless.push_back(Id);
@@ -209,8 +186,7 @@
     planned_server Planned;
     Planned.Id = Server->Entry.Id;
     Planned.Zone = Server->Entry.Zone;
-    core_time FreeAt =
-        std::max({Now, Maker.BlockedUntil, Server->AvoidUntil});
+    core_time FreeAt = std::max({Now, Maker.BlockedUntil, Server->AvoidUntil});
     Planned.Idle = !Maker.Running && FreeAt == Now;
     if (Maker.Running)
       FreeAt = std::max(FreeAt, Maker.FreeAt);
@@ -235,9 +211,8 @@
   std::vector<planned_job> Waiting;
   for (const job_key &Id : Order) {
     const job_state &Job = Jobs.at(Id);
-    Waiting.push_back({&Job.Job,
-                       {Job.Waiting.begin(), Job.Waiting.end()},
-                       &Job.Avoid});
+    Waiting.push_back(
+        {&Job.Job, {Job.Waiting.begin(), Job.Waiting.end()}, &Job.Avoid});
   }
   for (const planned_call &Call :
        planCalls(Pools[Key.Pool], std::move(Waiting), Planned)) {
@@ -289,277 +264,6 @@
   Actions.runBatch(Id, Server, std::move(Items), Timeout);
 }
 
-void batch_owner::onBatchAnswered(batch_id Id,
-                                  const std::vector<batch_item_result> &Results,
-                                  core_time Now) {
-  auto Found = Batches.find(Id);
-  if (Found == Batches.end())
-    return;
-  if (Results.size() != Found->second.Pieces.size()) {
-    onBatchFailed(Id, batch_failure::Broken, Now);
-    return;
-  }
-  batch_state Batch = std::move(Found->second);
-  Batches.erase(Found);
-  maker_state &Maker = Makers[Batch.Server.Id];
-  if (Maker.Running == Id)
-    Maker.Running.reset();
-  Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
-  observe(Batch, Now);
-  report(Batch, std::nullopt, Now);
-  Servers.onCallSucceeded(Batch.Server.Id, 0);
-  for (std::size_t I = 0; I < Results.size(); ++I)
-    takeResult(Batch, Batch.Pieces[I], Results[I], Now);
-  for (const batch_piece &Piece : Batch.Pieces) {
-    auto Job = Jobs.find(Piece.Job);
-    if (Job == Jobs.end() || Job->second.Missing > 0)
-      continue;
-    std::vector<made_piece> Made = std::move(Job->second.Made);
-    dropJob(Piece.Job);
-    Actions.onPiecesMade(Piece.Job.first, Piece.Job.second, std::move(Made));
-  }
-}
-
-void batch_owner::keepResult(const batch_state &Batch,
-                             const result_handle &Result, std::uint64_t Bytes,
-                             core_time Now) {
-  core_duration Lifetime = Pools[Batch.Queue.Pool].ResultLifetime;
-  Kept[Result] = {Batch.Server.Id, Bytes, Now + Lifetime};
-  Makers[Batch.Server.Id].RoomUsed += Bytes;
-}
-
-void batch_owner::takeResult(const batch_state &Batch, const batch_piece &Piece,
-                             const batch_item_result &Result, core_time Now) {
-  auto Found = Jobs.find(Piece.Job);
-  bool Wanted =
-      Found != Jobs.end() &&
-      std::none_of(Found->second.Made.begin(), Found->second.Made.end(),
-                   [&Piece](const made_piece &Made) {
-                     return Made.Piece == Piece.Piece;
-                   });
-  if (!Wanted) {
-    if (Result.made())
-      freeAt(Batch.Server.Id, Result.Result, Now);
-    return;
-  }
-  job_state &Job = Found->second;
-  if (Result.made()) {
-    // A piece of an overdue call may be waiting again.
-    if (std::erase(Job.Waiting, Piece.Piece) > 0 && Job.Waiting.empty())
-      std::erase(queue(Batch.Queue), Piece.Job);
-    keepResult(Batch, Result.Result, Job.Job.ResultBytes, Now);
-    Job.Made.push_back({Piece.Piece, Result.Result, Batch.Server.Zone});
-    --Job.Missing;
-    return;
-  }
-  if (Piece.Requeued)
-    return;
-  switch (Result.Problem) {
-  case batch_item_problem::Late:
-    failJob(Piece.Job, piece_failure::Late);
-    return;
-  case batch_item_problem::InputGone:
-    failJob(Piece.Job, piece_failure::InputGone);
-    return;
-  case batch_item_problem::NoRoom:
-    Makers[Batch.Server.Id].BlockedUntil = Now + FullPause;
-    break;
-  case batch_item_problem::Error:
-    Job.Avoid.insert(Batch.Server.Id);
-    break;
-  }
-  if (Budget.take(Batch.Queue.Pool, 1, Now))
-    requeue(Piece);
-  else
-    failJob(Piece.Job, piece_failure::NotMade);
-}
-
-void batch_owner::requeue(const batch_piece &Piece) {
-  auto Found = Jobs.find(Piece.Job);
-  if (Found == Jobs.end())
-    return;
-  std::deque<std::uint32_t> &Waiting = Found->second.Waiting;
-  if (std::find(Waiting.begin(), Waiting.end(), Piece.Piece) != Waiting.end())
-    return;
-  if (Waiting.empty())
-    queue(queueOf(Found->second.Job)).push_back(Piece.Job);
-  Waiting.push_back(Piece.Piece);
-}
-
-void batch_owner::onBatchFailed(batch_id Id, batch_failure Failure,
-                                core_time Now) {
-  auto Found = Batches.find(Id);
-  if (Found == Batches.end())
-    return;
-  batch_state Batch = std::move(Found->second);
-  Batches.erase(Found);
-  maker_state &Maker = Makers[Batch.Server.Id];
-  if (Maker.Running == Id)
-    Maker.Running.reset();
-  Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
-  if (Failure == batch_failure::Gone)
-    Servers.markLeaving(Batch.Server.Id);
-  else if (Failure == batch_failure::Refused)
-    Maker.BlockedUntil = Now + FullPause;
-  else
-    Servers.onCallFailed(Batch.Server.Id, Now);
-  report(Batch, Failure, Now);
-  bool AtFault = Failure == batch_failure::Broken ||
-                 Failure == batch_failure::TimedOut;
-  repeatPieces(Batch, AtFault, Failure != batch_failure::NotConnected, Now);
-}
-
-// Queues the pieces of a batch again as far as the budget for repeats allows;
-// the jobs of the others fail.
-void batch_owner::repeatPieces(batch_state &Batch, bool AtFault, bool Charged,
-                               core_time Now) {
-  for (batch_piece &Piece : Batch.Pieces) {
-    auto Job = Jobs.find(Piece.Job);
-    if (Piece.Requeued || Job == Jobs.end())
-      continue;
-    if (AtFault)
-      Job->second.Avoid.insert(Batch.Server.Id);
-    Piece.Requeued = true;
-    bool GivenUp = Job->second.Avoid.size() >= MaxFailedServers ||
-                   (Charged && !Budget.take(Batch.Queue.Pool, 1, Now));
-    if (GivenUp)
-      failJob(Piece.Job, piece_failure::NotMade);
-    else
-      requeue(Piece);
-  }
-}
-
-core_time batch_owner::batch_state::overdueAt() const {
-  return Started + scaled(Expected, OverdueFactor) + OverduePause;
-}
-
-// Tells hosts of jobs whose pieces are all being made that the inputs are no
-// longer needed: results take up room where they were made.
-void batch_owner::reportFetched(core_time Now) {
-  for (std::pair<const batch_id, batch_state> &Entry : Batches) {
-    batch_state &Batch = Entry.second;
-    if (Batch.FetchReported || Now < Batch.InputsFetchedAt)
-      continue;
-    Batch.FetchReported = true;
-    std::set<job_key> Fetched;
-    for (const batch_piece &Piece : Batch.Pieces) {
-      auto Job = Jobs.find(Piece.Job);
-      if (Job == Jobs.end())
-        continue;
-      ++Job->second.Fetched;
-      bool All = Job->second.Fetched == Job->second.Job.Pieces.size();
-      if (All && !Job->second.Job.Inputs.empty())
-        Fetched.insert(Piece.Job);
-    }
-    for (const job_key &Key : Fetched)
-      Actions.onInputsFetched(Key.first, Key.second);
-  }
-}
-
-// Has the pieces of a call that takes far too long made elsewhere as well.
-void batch_owner::checkOverdue(core_time Now) {
-  for (std::pair<const batch_id, batch_state> &Entry : Batches) {
-    batch_state &Batch = Entry.second;
-    if (Batch.Overdue || Now < Batch.overdueAt())
-      continue;
-    Batch.Overdue = true;
-    Servers.onCallFailed(Batch.Server.Id, Now);
-    observe(Batch, Now);
-    report(Batch, std::nullopt, Now);
-    for (batch_piece &Piece : Batch.Pieces) {
-      auto Job = Jobs.find(Piece.Job);
-      if (Job == Jobs.end() || !Budget.take(Batch.Queue.Pool, 1, Now))
-        continue;
-      Job->second.Avoid.insert(Batch.Server.Id);
-      Piece.Requeued = true;
-      requeue(Piece);
-    }
-  }
-}
-
-void batch_owner::observe(const batch_state &Batch, core_time Now) {
-  maker_state &Maker = Makers[Batch.Server.Id];
-  double Expected = static_cast<double>(
-      expectedCallTime(Pools[Batch.Queue.Pool], Batch.Pieces.size()).count());
-  double Ratio = static_cast<double>((Now - Batch.Started).count()) / Expected;
-  double Current = slowness(Maker, Now);
-  Maker.Slowness = std::clamp(Current + SlownessGain * (Ratio - Current),
-                              MinSlowness, MaxSlowness);
-  Maker.SlownessAt = Now;
-}
-
-void batch_owner::report(const batch_state &Batch,
-                         std::optional<batch_failure> Failure, core_time Now) {
-  batch_report Report;
-  Report.Server = Batch.Server.Id;
-  Report.Pool = Batch.Queue.Pool;
-  Report.Pieces = Batch.Pieces.size();
-  Report.Expected = Batch.Expected;
-  Report.Took = Now - Batch.Started;
-  Report.Failure = Failure;
-  Report.Overdue = Batch.Overdue;
-  const maker_state &Maker = Makers[Batch.Server.Id];
-  if (Maker.RoomBytes > 0)
-    Report.RoomPercent =
-        static_cast<std::uint32_t>(Maker.RoomUsed * 100 / Maker.RoomBytes);
-  Report.Waiting = waitingPieces(Batch.Queue.Pool, Batch.Queue.Zone);
-  Actions.onBatchEnded(Report);
-}
-
-double batch_owner::slowness(const maker_state &Maker, core_time Now) const {
-  double Age = std::chrono::duration<double>(Now - Maker.SlownessAt).count();
-  return 1 + (Maker.Slowness - 1) * std::exp(-Age / SlownessFadeSeconds);
-}
-
-void batch_owner::release(const std::vector<result_handle> &Results,
-                          core_time Now) {
-  for (const result_handle &Result : Results) {
-    auto Found = Kept.find(Result);
-    if (Found != Kept.end())
-      freeAt(Found->second.Server, Result, Now);
-  }
-}
-
-void batch_owner::freeAt(const backend_id &Server, const result_handle &Result,
-                         core_time Now) {
-  maker_state &Maker = Makers[Server];
-  auto Found = Kept.find(Result);
-  std::uint64_t Used = Maker.RoomUsed;
-  if (Found != Kept.end()) {
-    Maker.RoomUsed -= std::min(Maker.RoomUsed, Found->second.Bytes);
-    Kept.erase(Found);
-  }
-  if (Maker.ToFree.empty())
-    Maker.FreeBy = Now + FreeDelay;
-  Maker.ToFree.push_back(Result);
-  bool Tight = static_cast<double>(Used) >
-               TightRoomPart * static_cast<double>(Maker.RoomBytes);
-  if (Tight)
-    Maker.FreeBy = Now;
-  if (Maker.ToFree.size() >= MaxFreesPerCall)
-    flushFrees(Server, Maker);
-}
-
-void batch_owner::flushFrees(const backend_id &Id, maker_state &Maker) {
-  const backend_state *Server = Servers.find(Id);
-  std::vector<result_handle> Results = std::move(Maker.ToFree);
-  Maker.ToFree.clear();
-  if (Server && !Results.empty() && !Server->MissingSince)
-    Actions.freeResults(Server->Entry, std::move(Results));
-}
-
-void batch_owner::expireResults(core_time Now) {
-  for (auto It = Kept.begin(); It != Kept.end();) {
-    if (It->second.Expires > Now) {
-      ++It;
-      continue;
-    }
-    maker_state &Maker = Makers[It->second.Server];
-    Maker.RoomUsed -= std::min(Maker.RoomUsed, It->second.Bytes);
-    It = Kept.erase(It);
-  }
-}
-
 queue_wait batch_owner::expectedWait(const pool_id &Pool, const zone_id &Zone,
                                      core_time Now) {
   auto Found = Pools.find(Pool);
--- a/packages/core/src/serving/batch_plan.cc
+++ b/packages/core/src/serving/batch_plan.cc
@@ -53,8 +53,9 @@
 
 private:
   bool anyIdle() const {
-    return std::any_of(Servers.begin(), Servers.end(),
-                       [](const planned_server &Server) { return Server.Idle; });
+    return std::any_of(
+        Servers.begin(), Servers.end(),
+        [](const planned_server &Server) { return Server.Idle; });
   }
 
   core_duration farTime(const planned_job &Job,
@@ -77,8 +78,8 @@
       const planned_server &Server = Servers[I];
       if (Server.Idle && Server.RoomLeft < Job.Job->ResultBytes)
         continue;
-      core_duration Ready = Server.FreeIn + scaled(Call, Server.Slowness) +
-                            farTime(Job, Server);
+      core_duration Ready =
+          Server.FreeIn + scaled(Call, Server.Slowness) + farTime(Job, Server);
       if (Job.Failed && Job.Failed->contains(Server.Id))
         Ready += FailedServerPenalty;
       if (!Best || Ready < BestTime) {
@@ -133,8 +134,8 @@
 } // namespace
 
 core_duration scaled(core_duration Time, double Factor) {
-  return core_duration(static_cast<std::int64_t>(
-      static_cast<double>(Time.count()) * Factor));
+  return core_duration(
+      static_cast<std::int64_t>(static_cast<double>(Time.count()) * Factor));
 }
 
 core_duration expectedCallTime(const batch_rules &Rules, std::size_t Pieces) {
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -99,7 +99,8 @@
     }
     Due.push_back(State.Host);
     State.GreetAt = Now + State.GreetingInterval;
-    State.GreetingInterval = std::min(State.GreetingInterval * 2, LongestGreeting);
+    State.GreetingInterval =
+        std::min(State.GreetingInterval * 2, LongestGreeting);
     ++It;
   }
   return Due;
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -59,8 +59,8 @@
   State.Tried.insert(Server->Entry.Id);
   ++State.Sends;
   Servers.onCallStarted(Server->Entry.Id);
-  Calls[Id] = {call_kind::Forward, State.Call.Number, batch_id(),
-               Server->Entry, Now};
+  Calls[Id] = {call_kind::Forward, State.Call.Number, batch_id(), Server->Entry,
+               Now};
   forward_call Forward;
   Forward.Server = Server->Entry;
   Forward.Message = State.Call.Message;
@@ -78,7 +78,7 @@
 }
 
 core_duration serving_impl::tryTime(const request_state &State,
-                                      const backend_state &Server) const {
+                                    const backend_state &Server) const {
   if (!State.Route->Streamed) {
     core_duration Usual(
         static_cast<std::int64_t>(Server.CallMicros * TryFactor));
@@ -127,7 +127,7 @@
 
 // The server says that it has not run the request.
 void serving_impl::onNotRun(request_state &State,
-                              const backend_reply_head &Head) {
+                            const backend_reply_head &Head) {
   if (Head.InputGone) {
     --State.Sends;
     if (!restage(State))
@@ -198,7 +198,7 @@
 }
 
 void serving_impl::onReplyWhole(call_id Call, const backend_reply_head &Head,
-                                  std::string Body, core_time) {
+                                std::string Body, core_time) {
   request_state *State = callRequest(Call);
   backend_id Server = State ? State->Server.Id : backend_id();
   if (Head.Load)
@@ -249,7 +249,7 @@
 }
 
 void serving_impl::onStreamHead(call_id Call, const backend_reply_head &Head,
-                                  core_time) {
+                                core_time) {
   request_state *State = callRequest(Call);
   if (!State)
     return;
@@ -274,8 +274,8 @@
 }
 
 void serving_impl::onStreamEvents(call_id Call, std::string Text,
-                                    std::uint64_t First, std::uint64_t Last,
-                                    core_time) {
+                                  std::uint64_t First, std::uint64_t Last,
+                                  core_time) {
   request_state *State = callRequest(Call);
   if (!State)
     return;
@@ -307,8 +307,7 @@
   finish(Request);
 }
 
-void serving_impl::onCallFailed(call_id Call, call_failure Failure,
-                                  core_time) {
+void serving_impl::onCallFailed(call_id Call, call_failure Failure, core_time) {
   auto Found = Calls.find(Call);
   if (Found == Calls.end())
     return;
@@ -316,11 +315,10 @@
     batch_id Batch = Found->second.Batch;
     BatchCalls.erase(Batch);
     Calls.erase(Found);
-    batch_failure Why = Failure == call_failure::NotConnected
-                            ? batch_failure::NotConnected
-                        : Failure == call_failure::TimedOut
-                            ? batch_failure::TimedOut
-                            : batch_failure::Broken;
+    batch_failure Why =
+        Failure == call_failure::NotConnected ? batch_failure::NotConnected
+        : Failure == call_failure::TimedOut   ? batch_failure::TimedOut
+                                              : batch_failure::Broken;
     Owner.onBatchFailed(Batch, Why, Now);
     return;
   }
@@ -361,8 +359,8 @@
 }
 
 void serving_impl::runBatch(batch_id Batch, const backend_entry &Server,
-                              std::vector<batch_item> Items,
-                              core_duration Timeout) {
+                            std::vector<batch_item> Items,
+                            core_duration Timeout) {
   call_id Id(++LastCall);
   Calls[Id] = {call_kind::Pieces, request_id(), Batch, Server, Now};
   BatchCalls[Batch] = Id;
@@ -387,11 +385,12 @@
        {"ms", InMs(Report.Took)},
        {"room_percent", std::to_string(Report.RoomPercent)},
        {"waiting", std::to_string(Report.Waiting)},
-       {"failure", Report.Failure ? std::string(toText(*Report.Failure)) : ""}});
+       {"failure",
+        Report.Failure ? std::string(toText(*Report.Failure)) : ""}});
 }
 
 void serving_impl::freeResults(const backend_entry &Server,
-                                 std::vector<result_handle> Results) {
+                               std::vector<result_handle> Results) {
   Actions.freeResults(Server, std::move(Results));
 }
 
@@ -409,8 +408,7 @@
   Owner.onBatchAnswered(Batch, Results, Now);
 }
 
-void serving_impl::onPiecesRefused(call_id Call, bool WrongServer,
-                                     core_time) {
+void serving_impl::onPiecesRefused(call_id Call, bool WrongServer, core_time) {
   auto Found = Calls.find(Call);
   if (Found == Calls.end() || Found->second.Kind != call_kind::Pieces)
     return;
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -79,7 +79,7 @@
 }
 
 void serving_impl::onPeer(const host_run &Sender, const peer_body &Body,
-                            core_time) {
+                          core_time) {
   if (Hosts.onHeard(Sender.Host, Now)) {
     log(event_number::HostHeardAgain, event_severity::Info,
         "suspected host is heard again", {{"host", Sender.Host.Value}});
@@ -110,7 +110,7 @@
 }
 
 void serving_impl::on(const host_run &Sender,
-                        const operator_config_pull &Body) {
+                      const operator_config_pull &Body) {
   if (View && View->Config->Version > Body.Have)
     sendToHost(Sender.Host,
                operator_config_push{View->Config->Version, ConfigText});
@@ -278,12 +278,13 @@
   handled_event Event(*Impl, Now);
   Impl->beginLeaving(Now);
 }
-void serving_core::onPeerUnreachable(const entry_host_id &Host,
-                                     core_time Now) {
+void serving_core::onPeerUnreachable(const entry_host_id &Host, core_time Now) {
   handled_event Event(*Impl, Now);
   Impl->onPeerUnreachable(Host);
 }
 bool serving_core::ownsNoWork() const { return Impl->Owner.idle(); }
+const host_run &serving_core::self() const { return Impl->Settings.Self; }
+batching_host serving_core::selfAsHost() const { return Impl->Hosts.self(); }
 bool serving_core::ready() const { return Impl->ready(); }
 config_version serving_core::configVersion() const {
   return Impl->View ? Impl->View->Config->Version : config_version();
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -21,8 +21,7 @@
 constexpr core_duration DirectoryCleanup = std::chrono::seconds(10);
 
 std::string inMs(core_duration Time) {
-  return std::to_string(
-      std::chrono::duration_cast<milliseconds>(Time).count());
+  return std::to_string(std::chrono::duration_cast<milliseconds>(Time).count());
 }
 
 } // namespace
@@ -68,7 +67,7 @@
 using namespace detail;
 
 serving_impl::serving_impl(const serving_settings &Settings,
-                               serving_actions &Actions)
+                           serving_actions &Actions)
     : Settings(Settings), Actions(Actions),
       Hosts({Settings.Self.Host, Settings.Zone, Settings.PeerAddress,
              Settings.Capacity}),
@@ -80,8 +79,8 @@
 }
 
 void serving_impl::log(event_number Number, event_severity Severity,
-                         std::string_view Message,
-                         std::vector<event_field> Fields) {
+                       std::string_view Message,
+                       std::vector<event_field> Fields) {
   Actions.log({Number, Severity, Message, std::move(Fields)});
 }
 
@@ -90,7 +89,7 @@
 }
 
 void serving_impl::onConfig(std::shared_ptr<const route_config> Config,
-                              std::string Text, core_time) {
+                            std::string Text, core_time) {
   log(event_number::OperatorConfigApplied, event_severity::Info,
       "operator's configuration in force",
       {{"version", std::to_string(Config->Version.Value)},
@@ -103,7 +102,7 @@
 }
 
 pool_id serving_impl::poolOf(const serving_route &Route,
-                               const caller_request_id &Id) const {
+                             const caller_request_id &Id) const {
   std::uint64_t Total = 0;
   for (const pool_share &Share : Route.Pools)
     Total += Share.Weight;
@@ -120,8 +119,8 @@
 
 // The route if the caller may use it; otherwise the request is refused.
 const serving_route *serving_impl::admit(const serving_request &Request,
-                                           workspace_id &Workspace,
-                                           std::uint32_t &Priority) {
+                                         workspace_id &Workspace,
+                                         std::uint32_t &Priority) {
   if (!View) {
     refuseUnknown(Request.Number, refusal_kind::NotReady, NotReadyRetry);
     return nullptr;
@@ -188,7 +187,7 @@
 }
 
 void serving_impl::refuseUnknown(request_id Request, refusal_kind Kind,
-                                   core_duration RetryAfter) {
+                                 core_duration RetryAfter) {
   ++Counters.Refused;
   log(event_number::RequestRefused, event_severity::Info, "request refused",
       {{"request", std::to_string(Request.Value)},
@@ -200,7 +199,7 @@
 // Ends a request with an answer of this host. The kind is made to fit what may
 // have happened at backend servers.
 void serving_impl::giveUp(request_state &State, refusal_kind Kind,
-                            core_duration RetryAfter) {
+                          core_duration RetryAfter) {
   if (State.MayHaveRun && promisesNotRun(Kind))
     Kind = Kind == refusal_kind::TimedOutNotRun ? refusal_kind::TimedOut
                                                 : refusal_kind::Failed;
@@ -224,13 +223,13 @@
   finish(Request);
 }
 
-void serving_impl::logEnd(const request_state &State,
-                          std::string_view Outcome, unsigned Status) {
+void serving_impl::logEnd(const request_state &State, std::string_view Outcome,
+                          unsigned Status) {
   std::optional<core_duration> FirstByte;
   if (State.FirstByteAt)
     FirstByte = *State.FirstByteAt - State.Arrived;
-  Actions.onAnswered({State.Route->Name, Outcome, FirstByte,
-                      Now - State.Arrived});
+  Actions.onAnswered(
+      {State.Route->Name, Outcome, FirstByte, Now - State.Arrived});
   bool Good = Outcome == "complete";
   std::vector<event_field> Fields = {
       {"request", State.Call.CallerId.Value},
@@ -247,8 +246,8 @@
   if (FirstByte)
     Fields.push_back({"first_byte_ms", inMs(*FirstByte)});
   if (!State.Stages.empty()) {
-    Fields.push_back({"stages_ms",
-                      State.StagesDoneAt > State.Arrived
+    Fields.push_back(
+        {"stages_ms", State.StagesDoneAt > State.Arrived
                           ? inMs(State.StagesDoneAt - State.Arrived)
                           : "open"});
     Fields.push_back({"restages", std::to_string(State.Restages)});
@@ -287,8 +286,7 @@
          MinRetry);
 }
 
-void serving_impl::addTimer(core_time Time, timer_kind Kind,
-                              std::uint64_t Id) {
+void serving_impl::addTimer(core_time Time, timer_kind Kind, std::uint64_t Id) {
   Timers.emplace(Time, timer{Kind, Id});
 }
 
--- a/packages/core/test/batch-plan-test.cc
+++ b/packages/core/test/batch-plan-test.cc
@@ -140,11 +140,10 @@
     std::vector<planned_server> Servers;
     std::size_t Many = *rc::gen::inRange<std::size_t>(1, 6);
     for (std::size_t I = 0; I < Many; ++I) {
-      planned_server Server = server(std::to_string(I).c_str(),
-                                     *rc::gen::element("x", "y"));
+      planned_server Server =
+          server(std::to_string(I).c_str(), *rc::gen::element("x", "y"));
       Server.Idle = *rc::gen::arbitrary<bool>();
-      Server.FreeIn =
-          milliseconds(Server.Idle ? 0 : *rc::gen::inRange(0, 500));
+      Server.FreeIn = milliseconds(Server.Idle ? 0 : *rc::gen::inRange(0, 500));
       Server.RoomLeft = *rc::gen::inRange<std::uint64_t>(0, 4'000'000);
       Servers.push_back(Server);
     }
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -69,7 +69,8 @@
   CHECK_FALSE(promisesNotRun(refusal_kind::Failed));
 }
 
-TEST_CASE("what may run once goes elsewhere if no byte left or it was refused") {
+TEST_CASE(
+    "what may run once goes elsewhere if no byte left or it was refused") {
   serving_fixture Test;
   Test.addAll();
   request_id Request = Test.ask("once");
@@ -301,7 +302,8 @@
   CHECK(Test.Core.counters().Batches <= 4);
 }
 
-TEST_CASE("an owner that is silent is replaced, one that is heard is asked again") {
+TEST_CASE(
+    "an owner that is silent is replaced, one that is heard is asked again") {
   serving_fixture Test;
   Test.addAll();
   for (int I = 1; I < 12; ++I)
@@ -351,12 +353,13 @@
                    Test.Now);
   Test.Core.beginLeaving(Test.Now);
   CHECK_FALSE(Test.Core.ready());
-  bool GivenBack = std::any_of(
-      Test.Actions.Sent.begin(), Test.Actions.Sent.end(),
-      [](const std::pair<entry_host_id, peer_body> &Message) {
-        const pieces_failed *Body = std::get_if<pieces_failed>(&Message.second);
-        return Body && Body->Failure == piece_failure::OwnerChanged;
-      });
+  bool GivenBack =
+      std::any_of(Test.Actions.Sent.begin(), Test.Actions.Sent.end(),
+                  [](const std::pair<entry_host_id, peer_body> &Message) {
+                    const pieces_failed *Body =
+                        std::get_if<pieces_failed>(&Message.second);
+                    return Body && Body->Failure == piece_failure::OwnerChanged;
+                  });
   CHECK(GivenBack);
   // The peer that leaves in turn is still told what became of its jobs.
   Test.Actions.Sent.clear();
@@ -384,7 +387,8 @@
   for (int I = 0; I < 40; ++I)
     Test.ask("staged", {8, 1});
   std::size_t Refused = 0;
-  for (const auto &Entry : Test.Actions.Refusals)
+  for (const std::pair<const request_id, std::vector<refusal>> &Entry :
+       Test.Actions.Refusals)
     for (const refusal &Refusal : Entry.second) {
       ++Refused;
       CHECK(promisesNotRun(Refusal.Kind));
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -165,7 +165,8 @@
     addServers("second", 2);
   }
 
-  request_id ask(const std::string &Path, std::vector<std::uint32_t> Pieces = {},
+  request_id ask(const std::string &Path,
+                 std::vector<std::uint32_t> Pieces = {},
                  const std::string &Key = "key") {
     serving_request Request;
     Request.Number = request_id(++LastRequest);
--- a/packages/entry/src/core_runner.cc
+++ b/packages/entry/src/core_runner.cc
@@ -1,6 +1,8 @@
 // Feeds events to the core, performs its actions in order and keeps its timer.
 #include "jasminecroft/entry/core_runner.h"
 
+#include "steady_time.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
@@ -9,20 +11,12 @@
 namespace jasminecroft {
 
 namespace asio = boost::asio;
+using namespace detail;
 
 namespace {
 
 constexpr std::chrono::seconds WallClockInterval{10};
 
-core_time now() {
-  return core_time(std::chrono::duration_cast<core_duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
-std::chrono::steady_clock::time_point toSteady(core_time Time) {
-  return std::chrono::steady_clock::time_point(Time.time_since_epoch());
-}
-
 } // namespace
 
 class core_runner::implementation {
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -162,11 +162,11 @@
 }
 
 void caller_session::readBody() {
-  http::async_read(Socket, Buffer, *Parser,
-                   [Self = shared_from_this()](const error &Error,
-                                               std::size_t) {
-                     Self->onBody(Error);
-                   });
+  http::async_read(
+      Socket, Buffer, *Parser,
+      [Self = shared_from_this()](const error &Error, std::size_t) {
+        Self->onBody(Error);
+      });
 }
 
 void caller_session::onBody(const error &Error) {
@@ -189,8 +189,8 @@
   HeadOnly = Parser->get().method() == http::verb::head;
   platform::http_head Head = headOf(Parser->get().base());
   CallerId = platform::callerIdOf(Head);
-  platform::decoded_request Decoded = platform::decodeRequest(
-      std::move(Head), std::move(Parser->get().body()));
+  platform::decoded_request Decoded =
+      platform::decodeRequest(std::move(Head), std::move(Parser->get().body()));
   Parser.reset();
   if (platform::request_problem *Problem =
           std::get_if<platform::request_problem>(&Decoded)) {
--- a/packages/entry/src/serving/host_registration.cc
+++ b/packages/entry/src/serving/host_registration.cc
@@ -100,10 +100,10 @@
     return;
   }
   if (Status == StatusConflict) {
-    std::variant<platform::stored_object, platform::object_error> Decoded =
+    std::variant<platform::store_object, platform::object_error> Decoded =
         platform::decodeObject(Body);
-    if (platform::stored_object *Object =
-            std::get_if<platform::stored_object>(&Decoded)) {
+    if (platform::store_object *Object =
+            std::get_if<platform::store_object>(&Decoded)) {
       Found = Object->Revision;
       Step = step::Replace;
       perform();
--- a/packages/entry/src/serving/line_log.cc
+++ b/packages/entry/src/serving/line_log.cc
@@ -57,10 +57,10 @@
                         Time.time_since_epoch())
                         .count();
   std::array<char, 64> Begin{};
-  int Length =
-      std::snprintf(Begin.data(), Begin.size(), "{\"time\":%lld.%03lld,\"host\":",
-                    static_cast<long long>(Ms / 1000),
-                    static_cast<long long>(Ms % 1000));
+  int Length = std::snprintf(
+      Begin.data(), Begin.size(),
+      "{\"time\":%lld.%03lld,\"host\":", static_cast<long long>(Ms / 1000),
+      static_cast<long long>(Ms % 1000));
   std::string Line(Begin.data(), static_cast<std::size_t>(Length));
   appendText(Line, Host);
   Line += ",\"event\":" + std::to_string(static_cast<unsigned>(Record.Number));
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -2,7 +2,7 @@
 // callers, backend servers, the platform's store and peers.
 #include "jasminecroft/entry/serving_settings.h"
 
-#include "host_registration.h"
+#include "../steady_time.h"
 #include "jasminecroft/wire/nng_transport.h"
 #include "line_log.h"
 #include "page_listener.h"
@@ -10,7 +10,7 @@
 #include "serving_backends.h"
 #include "serving_front.h"
 #include "serving_metrics.h"
-#include "store_watch.h"
+#include "serving_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -39,11 +39,6 @@
 /// Share of the descriptors that callers may hold.
 constexpr std::size_t CallersDescriptorDivisor = 2;
 
-core_time now() {
-  return core_time(std::chrono::duration_cast<core_duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 std::size_t maxCallers() {
   rlimit Descriptors{};
   std::size_t Limit = FallbackDescriptors;
@@ -73,16 +68,16 @@
 class serving_host final : private serving_actions,
                            private serving_front_listener,
                            private backend_results,
-                           private store_watch_listener,
                            private peer_transport_listener {
 public:
   serving_host(const serving_host_settings &Settings, std::string File)
-      : Settings(Settings), File(std::move(File)),
-        Self{Settings.Host, thisRun()},
+      : Settings(Settings),
+        File(std::move(File)), Self{Settings.Host, thisRun()},
         Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
         Core(coreSettings(), *this), Front(Context, *this, maxCallers()),
-        Backends(Context, *this), StoreClient(makeHttpClient(Context)) {}
+        Backends(Context, *this),
+        Store(Context, Settings.Store, Core, Log, [this] { arm(); }) {}
 
   std::variant<exit_code, settings_error> run() {
     if (std::optional<settings_error> Problem = startAll())
@@ -125,19 +120,21 @@
     std::optional<asio::ip::tcp::endpoint> Callers = toSocket(Settings.Callers);
     if (!Callers || !Front.start(*Callers))
       return cannotListen("callers");
-    std::optional<asio::ip::tcp::endpoint> Ready =
-        toSocket(Settings.Readiness);
+    std::optional<asio::ip::tcp::endpoint> Ready = toSocket(Settings.Readiness);
     if (Ready)
-      ReadinessPage = makePageListener(
-          Context, *Ready,
-          [this](std::string_view Path) { return readinessPage(Path); });
+      ReadinessPage =
+          makePageListener(Context, *Ready, [this](std::string_view Path) {
+            return readinessPage(Path);
+          });
     if (!ReadinessPage)
       return cannotListen("readiness");
     if (Settings.MetricsPort != 0 && Ready)
-      MetricsPage = makePageListener(
-          Context, {Ready->address(), Settings.MetricsPort},
-          [this](std::string_view) { return page{200, renderMetrics()}; });
-    startStore();
+      MetricsPage =
+          makePageListener(Context, {Ready->address(), Settings.MetricsPort},
+                           [this](std::string_view) {
+                             return page{200, renderMetrics()};
+                           });
+    Store.start();
     return std::nullopt;
   }
 
@@ -146,23 +143,6 @@
             "an address of this host that is free"};
   }
 
-  void startStore() {
-    for (std::string_view Kind : {platform::ConfigKind, platform::BackendKind,
-                                  platform::EntryHostKind}) {
-      Watches.push_back(std::make_shared<store_watch>(
-          Context, *StoreClient, Settings.Store, Kind,
-          Self.Run.Value + Watches.size(),
-          static_cast<store_watch_listener &>(*this)));
-      Watches.back()->start();
-    }
-    Registration = std::make_shared<host_registration>(
-        Context, *StoreClient, Settings.Store,
-        batching_host{Settings.Host, Settings.Zone, Settings.Peers,
-                      Settings.Capacity},
-        Self.Run);
-    Registration->start();
-  }
-
   page readinessPage(std::string_view Path) {
     if (Path != platform::ReadinessPath)
       return {404, ""};
@@ -219,7 +199,7 @@
           {{"in_progress", std::to_string(Core.counters().InProgress)}});
     Front.closeAfterAnswers();
     Core.beginLeaving(now());
-    Registration->leave([] {});
+    Store.leave();
     checkShutdown();
   }
 
@@ -253,9 +233,7 @@
                 : "grace is over with requests in progress",
           {{"in_progress", std::to_string(Core.counters().InProgress)}});
     Log.flush();
-    for (const std::shared_ptr<store_watch> &Watch : Watches)
-      Watch->stop();
-    Registration->stop();
+    Store.stop();
     Context.stop();
   }
 
@@ -266,8 +244,7 @@
     if (!Next || (ArmedFor && *ArmedFor <= *Next))
       return;
     ArmedFor = Next;
-    WakeTimer.expires_at(
-        std::chrono::steady_clock::time_point(Next->time_since_epoch()));
+    WakeTimer.expires_at(toSteady(*Next));
     WakeTimer.async_wait([this](const error &Error) {
       if (Error)
         return;
@@ -357,7 +334,7 @@
     Peers->reconnect(Host);
   }
   void onOperatorConfig(const operator_config_push &Config) override {
-    asio::post(Context, [this, Text = Config.Text] { takeConfig(Text); });
+    asio::post(Context, [this, Text = Config.Text] { Store.takeConfig(Text); });
   }
   void onAnswered(const answered_call &Answered) override {
     Metrics.observe(Answered);
@@ -398,112 +375,6 @@
     arm();
   }
 
-  // store_watch_listener
-  void onObjects(std::string_view Kind,
-                 const std::vector<platform::stored_object> &Objects,
-                 object_version Current) override {
-    if (Kind == platform::BackendKind) {
-      std::vector<backend_entry> Entries;
-      for (const platform::stored_object &Object : Objects)
-        if (std::optional<backend_entry> Entry = decodeBackend(Object))
-          Entries.push_back(*Entry);
-      Core.onBackendList(Entries, Current, now());
-      arm();
-      return;
-    }
-    for (const platform::stored_object &Object : Objects)
-      onChange(Kind, Object);
-  }
-  void onChange(std::string_view Kind,
-                const platform::stored_object &Object) override {
-    if (Kind == platform::ConfigKind) {
-      if (Object.Name == platform::ConfigName && !Object.Deleted)
-        takeConfig(Object.Spec);
-    } else if (Kind == platform::BackendKind) {
-      takeBackend(Object);
-    } else {
-      takeEntryHost(Object);
-    }
-    arm();
-  }
-  void onStoreLost(std::string_view Kind, std::string_view Why) override {
-    write(event_number::PlatformAway, event_severity::Warning,
-          "platform's store cannot be read",
-          {{"kind", std::string(Kind)}, {"why", std::string(Why)}});
-  }
-  void onStoreBack(std::string_view Kind) override {
-    write(event_number::PlatformBack, event_severity::Info,
-          "platform's store is read again", {{"kind", std::string(Kind)}});
-  }
-
-  void takeConfig(const std::string &Text) {
-    std::variant<std::shared_ptr<const route_config>, platform::object_error>
-        Decoded = platform::decodeConfig(Text);
-    if (platform::object_error *Problem =
-            std::get_if<platform::object_error>(&Decoded)) {
-      write(event_number::OperatorConfigUnreadable, event_severity::Error,
-            "operator's configuration cannot be read; the earlier one stays",
-            {{"problem", std::string(platform::toText(Problem->Problem))},
-             {"field", Problem->Where}});
-      return;
-    }
-    Core.onConfig(std::get<std::shared_ptr<const route_config>>(Decoded), Text,
-                  now());
-    arm();
-  }
-
-  std::optional<backend_entry>
-  decodeBackend(const platform::stored_object &Object) {
-    std::variant<backend_entry, platform::object_error> Decoded =
-        platform::decodeBackend(Object);
-    if (platform::object_error *Problem =
-            std::get_if<platform::object_error>(&Decoded)) {
-      write(event_number::BackendEntryUnreadable, event_severity::Warning,
-            "entry of a backend server cannot be read and is ignored",
-            {{"server", Object.Name},
-             {"problem", std::string(platform::toText(Problem->Problem))},
-             {"field", Problem->Where}});
-      return std::nullopt;
-    }
-    return std::get<backend_entry>(Decoded);
-  }
-
-  void takeBackend(const platform::stored_object &Object) {
-    std::optional<backend_entry> Entry;
-    if (!Object.Deleted)
-      Entry = decodeBackend(Object);
-    if (!Entry) {
-      write(event_number::BackendUnlisted, event_severity::Info,
-            "backend server left the list",
-            {{"server", Object.Name},
-             {"revision", std::to_string(Object.Revision.Value)}});
-      Core.onBackendRemoved(backend_id(Object.Name), Object.Revision, now());
-      return;
-    }
-    write(event_number::BackendListed, event_severity::Info,
-          "backend server listed",
-          {{"server", Object.Name},
-           {"pool", Entry->Pool.Value},
-           {"state", Entry->Draining ? "draining" : "ready"},
-           {"revision", std::to_string(Object.Revision.Value)}});
-    Core.onBackend(*Entry, now());
-  }
-
-  void takeEntryHost(const platform::stored_object &Object) {
-    if (Object.Deleted) {
-      Core.onHostRemoved(entry_host_id(Object.Name), now());
-      return;
-    }
-    std::variant<batching_host, platform::object_error> Decoded =
-        platform::decodeEntryHost(Object);
-    if (batching_host *Host = std::get_if<batching_host>(&Decoded))
-      Core.onHost(*Host, now());
-    else
-      write(event_number::BackendEntryUnreadable, event_severity::Warning,
-            "entry of an entry host cannot be read and is ignored",
-            {{"host", Object.Name}});
-  }
-
   // peer_transport_listener
   void onReceived(peer_message Message) override {
     Core.onPeer(Message.Sender, Message.Body, now());
@@ -537,9 +408,7 @@
   serving_core Core;
   serving_front Front;
   serving_backends Backends;
-  std::unique_ptr<http_client> StoreClient;
-  std::vector<std::shared_ptr<store_watch>> Watches;
-  std::shared_ptr<host_registration> Registration;
+  serving_store Store;
   std::unique_ptr<nng_peer_transport> Peers;
   std::unique_ptr<page_listener> ReadinessPage;
   std::unique_ptr<page_listener> MetricsPage;
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -73,8 +73,7 @@
   std::map<route_id, bool> Routes;
 };
 
-serving_metrics::serving_metrics()
-    : Impl(std::make_unique<implementation>()) {}
+serving_metrics::serving_metrics() : Impl(std::make_unique<implementation>()) {}
 serving_metrics::~serving_metrics() = default;
 
 void serving_metrics::observe(const answered_call &Answered) {
--- /dev/null
+++ b/packages/entry/src/serving/serving_store.cc
@@ -0,0 +1,149 @@
+// Watches of the three kinds of objects, and what their changes mean.
+#include "serving_store.h"
+
+#include "../steady_time.h"
+
+namespace jasminecroft::detail {
+
+serving_store::serving_store(boost::asio::io_context &Context,
+                             const endpoint &Address, serving_core &Core,
+                             line_log &Log, std::function<void()> Changed)
+    : Context(Context), Address(Address), Core(Core), Log(Log),
+      Changed(std::move(Changed)), Client(makeHttpClient(Context)) {}
+
+void serving_store::start() {
+  const host_run &Self = Core.self();
+  for (std::string_view Kind :
+       {platform::ConfigKind, platform::BackendKind, platform::EntryHostKind}) {
+    Watches.push_back(std::make_shared<store_watch>(
+        Context, *Client, Address, Kind, Self.Run.Value + Watches.size(),
+        static_cast<store_watch_listener &>(*this)));
+    Watches.back()->start();
+  }
+  Registration = std::make_shared<host_registration>(
+      Context, *Client, Address, Core.selfAsHost(), Self.Run);
+  Registration->start();
+}
+
+void serving_store::leave() {
+  Registration->leave([] {});
+}
+
+void serving_store::stop() {
+  for (const std::shared_ptr<store_watch> &Watch : Watches)
+    Watch->stop();
+  Registration->stop();
+}
+
+void serving_store::write(event_number Number, event_severity Severity,
+                          std::string_view Message,
+                          std::vector<event_field> Fields) {
+  Log.write({Number, Severity, Message, std::move(Fields)});
+}
+
+void serving_store::onObjects(
+    std::string_view Kind, const std::vector<platform::store_object> &Objects,
+    object_version Current) {
+  if (Kind == platform::BackendKind) {
+    std::vector<backend_entry> Entries;
+    for (const platform::store_object &Object : Objects)
+      if (std::optional<backend_entry> Entry = decodeBackend(Object))
+        Entries.push_back(*Entry);
+    Core.onBackendList(Entries, Current, now());
+    Changed();
+    return;
+  }
+  for (const platform::store_object &Object : Objects)
+    onChange(Kind, Object);
+}
+void serving_store::onChange(std::string_view Kind,
+                             const platform::store_object &Object) {
+  if (Kind == platform::ConfigKind) {
+    if (Object.Name == platform::ConfigName && !Object.Deleted)
+      takeConfig(Object.Spec);
+  } else if (Kind == platform::BackendKind) {
+    takeBackend(Object);
+  } else {
+    takeEntryHost(Object);
+  }
+  Changed();
+}
+void serving_store::onStoreLost(std::string_view Kind, std::string_view Why) {
+  write(event_number::PlatformAway, event_severity::Warning,
+        "platform's store cannot be read",
+        {{"kind", std::string(Kind)}, {"why", std::string(Why)}});
+}
+void serving_store::onStoreBack(std::string_view Kind) {
+  write(event_number::PlatformBack, event_severity::Info,
+        "platform's store is read again", {{"kind", std::string(Kind)}});
+}
+
+void serving_store::takeConfig(const std::string &Text) {
+  std::variant<std::shared_ptr<const route_config>, platform::object_error>
+      Decoded = platform::decodeConfig(Text);
+  if (platform::object_error *Problem =
+          std::get_if<platform::object_error>(&Decoded)) {
+    write(event_number::OperatorConfigUnreadable, event_severity::Error,
+          "operator's configuration cannot be read; the earlier one stays",
+          {{"problem", std::string(platform::toText(Problem->Problem))},
+           {"field", Problem->Where}});
+    return;
+  }
+  Core.onConfig(std::get<std::shared_ptr<const route_config>>(Decoded), Text,
+                now());
+  Changed();
+}
+
+std::optional<backend_entry>
+serving_store::decodeBackend(const platform::store_object &Object) {
+  std::variant<backend_entry, platform::object_error> Decoded =
+      platform::decodeBackend(Object);
+  if (platform::object_error *Problem =
+          std::get_if<platform::object_error>(&Decoded)) {
+    write(event_number::BackendEntryUnreadable, event_severity::Warning,
+          "entry of a backend server cannot be read and is ignored",
+          {{"server", Object.Name},
+           {"problem", std::string(platform::toText(Problem->Problem))},
+           {"field", Problem->Where}});
+    return std::nullopt;
+  }
+  return std::get<backend_entry>(Decoded);
+}
+
+void serving_store::takeBackend(const platform::store_object &Object) {
+  std::optional<backend_entry> Entry;
+  if (!Object.Deleted)
+    Entry = decodeBackend(Object);
+  if (!Entry) {
+    write(event_number::BackendUnlisted, event_severity::Info,
+          "backend server left the list",
+          {{"server", Object.Name},
+           {"revision", std::to_string(Object.Revision.Value)}});
+    Core.onBackendRemoved(backend_id(Object.Name), Object.Revision, now());
+    return;
+  }
+  write(event_number::BackendListed, event_severity::Info,
+        "backend server listed",
+        {{"server", Object.Name},
+         {"pool", Entry->Pool.Value},
+         {"state", Entry->Draining ? "draining" : "ready"},
+         {"revision", std::to_string(Object.Revision.Value)}});
+  Core.onBackend(*Entry, now());
+}
+
+void serving_store::takeEntryHost(const platform::store_object &Object) {
+  if (Object.Deleted) {
+    Core.onHostRemoved(entry_host_id(Object.Name), now());
+    return;
+  }
+  std::variant<batching_host, platform::object_error> Decoded =
+      platform::decodeEntryHost(Object);
+  if (batching_host *Host = std::get_if<batching_host>(&Decoded))
+    Core.onHost(*Host, now());
+  else
+    write(event_number::BackendEntryUnreadable, event_severity::Warning,
+          "entry of an entry host cannot be read and is ignored",
+          {{"host", Object.Name}});
+}
+
+} // namespace jasminecroft::detail
--- /dev/null
+++ b/packages/entry/src/serving/serving_store.h
@@ -0,0 +1,57 @@
+// What the platform's store says, handed to the serving core: configuration,
+// backend servers and entry hosts. Objects that cannot be read are logged and
+// ignored; what was known before stays in force.
+#pragma once
+
+#include "host_registration.h"
+#include "line_log.h"
+#include "store_watch.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace jasminecroft::detail {
+
+class serving_store final : private store_watch_listener {
+public:
+  /// Changed is called after each change that the core was told of.
+  serving_store(boost::asio::io_context &Context, const endpoint &Address,
+                serving_core &Core, line_log &Log,
+                std::function<void()> Changed);
+
+  void start();
+  /// Takes this host off the list of entry hosts.
+  void leave();
+  void stop();
+  /// Decodes a configuration and hands it to the core if it can be read.
+  void takeConfig(const std::string &Text);
+
+private:
+  void onObjects(std::string_view Kind,
+                 const std::vector<platform::store_object> &Objects,
+                 object_version Current) override;
+  void onChange(std::string_view Kind,
+                const platform::store_object &Object) override;
+  void onStoreLost(std::string_view Kind, std::string_view Why) override;
+  void onStoreBack(std::string_view Kind) override;
+
+  std::optional<backend_entry>
+  decodeBackend(const platform::store_object &Object);
+  void takeBackend(const platform::store_object &Object);
+  void takeEntryHost(const platform::store_object &Object);
+  void write(event_number Number, event_severity Severity,
+             std::string_view Message, std::vector<event_field> Fields);
+
+  boost::asio::io_context &Context;
+  endpoint Address;
+  serving_core &Core;
+  line_log &Log;
+  std::function<void()> Changed;
+  std::unique_ptr<http_client> Client;
+  std::vector<std::shared_ptr<store_watch>> Watches;
+  std::shared_ptr<host_registration> Registration;
+};
+
+} // namespace jasminecroft::detail
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -44,11 +44,10 @@
   }
   void onFailed(exchange_failure Failure) override {
     if (std::shared_ptr<store_watch> Target = Watch.lock())
-      Target->onFailed(Failure == exchange_failure::NotConnected
-                           ? "not connected"
-                       : Failure == exchange_failure::TimedOut
-                           ? "no answer in time"
-                           : "connection broken");
+      Target->onFailed(
+          Failure == exchange_failure::NotConnected ? "not connected"
+          : Failure == exchange_failure::TimedOut   ? "no answer in time"
+                                                    : "connection broken");
   }
 
 private:
@@ -137,7 +136,7 @@
   Pause.reset();
   // Changes made while the pages were read come with the watch.
   Since = FirstPage;
-  std::vector<platform::stored_object> Objects = std::exchange(Pages, {});
+  std::vector<platform::store_object> Objects = std::exchange(Pages, {});
   Listener.onObjects(Kind, Objects, Since);
   watch();
 }
@@ -152,7 +151,7 @@
   }
   Pause.reset();
   platform::object_events &Events = std::get<platform::object_events>(Decoded);
-  for (const platform::stored_object &Object : Events.Changes)
+  for (const platform::store_object &Object : Events.Changes)
     Listener.onChange(Kind, Object);
   Since = std::max(Since, Events.Current);
   watch();
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -23,10 +23,10 @@
   virtual ~store_watch_listener() = default;
   /// All objects of the kind, as of Current.
   virtual void onObjects(std::string_view Kind,
-                         const std::vector<platform::stored_object> &Objects,
+                         const std::vector<platform::store_object> &Objects,
                          object_version Current) = 0;
   virtual void onChange(std::string_view Kind,
-                        const platform::stored_object &Object) = 0;
+                        const platform::store_object &Object) = 0;
   /// Calls fail; what is known may be out of date.
   virtual void onStoreLost(std::string_view Kind, std::string_view Why) = 0;
   virtual void onStoreBack(std::string_view Kind) = 0;
@@ -76,7 +76,7 @@
   bool Stopped = false;
   bool Lost = false;
   /// Objects of the pages read so far.
-  std::vector<platform::stored_object> Pages;
+  std::vector<platform::store_object> Pages;
   object_version FirstPage;
   object_version Since;
 };
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -151,7 +151,6 @@
   Reader.list("results", Body.Results, MaxResults, readHandle);
 }
 
-
 cbor_value writeBody(const inputs_fetched &Body) {
   return writeRecord(Body.Job.Value);
 }
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -249,11 +249,10 @@
     return pieces_accepted{anyNumber<piece_job_id>(),
                            {anyDuration(), anyDuration(), any32()}};
   case 16:
-    return pieces_made{anyNumber<piece_job_id>(),
-                       some<made_piece>(4, [] {
-                         return made_piece{any32(), anyId<result_handle>(),
-                                           anyId<zone_id>()};
-                       })};
+    return pieces_made{
+        anyNumber<piece_job_id>(), some<made_piece>(4, [] {
+          return made_piece{any32(), anyId<result_handle>(), anyId<zone_id>()};
+        })};
   case 17:
     return pieces_failed{anyNumber<piece_job_id>(),
                          static_cast<piece_failure>(below(4))};
