Let owners add up what hosts plan; let changes gather before a call

Change: hosts tell owners of later queues what they are about to ask for, owners say the sum with each acceptance; after a change a watch waits 0.06 to 1 s before it calls again.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -250,6 +250,14 @@
   std::vector<made_piece> Pieces;
   bool operator==(const pieces_made &) const = default;
 };
+/// How many pieces of a queue the sender's requests will ask for once their
+/// earlier stages are done.
+struct work_planned {
+  pool_id Pool;
+  zone_id QueueZone;
+  std::uint32_t Pieces = 0;
+  bool operator==(const work_planned &) const = default;
+};
 /// All pieces of the job are being made; their inputs may be released.
 struct inputs_fetched {
   piece_job_id Job;
@@ -276,7 +284,7 @@
                  claim_query_reply, rumor, config_changes, host_greeting,
                  operator_config_pull, operator_config_push, pieces_wanted,
                  pieces_accepted, pieces_made, pieces_failed, pieces_cancelled,
-                 results_released, inputs_fetched>;
+                 results_released, inputs_fetched, work_planned>;
 
 /// A message with its sender; messages of other fleets are refused.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -93,6 +93,9 @@
   /// Forgets a job; results of pieces that are being made are freed.
   void cancel(const entry_host_id &Host, piece_job_id Job);
   void release(const std::vector<result_handle> &Results, core_time Now);
+  /// Takes how many pieces Host is about to ask for; replaces what it said.
+  void onPlanned(const entry_host_id &Host, const pool_id &Pool,
+                 const zone_id &Zone, std::uint32_t Pieces, core_time Now);
   /// Gives back jobs of queues that IsOwn denies, unless a piece of them is
   /// being made.
   void
@@ -144,6 +147,11 @@
     /// Smoothed size of calls that left pieces waiting: what the servers'
     /// room allows; 0: none yet.
     double FullCall = 0;
+    struct planned {
+      std::uint32_t Pieces = 0;
+      core_time At;
+    };
+    std::map<entry_host_id, planned> Planned;
   };
   struct queue_key {
     pool_id Pool;
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -56,6 +56,8 @@
   core_duration Late{0};
   /// Pieces that the queue's servers make in a second when they are busy.
   std::uint32_t PiecesPerSecond = 0;
+  /// Time that the servers need for pieces that hosts are about to ask for.
+  core_duration Planned{0};
 
   bool operator==(const queue_wait &) const = default;
 };
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -26,6 +26,9 @@
 /// time that results are kept.
 constexpr core_duration InputPatience = milliseconds(1'200);
 constexpr double FullCallGain = 0.2;
+/// What a host said of its plans holds this long: about the time that the
+/// earlier stages of its requests take.
+constexpr core_duration PlannedLifetime = milliseconds(1'500);
 /// Said when no server of the pool is known.
 constexpr core_duration NoServerWait = std::chrono::hours(1);
 
@@ -274,7 +277,7 @@
   for (const planned_server &Server : planServers({Pool, Zone}, Now))
     Busy.push_back(Server.FreeIn);
   if (Busy.empty())
-    return {NoServerWait, NoServerWait, 0};
+    return {NoServerWait, NoServerWait, 0, core_duration{0}};
   std::sort(Busy.begin(), Busy.end());
   const queue_state &Queue = Queues[{Pool, Zone}];
   std::size_t Full = Rules.MaxPieces;
@@ -297,8 +300,22 @@
   double Call =
       std::chrono::duration<double>(expectedCallTime(Rules, Full)).count();
   double Rate = static_cast<double>(Busy.size() * Full) / std::max(Call, 1e-3);
-  return {WaitBehind(OnTime), WaitBehind(All),
-          static_cast<std::uint32_t>(Rate)};
+  std::uint64_t Planned = 0;
+  for (const std::pair<const entry_host_id, queue_state::planned> &Host :
+       Queue.Planned)
+    if (Now - Host.second.At < PlannedLifetime)
+      Planned += Host.second.Pieces;
+  core_duration PlannedTime(
+      static_cast<std::int64_t>(static_cast<double>(Planned) / Rate * 1e6));
+  return {WaitBehind(OnTime), WaitBehind(All), static_cast<std::uint32_t>(Rate),
+          PlannedTime};
+}
+
+void batch_owner::onPlanned(const entry_host_id &Host, const pool_id &Pool,
+                            const zone_id &Zone, std::uint32_t Pieces,
+                            core_time Now) {
+  if (Pools.contains(Pool))
+    Queues[{Pool, Zone}].Planned[Host] = {Pieces, Now};
 }
 
 std::size_t batch_owner::waitingPieces(const pool_id &Pool,
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -32,16 +32,32 @@
   double Part = std::clamp(1 - Age / WaitFadeSeconds, 0.0, 1.0);
   const queue_wait &Said = Found->second.Wait;
   return {scaled(Said.OnTime, Part), scaled(Said.Late, Part),
-          Said.PiecesPerSecond};
+          Said.PiecesPerSecond, scaled(Said.Planned, Part)};
 }
 
-// Time that a pool's servers need for pieces which requests in progress will
-// ask for. Hosts are taken to have as many of them as this one.
-core_duration serving_impl::plannedTime(const pool_id &Pool) const {
-  std::uint32_t Rate = knownWait(Pool).PiecesPerSecond;
-  if (Rate == 0)
-    return core_duration{0};
-  std::uint64_t Planned = 0;
+// Tells the owners of later stages' queues what this host's requests will ask
+// of them, so that others see it too.
+void serving_impl::tellPlans(const request_state &State) {
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
+    const route_stage &Plan = State.Route->Stages[Stage];
+    if (Plan.After.empty() || State.Call.Pieces[Stage] == 0)
+      continue;
+    work_planned Work;
+    Work.Pool = Plan.Pool;
+    Work.QueueZone = queueZone(Plan.Pool, State);
+    Work.Pieces = plannedPieces(Plan.Pool);
+    entry_host_id Target = Settings.BatchAlone
+                               ? Settings.Self.Host
+                               : ownerOf(Work.Pool, Work.QueueZone);
+    if (Target == Settings.Self.Host)
+      Owner.onPlanned(Target, Work.Pool, Work.QueueZone, Work.Pieces, Now);
+    else
+      sendToHost(Target, std::move(Work));
+  }
+}
+
+std::uint32_t serving_impl::plannedPieces(const pool_id &Pool) const {
+  std::uint32_t Planned = 0;
   for (const request_map::value_type &Entry : Requests) {
     const request_state &State = Entry.second;
     for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
@@ -49,8 +65,7 @@
           State.Route->Stages[Stage].Pool == Pool)
         Planned += State.Call.Pieces[Stage];
   }
-  double Seconds = static_cast<double>(Planned * Hosts.liveCount()) / Rate;
-  return core_duration(static_cast<std::int64_t>(Seconds * 1e6));
+  return Planned;
 }
 
 // The time that the pieces of a stage take once their call has begun.
@@ -111,7 +126,7 @@
       continue;
     queue_wait Wait = knownWait(Plan.Pool);
     core_duration Planned =
-        Plan.After.empty() ? core_duration{0} : plannedTime(Plan.Pool);
+        Plan.After.empty() ? core_duration{0} : Wait.Planned;
     core_duration None{0};
     core_duration OnTime = std::max(None, Wait.OnTime + Planned - Start);
     core_duration Late = std::max(None, Wait.Late + Planned - Start);
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -138,6 +138,10 @@
   takeInputsFetched(Body.Job);
 }
 
+void serving_impl::on(const host_run &Sender, const work_planned &Body) {
+  Owner.onPlanned(Sender.Host, Body.Pool, Body.QueueZone, Body.Pieces, Now);
+}
+
 void serving_impl::on(const host_run &, const pieces_failed &Body) {
   takeJobFailure(Body.Job, Body.Failure);
 }
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -173,8 +173,10 @@
   if (!State.Stages.empty())
     if (const backend_state *Planned = chooseServer(State))
       State.PlannedZone = Planned->Entry.Zone;
-  if (!turnedAway(State))
-    startReadyStages(State);
+  if (turnedAway(State))
+    return;
+  tellPlans(State);
+  startReadyStages(State);
 }
 
 void serving_impl::onCallerLeft(request_id Request, core_time) {
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -199,7 +199,8 @@
   void handOverQueues();
   void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
   queue_wait knownWait(const pool_id &Pool) const;
-  core_duration plannedTime(const pool_id &Pool) const;
+  void tellPlans(const request_state &State);
+  std::uint32_t plannedPieces(const pool_id &Pool) const;
   forecast forecastStages(const request_state &State) const;
   bool turnedAway(request_state &State);
   void onJobUnanswered(piece_job_id Job);
@@ -239,6 +240,7 @@
   void on(const host_run &Sender, const pieces_accepted &Body);
   void on(const host_run &Sender, const pieces_made &Body);
   void on(const host_run &Sender, const inputs_fetched &Body);
+  void on(const host_run &Sender, const work_planned &Body);
   void on(const host_run &Sender, const pieces_failed &Body);
   void on(const host_run &Sender, const pieces_cancelled &Body);
   void on(const host_run &Sender, const results_released &Body);
--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -5,6 +5,17 @@
 
 namespace jasminecroft::detail {
 
+namespace {
+
+/// Changes gather this long before the next call, each a part of the time in
+/// which its kind of change has to be known: configurations 2 s, leaving
+/// servers 2 s; entry hosts are also found by their messages.
+constexpr std::chrono::milliseconds ConfigGathering{60};
+constexpr std::chrono::milliseconds BackendGathering{300};
+constexpr std::chrono::milliseconds EntryHostGathering{1'000};
+
+} // namespace
+
 serving_store::serving_store(boost::asio::io_context &Context,
                              const endpoint &Address, serving_core &Core,
                              line_log &Log, std::function<void()> Changed)
@@ -12,19 +23,23 @@
       Changed(std::move(Changed)), Client(makeHttpClient(Context)) {}
 
 void serving_store::start() {
-  const host_run &Self = Core.self();
-  for (std::string_view Kind :
-       {platform::ConfigKind, platform::BackendKind, platform::EntryHostKind}) {
-    Watches.push_back(std::make_shared<store_watch>(
-        Context, *Client, Address, Kind, Self.Run.Value + Watches.size(),
-        static_cast<store_watch_listener &>(*this)));
-    Watches.back()->start();
-  }
+  startWatch(platform::ConfigKind, ConfigGathering);
+  startWatch(platform::BackendKind, BackendGathering);
+  startWatch(platform::EntryHostKind, EntryHostGathering);
   Registration = std::make_shared<host_registration>(
-      Context, *Client, Address, Core.selfAsHost(), Self.Run);
+      Context, *Client, Address, Core.selfAsHost(), Core.self().Run);
   Registration->start();
 }
 
+void serving_store::startWatch(std::string_view Kind,
+                               std::chrono::milliseconds Gathering) {
+  Watches.push_back(std::make_shared<store_watch>(
+      Context, *Client, Address, Kind, Gathering,
+      Core.self().Run.Value + Watches.size(),
+      static_cast<store_watch_listener &>(*this)));
+  Watches.back()->start();
+}
+
 void serving_store::leave() {
   Registration->leave([] {});
 }
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -29,6 +29,7 @@
   void takeConfig(const std::string &Text);
 
 private:
+  void startWatch(std::string_view Kind, std::chrono::milliseconds Gathering);
   void onObjects(std::string_view Kind,
                  const std::vector<platform::store_object> &Objects,
                  object_version Current) override;
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -56,9 +56,10 @@
 
 store_watch::store_watch(boost::asio::io_context &Context, http_client &Client,
                          endpoint Store, std::string_view Kind,
-                         std::uint64_t Seed, store_watch_listener &Listener)
-    : Client(Client), Store(std::move(Store)), Kind(Kind), Listener(Listener),
-      Timer(Context), Pause(Seed) {}
+                         milliseconds Gathering, std::uint64_t Seed,
+                         store_watch_listener &Listener)
+    : Client(Client), Store(std::move(Store)), Kind(Kind), Gathering(Gathering),
+      Listener(Listener), Timer(Context), Pause(Seed) {}
 
 void store_watch::start() { list(); }
 
@@ -137,8 +138,9 @@
   // Changes made while the pages were read come with the watch.
   Since = FirstPage;
   std::vector<platform::store_object> Objects = std::exchange(Pages, {});
+  Listing = false;
   Listener.onObjects(Kind, Objects, Since);
-  watch();
+  callAfter(Gathering);
 }
 
 void store_watch::onEvents(const std::string &Body) {
@@ -154,7 +156,10 @@
   for (const platform::store_object &Object : Events.Changes)
     Listener.onChange(Kind, Object);
   Since = std::max(Since, Events.Current);
-  watch();
+  if (Events.Changes.empty() || Gathering.count() == 0)
+    watch();
+  else
+    callAfter(Gathering);
 }
 
 void store_watch::onFailed(std::string_view Why) {
@@ -164,11 +169,11 @@
     Lost = true;
     Listener.onStoreLost(Kind, Why);
   }
-  retryLater();
+  callAfter(Pause.next());
 }
 
-void store_watch::retryLater() {
-  Timer.expires_after(Pause.next());
+void store_watch::callAfter(milliseconds Time) {
+  Timer.expires_after(Time);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         if (Error || Self->Stopped)
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -48,7 +48,8 @@
 class store_watch : public std::enable_shared_from_this<store_watch> {
 public:
   store_watch(boost::asio::io_context &Context, http_client &Client,
-              endpoint Store, std::string_view Kind, std::uint64_t Seed,
+              endpoint Store, std::string_view Kind,
+              std::chrono::milliseconds Gathering, std::uint64_t Seed,
               store_watch_listener &Listener);
   void start();
   void stop();
@@ -63,11 +64,14 @@
   void onListed(const std::string &Body);
   void onEvents(const std::string &Body);
   void onFailed(std::string_view Why);
-  void retryLater();
+  void callAfter(std::chrono::milliseconds Time);
 
   http_client &Client;
   endpoint Store;
   std::string_view Kind;
+  /// Time after a change in which further ones are left to gather, so that one
+  /// call brings them all.
+  std::chrono::milliseconds Gathering;
   store_watch_listener &Listener;
   io_timer Timer;
   retry_pause Pause;
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -43,6 +43,7 @@
   PiecesCancelled = 20,
   ResultsReleased = 21,
   InputsFetched = 22,
+  WorkPlanned = 23,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -274,6 +275,8 @@
 template <>
 struct number_of<inputs_fetched> : number_constant<body_number::InputsFetched> {
 };
+template <>
+struct number_of<work_planned> : number_constant<body_number::WorkPlanned> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -112,13 +112,15 @@
 
 cbor_value writeBody(const pieces_accepted &Body) {
   return writeRecord(Body.Job.Value, Body.Wait.OnTime.count(),
-                     Body.Wait.Late.count(), Body.Wait.PiecesPerSecond);
+                     Body.Wait.Late.count(), Body.Wait.PiecesPerSecond,
+                     Body.Wait.Planned.count());
 }
 void readBody(field_reader &Reader, pieces_accepted &Body) {
   Reader.version("job", Body.Job);
   Body.Wait.OnTime = core_duration(Reader.signedNumber("wait_on_time"));
   Body.Wait.Late = core_duration(Reader.signedNumber("wait_late"));
   Body.Wait.PiecesPerSecond = Reader.number32("pieces_per_second");
+  Body.Wait.Planned = core_duration(Reader.signedNumber("planned"));
 }
 
 cbor_value writeBody(const pieces_made &Body) {
@@ -158,4 +160,13 @@
   Reader.version("job", Body.Job);
 }
 
+cbor_value writeBody(const work_planned &Body) {
+  return writeRecord(Body.Pool.Value, Body.QueueZone.Value, Body.Pieces);
+}
+void readBody(field_reader &Reader, work_planned &Body) {
+  Reader.id("pool", Body.Pool);
+  Reader.id("queue_zone", Body.QueueZone);
+  Body.Pieces = Reader.number32("pieces");
+}
+
 } // namespace jasminecroft::detail
--- a/packages/wire/src/peer_codec_pieces.h
+++ b/packages/wire/src/peer_codec_pieces.h
@@ -16,6 +16,7 @@
 cbor_value writeBody(const pieces_cancelled &Body);
 cbor_value writeBody(const results_released &Body);
 cbor_value writeBody(const inputs_fetched &Body);
+cbor_value writeBody(const work_planned &Body);
 
 void readBody(field_reader &Reader, host_greeting &Body);
 void readBody(field_reader &Reader, operator_config_pull &Body);
@@ -27,5 +28,6 @@
 void readBody(field_reader &Reader, pieces_cancelled &Body);
 void readBody(field_reader &Reader, results_released &Body);
 void readBody(field_reader &Reader, inputs_fetched &Body);
+void readBody(field_reader &Reader, work_planned &Body);
 
 } // namespace jasminecroft::detail
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -209,7 +209,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(22)) {
+  switch (below(23)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -246,8 +246,9 @@
   case 14:
     return pieces_wanted{anyJob()};
   case 15:
-    return pieces_accepted{anyNumber<piece_job_id>(),
-                           {anyDuration(), anyDuration(), any32()}};
+    return pieces_accepted{
+        anyNumber<piece_job_id>(),
+        {anyDuration(), anyDuration(), any32(), anyDuration()}};
   case 16:
     return pieces_made{
         anyNumber<piece_job_id>(), some<made_piece>(4, [] {
@@ -263,6 +264,8 @@
         some<result_handle>(4, [] { return anyId<result_handle>(); })};
   case 20:
     return inputs_fetched{anyNumber<piece_job_id>()};
+  case 21:
+    return work_planned{anyId<pool_id>(), anyId<zone_id>(), any32()};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
