Never give a request the pieces of a host's earlier run

Job numbers begin anew when a host is restarted; the owner still had the earlier run's job of the same number and answered the new one with its pieces. Ruled out: order of the answers of calls for pieces (checked by position), late answers of stage servers. Change: an owner compares request and stage of a known job number, and answers name their request, which the asking host checks. The whole path is also played with real processes against stand-ins of the store and the backend servers (serving-path-test, 9 cases).

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -247,6 +247,9 @@
 };
 struct pieces_made {
   piece_job_id Job;
+  /// The request that the pieces were made for; job numbers begin anew when a
+  /// host is restarted.
+  caller_request_id Request;
   std::vector<made_piece> Pieces;
   bool operator==(const pieces_made &) const = default;
 };
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -66,7 +66,7 @@
                         core_duration Timeout) = 0;
   virtual void freeResults(const backend_entry &Server,
                            std::vector<result_handle> Results) = 0;
-  virtual void onPiecesMade(const entry_host_id &Host, piece_job_id Job,
+  virtual void onPiecesMade(const entry_host_id &Host, const piece_job &Job,
                             std::vector<made_piece> Pieces) = 0;
   virtual void onJobFailed(const entry_host_id &Host, piece_job_id Job,
                            piece_failure Failure) = 0;
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -68,8 +68,12 @@
     return {};
   }
   queue_wait Wait = expectedWait(Job.Pool, Job.QueueZone, Now);
-  if (Jobs.contains(Key))
+  auto Known = Jobs.find(Key);
+  if (Known != Jobs.end() && Known->second.Job.Request == Job.Request &&
+      Known->second.Job.Stage == Job.Stage)
     return Wait;
+  // The same number for other work comes from a later run of the host.
+  dropJob(Key);
   job_state State;
   State.Host = Host;
   State.Arrived = Now;
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -60,8 +60,9 @@
     if (Job == Jobs.end() || Job->second.Missing > 0)
       continue;
     std::vector<made_piece> Made = std::move(Job->second.Made);
+    const piece_job Ended = Job->second.Job;
     dropJob(Piece.Job);
-    Actions.onPiecesMade(Piece.Job.first, Piece.Job.second, std::move(Made));
+    Actions.onPiecesMade(Piece.Job.first, Ended, std::move(Made));
   }
 }
 
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -131,7 +131,7 @@
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_made &Body) {
-  takePieces(Body.Job, Sender.Host, Body.Pieces);
+  takePieces(Body.Job, Body.Request, Sender.Host, Body.Pieces);
 }
 
 void serving_impl::on(const host_run &, const inputs_fetched &Body) {
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -265,12 +265,12 @@
     sendJob(Id, *State);
 }
 
-void serving_impl::onPiecesMade(const entry_host_id &Host, piece_job_id Job,
+void serving_impl::onPiecesMade(const entry_host_id &Host, const piece_job &Job,
                                 std::vector<made_piece> Pieces) {
   if (Host == Settings.Self.Host)
-    takePieces(Job, Host, std::move(Pieces));
+    takePieces(Job.Job, Job.Request, Host, std::move(Pieces));
   else
-    sendToHost(Host, pieces_made{Job, std::move(Pieces)});
+    sendToHost(Host, pieces_made{Job.Job, Job.Request, std::move(Pieces)});
 }
 
 void serving_impl::onJobFailed(const entry_host_id &Host, piece_job_id Job,
@@ -302,7 +302,8 @@
   releaseUsed(*State);
 }
 
-void serving_impl::takePieces(piece_job_id Id, const entry_host_id &From,
+void serving_impl::takePieces(piece_job_id Id, const caller_request_id &Request,
+                              const entry_host_id &From,
                               std::vector<made_piece> Pieces) {
   auto Found = JobsAsked.find(Id);
   request_state *State =
@@ -310,7 +311,8 @@
   std::set<std::uint32_t> Distinct;
   for (const made_piece &Piece : Pieces)
     Distinct.insert(Piece.Piece);
-  if (!State || Distinct.size() != Pieces.size() ||
+  if (!State || State->Call.CallerId != Request ||
+      Distinct.size() != Pieces.size() ||
       Pieces.size() != State->Call.Pieces[Found->second.Stage]) {
     stage_state Unwanted;
     Unwanted.Results = std::move(Pieces);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -133,7 +133,7 @@
                 std::vector<batch_item> Items, core_duration Timeout) override;
   void freeResults(const backend_entry &Server,
                    std::vector<result_handle> Results) override;
-  void onPiecesMade(const entry_host_id &Host, piece_job_id Job,
+  void onPiecesMade(const entry_host_id &Host, const piece_job &Job,
                     std::vector<made_piece> Pieces) override;
   void onJobFailed(const entry_host_id &Host, piece_job_id Job,
                    piece_failure Failure) override;
@@ -206,8 +206,8 @@
   void onJobUnanswered(piece_job_id Job);
   void onJobCheck(piece_job_id Job);
   void askElsewhere(const entry_host_id &Lost);
-  void takePieces(piece_job_id Job, const entry_host_id &From,
-                  std::vector<made_piece> Pieces);
+  void takePieces(piece_job_id Job, const caller_request_id &Request,
+                  const entry_host_id &From, std::vector<made_piece> Pieces);
   void takeInputsFetched(piece_job_id Job);
   void takeJobFailure(piece_job_id Job, piece_failure Failure);
   void releaseStage(stage_state &Stage);
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -334,6 +334,67 @@
   }
 }
 
+TEST_CASE("a restarted host never gets the pieces of its earlier run") {
+  serving_fixture Test;
+  Test.addAll();
+  batching_host Peer{entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 1};
+  Test.Core.onHost(Peer, Test.Now);
+  // Both servers are busy, so that the jobs wait.
+  Test.ask("staged", {8, 0});
+  Test.ask("staged", {8, 0});
+  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+    piece_job Wanted;
+    Wanted.Job = piece_job_id(5);
+    Wanted.Request = caller_request_id(Run == 1 ? "old" : "new");
+    Wanted.Pool = pool_id("first");
+    Wanted.Pieces = {0};
+    Wanted.Key = "k";
+    Wanted.DeadlineIn = seconds(2);
+    Wanted.StartBy = seconds(1);
+    Test.Core.onPeer({Peer.Host, incarnation(Run)}, pieces_wanted{Wanted},
+                     Test.Now);
+  }
+  Test.makePieces();
+  std::size_t Answers = 0;
+  for (const std::pair<entry_host_id, peer_body> &Message : Test.Actions.Sent) {
+    const pieces_made *Body = std::get_if<pieces_made>(&Message.second);
+    if (!Body)
+      continue;
+    ++Answers;
+    CHECK(Body->Request == caller_request_id("new"));
+    for (const made_piece &Piece : Body->Pieces)
+      CHECK(Piece.Result.Value.find("/new.") != std::string::npos);
+  }
+  CHECK(Answers == 1);
+}
+
+TEST_CASE("pieces that name another request are not taken") {
+  serving_fixture Test;
+  Test.addAll();
+  for (int I = 1; I < 12; ++I)
+    Test.Core.onHost({entry_host_id("h" + std::to_string(I)), zone_id("z0"),
+                      endpoint("h:1"), 1'000'000},
+                     Test.Now);
+  Test.ask("staged", {1, 0});
+  std::optional<pieces_wanted> Wanted;
+  entry_host_id Owner;
+  for (const std::pair<entry_host_id, peer_body> &Message : Test.Actions.Sent)
+    if (const pieces_wanted *Body =
+            std::get_if<pieces_wanted>(&Message.second)) {
+      Wanted = *Body;
+      Owner = Message.first;
+    }
+  REQUIRE(Wanted);
+  pieces_made Made{Wanted->Job.Job,
+                   caller_request_id("another"),
+                   {{0, result_handle("10.0.0.1:80/x"), zone_id("z0")}}};
+  Test.Core.onPeer({Owner, incarnation(1)}, Made, Test.Now);
+  CHECK(Test.Actions.Forwards.empty());
+  Made.Request = Wanted->Job.Request;
+  Test.Core.onPeer({Owner, incarnation(1)}, Made, Test.Now);
+  CHECK(Test.Actions.Forwards.size() == 1);
+}
+
 TEST_CASE("a leaving host gives its queue back and is still answered") {
   serving_fixture Test;
   Test.addAll();
--- a/packages/testing/processes/include/jasminecroft/processes/local_fleet.h
+++ b/packages/testing/processes/include/jasminecroft/processes/local_fleet.h
@@ -14,6 +14,9 @@
 namespace jasminecroft::processes {
 
 /// Waits until Condition holds; false after a generous bound.
+/// Ports of 127.0.0.1 that are free at the moment.
+std::vector<std::uint16_t> freePorts(std::size_t Count);
+
 bool waitUntil(const std::function<bool()> &Condition);
 
 struct fleet_options {
--- a/packages/testing/processes/src/local_fleet.cc
+++ b/packages/testing/processes/src/local_fleet.cc
@@ -21,28 +21,6 @@
 constexpr std::chrono::milliseconds WaitInterval{20};
 constexpr std::uint32_t SlotsPerBackend = 4;
 
-// Ports stay bound until all are chosen, so that none is chosen twice.
-std::vector<std::uint16_t> freePorts(std::size_t Count) {
-  std::vector<int> Sockets;
-  std::vector<std::uint16_t> Ports;
-  for (std::size_t I = 0; I < Count; ++I) {
-    int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    sockaddr *Generic = reinterpret_cast<sockaddr *>(&Address);
-    socklen_t Size = sizeof Address;
-    if (bind(Socket, Generic, Size) != 0 ||
-        getsockname(Socket, Generic, &Size) != 0)
-      throw std::runtime_error("no free port");
-    Sockets.push_back(Socket);
-    Ports.push_back(ntohs(Address.sin_port));
-  }
-  for (int Socket : Sockets)
-    close(Socket);
-  return Ports;
-}
-
 std::string addressOf(std::uint16_t Port) {
   return "127.0.0.1:" + std::to_string(Port);
 }
@@ -87,6 +65,28 @@
 
 } // namespace
 
+// Ports stay bound until all are chosen, so that none is chosen twice.
+std::vector<std::uint16_t> freePorts(std::size_t Count) {
+  std::vector<int> Sockets;
+  std::vector<std::uint16_t> Ports;
+  for (std::size_t I = 0; I < Count; ++I) {
+    int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sockaddr *Generic = reinterpret_cast<sockaddr *>(&Address);
+    socklen_t Size = sizeof Address;
+    if (bind(Socket, Generic, Size) != 0 ||
+        getsockname(Socket, Generic, &Size) != 0)
+      throw std::runtime_error("no free port");
+    Sockets.push_back(Socket);
+    Ports.push_back(ntohs(Address.sin_port));
+  }
+  for (int Socket : Sockets)
+    close(Socket);
+  return Ports;
+}
+
 bool waitUntil(const std::function<bool()> &Condition) {
   std::chrono::steady_clock::time_point End =
       std::chrono::steady_clock::now() + WaitBound;
--- /dev/null
+++ b/packages/testing/processes/test/serving-path-test.cc
@@ -0,0 +1,396 @@
+// The whole serving path with real entry hosts, against stand-ins of the
+// users' store and backend servers.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "jasminecroft/processes/child_process.h"
+#include "jasminecroft/processes/http_call.h"
+#include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/standins/serving_platform.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+using namespace jasminecroft::processes;
+using namespace jasminecroft::standins;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::seconds Bound{20};
+
+constexpr const char *ConfigText = R"({"version":1,
+ "routes":[
+  {"name":"read","hostname":"localhost","path_prefix":"/read/",
+   "type":"idempotent","timeout_ms":3000,"goal_ms":500,"priority":1,
+   "service":"plain","attempts":2,"public":false},
+  {"name":"once","hostname":"localhost","path_prefix":"/once/",
+   "type":"non_idempotent","timeout_ms":3000,"goal_ms":500,"priority":1,
+   "service":"plain","attempts":1,"public":false},
+  {"name":"draft","hostname":"localhost","path_prefix":"/draft/",
+   "type":"stream","timeout_ms":8000,"goal_ms":5000,"priority":0,
+   "service":"engine","attempts":2,"public":false,"resumable":true,
+   "stages":[{"service":"stage","after":[],"bytes":8000},
+             {"service":"stage","after":[0],"bytes":6000}]}],
+ "services":[{"name":"plain","max_conns":48},
+  {"name":"engine","max_conns":64,"engine":{"slots":64,"kv_cap_tokens":1000}},
+  {"name":"stage","max_conns":64,"pieces":{"slots":1,"queue":2,"batch":8,
+   "call_ms":20,"item_ms":1,"room_mb":1.0,"handle_s":4.0}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"w1","api_keys":["key-1"]},
+            {"name":"w2","api_keys":["key-2"]}]})";
+
+/// Stand-ins on one thread, and entry hosts as processes.
+class users_fleet {
+public:
+  explicit users_fleet(std::size_t Hosts) {
+    Thread = std::thread([this] { Context.run(); });
+    on([this] {
+      Store = std::make_unique<users_store>(Context, "127.0.0.1:0");
+      Store->put("config", "main", json::parse(ConfigText));
+    });
+    add("plain", {"plain-0"});
+    add("plain", {"plain-1"});
+    add("engine", {"engine-0"});
+    add("stage", {"stage-0"});
+    Folder = std::filesystem::temp_directory_path() /
+             ("jasminecroft-serving-" + std::to_string(::getpid()) + "-" +
+              std::to_string(++Fleets));
+    std::filesystem::create_directories(Folder);
+    std::vector<std::uint16_t> Ports = freePorts(3 * Hosts);
+    for (std::size_t I = 0; I < Hosts; ++I)
+      startHost(I, Ports[3 * I], Ports[3 * I + 1], Ports[3 * I + 2]);
+  }
+
+  ~users_fleet() {
+    Processes.clear();
+    // The stand-ins live on their thread and end there.
+    on([this] {
+      Backends.clear();
+      Store.reset();
+    });
+    Guard.reset();
+    Context.stop();
+    Thread.join();
+    std::filesystem::remove_all(Folder);
+  }
+
+  /// Runs Action on the stand-ins' thread and waits for it.
+  template <typename Action> void on(const Action &Run) {
+    std::promise<void> Done;
+    boost::asio::post(Context, [&] {
+      Run();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
+  users_backend &add(const std::string &Pool, users_backend_options Options) {
+    users_backend *Added = nullptr;
+    on([&] {
+      std::string Id = Options.Id;
+      Backends[Id] =
+          std::make_unique<users_backend>(Context, "127.0.0.1:0", Options);
+      Added = Backends[Id].get();
+      list(Pool, Id, "ready");
+    });
+    return *Added;
+  }
+
+  /// Writes a server's entry; only on the stand-ins' thread.
+  void list(const std::string &Pool, const std::string &Id,
+            const std::string &State) {
+    Store->put(
+        "servers", Id,
+        json::object{
+            {"service", Pool},
+            {"address", "127.0.0.1:" + std::to_string(Backends[Id]->port())},
+            {"az", "z"},
+            {"version", "v1"},
+            {"slots", 6},
+            {"state", State},
+            {"born", 1},
+            {"seq", 1}});
+  }
+
+  bool waitReady() const {
+    return waitUntil([this] {
+      for (std::uint16_t Port : ReadyPorts)
+        if (exchange({Port, "GET", "/readyz", "", ""}).Status != 200)
+          return false;
+      return true;
+    });
+  }
+
+  http_call call(const std::string &Path, const std::string &Id,
+                 const std::string &Key = "key-1", std::size_t Host = 0) const {
+    return {CallerPorts[Host], "POST", "/" + Path + "/x",
+            "X-Request-Id: " + Id +
+                "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer " + Key +
+                "\r\nX-Hold: forged\r\n",
+            "body"};
+  }
+
+  http_call draft(const std::string &Id, std::size_t Host = 0) const {
+    http_call Call = call("draft", Id, "key-1", Host);
+    // Each request is of a session of its own.
+    std::string Session = std::to_string(std::hash<std::string>()(Id) % 9'973);
+    Call.Headers +=
+        "X-Model: m\r\nX-Token-Count: 10,5\r\nX-Prefix-Hash: " + Session +
+        ":5,b2:5\r\nX-Pieces: 1,2\r\nX-Piece-Key: k\r\n";
+    return Call;
+  }
+
+  std::size_t ranTimes(const std::string &Id) {
+    std::size_t Count = 0;
+    on([&] {
+      for (const std::pair<const std::string, std::unique_ptr<users_backend>>
+               &Backend : Backends)
+        Count += static_cast<std::size_t>(std::count(
+            Backend.second->ran().begin(), Backend.second->ran().end(), Id));
+    });
+    return Count;
+  }
+
+  boost::asio::io_context Context;
+  std::unique_ptr<users_store> Store;
+  std::map<std::string, std::unique_ptr<users_backend>> Backends;
+  std::vector<std::unique_ptr<child_process>> Processes;
+  std::vector<std::uint16_t> CallerPorts;
+  std::vector<std::uint16_t> ReadyPorts;
+
+private:
+  void startHost(std::size_t I, std::uint16_t Callers, std::uint16_t Ready,
+                 std::uint16_t Peers) {
+    CallerPorts.push_back(Callers);
+    ReadyPorts.push_back(Ready);
+    std::string Name = "host-" + std::to_string(I);
+    std::string File = (Folder / (Name + ".json")).string();
+    std::ofstream(File) << "{\"fleet\":\"f\",\"host\":\"" << Name
+                        << "\",\"zone\":\"z\",\"region\":\"r\","
+                        << "\"callers\":\"127.0.0.1:" << Callers
+                        << "\",\"readiness\":\"127.0.0.1:" << Ready
+                        << "\",\"peers\":\"127.0.0.1:" << Peers
+                        << "\",\"store\":\"127.0.0.1:" << Store->port()
+                        << "\",\"seeds\":[],\"retry_ratio\":0.2,"
+                        << "\"retry_slack\":50,\"grace_s\":8}";
+    Processes.push_back(std::make_unique<child_process>(
+        JASMINECROFT_BINARY_DIR "/packages/entry/jasminecroftd",
+        std::vector<std::string>{"--serve", File},
+        (Folder / (Name + ".log")).string()));
+  }
+
+  static inline int Fleets = 0;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Guard{Context.get_executor()};
+  std::thread Thread;
+  std::filesystem::path Folder;
+};
+
+} // namespace
+
+TEST_CASE("plain requests reach a server with their workspace and once only") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  http_reply Read = exchange(Fleet.call("read", "r1"), Bound);
+  CHECK(Read.Status == 200);
+  CHECK(Read.Body.find("\"id\":\"r1\"") != std::string::npos);
+  CHECK(Read.Head.find("X-Replica-Stamp: plain-") != std::string::npos);
+  http_reply Once = exchange(Fleet.call("once", "o1", "key-2"), Bound);
+  CHECK(Once.Status == 200);
+  CHECK(Fleet.ranTimes("o1") == 1);
+  Fleet.on([&Fleet] {
+    std::set<std::string> Workspaces;
+    bool Forbidden = false;
+    for (const char *Id : {"plain-0", "plain-1"}) {
+      Workspaces.insert(Fleet.Backends[Id]->workspaces().begin(),
+                        Fleet.Backends[Id]->workspaces().end());
+      Forbidden = Forbidden || Fleet.Backends[Id]->sawForbiddenHeader();
+    }
+    CHECK(Workspaces == std::set<std::string>{"w1", "w2"});
+    CHECK_FALSE(Forbidden);
+  });
+  CHECK(exchange(Fleet.call("read", "x", "wrong"), Bound).Status == 401);
+  CHECK(exchange(Fleet.call("nowhere", "x"), Bound).Status == 404);
+  CHECK(Fleet.ranTimes("x") == 0);
+}
+
+TEST_CASE("a stream gets its staged inputs, whichever host owns the queue") {
+  users_fleet Fleet(3);
+  REQUIRE(Fleet.waitReady());
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    std::string Id = "s" + std::to_string(Host);
+    http_reply Reply = exchange(Fleet.draft(Id, Host), Bound);
+    CHECK(Reply.Status == 200);
+    CHECK(Reply.Body.find("id: 3\n") != std::string::npos);
+    CHECK(Reply.Body.find("stage-0/" + Id + ".1.0,stage-0/" + Id + ".1.1") !=
+          std::string::npos);
+  }
+  Fleet.on([&Fleet] { CHECK(Fleet.Backends["stage-0"]->made().size() == 9); });
+}
+
+TEST_CASE("hosts share calls for pieces") {
+  users_fleet Fleet(3);
+  REQUIRE(Fleet.waitReady());
+  std::vector<std::thread> Callers;
+  std::atomic<int> Good = 0;
+  for (int I = 0; I < 24; ++I)
+    Callers.emplace_back([&Fleet, &Good, I] {
+      http_reply Reply = exchange(
+          Fleet.draft("p" + std::to_string(I), static_cast<std::size_t>(I % 3)),
+          Bound);
+      Good += Reply.Status == 200 ? 1 : 0;
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Good == 24);
+  Fleet.on([&Fleet] {
+    // 72 pieces; one call for each stage of each request would be 48 calls.
+    CHECK(Fleet.Backends["stage-0"]->made().size() == 72);
+    CHECK(Fleet.Backends["stage-0"]->pieceCalls() < 36);
+  });
+}
+
+TEST_CASE("a cut stream is resumed at another server, without a hole") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  users_backend_options Cutting{"engine-1"};
+  Cutting.CutAfter = 2;
+  Fleet.add("engine", Cutting);
+  // Until the request meets the server that cuts.
+  bool Met = false;
+  for (int I = 0; I < 40 && !Met; ++I) {
+    std::string Id = "c" + std::to_string(I);
+    http_reply Reply = exchange(Fleet.draft(Id), Bound);
+    CHECK(Reply.Status == 200);
+    std::size_t First = Reply.Body.find("id: 1\n");
+    std::size_t Second = Reply.Body.find("id: 2\n");
+    std::size_t Third = Reply.Body.find("id: 3\n");
+    CHECK(First < Second);
+    CHECK(Second < Third);
+    CHECK(Reply.Body.find("id: 2\n", Second + 1) == std::string::npos);
+    Met = Fleet.ranTimes(Id) == 2;
+  }
+  CHECK(Met);
+}
+
+TEST_CASE("a key that is taken away and a route that moves are in force") {
+  users_fleet Fleet(2);
+  REQUIRE(Fleet.waitReady());
+  Fleet.add("other", {"other-0"});
+  CHECK(exchange(Fleet.call("read", "k1", "key-2", 1), Bound).Status == 200);
+  Fleet.on([&Fleet] {
+    json::value Config = json::parse(ConfigText);
+    Config.as_object()["version"] = 4;
+    Config.at("tenants").as_array()[1].as_object()["api_keys"] = json::array{};
+    Config.at("routes").as_array()[0].as_object()["service"] = "other";
+    Config.at("services")
+        .as_array()
+        .push_back(json::object{{"name", "other"}, {"max_conns", 8}});
+    Fleet.Store->put("config", "main", Config);
+  });
+  CHECK(waitUntil([&Fleet] {
+    return exchange(Fleet.call("read", "k2", "key-2", 1), Bound).Status == 401;
+  }));
+  CHECK(waitUntil([&Fleet] {
+    return exchange(Fleet.call("read", "k3", "key-1", 1), Bound)
+               .Body.find("other-0") != std::string::npos;
+  }));
+}
+
+TEST_CASE("a leaving server gets no new request, and its late entry none") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  Fleet.on([&Fleet] { Fleet.list("plain", "plain-0", "draining"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+  Fleet.on([&Fleet] { Fleet.list("plain", "plain-0", "ready"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  for (int I = 0; I < 20; ++I) {
+    std::string Id = "l" + std::to_string(I);
+    CHECK(exchange(Fleet.call("read", Id), Bound).Body.find("plain-1") !=
+          std::string::npos);
+  }
+  Fleet.on([&Fleet] {
+    for (const std::string &Id : Fleet.Backends["plain-0"]->ran())
+      CHECK_FALSE(Id.starts_with("l"));
+  });
+}
+
+TEST_CASE(
+    "a full pool is refused at once, as not run, with when to come back") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  Fleet.on([&Fleet] {
+    Fleet.Store->remove("servers", "plain-0");
+    Fleet.Store->remove("servers", "plain-1");
+  });
+  users_backend_options Full{"full-0"};
+  Full.Full = true;
+  Fleet.add("plain", Full);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'600));
+  http_reply Reply = exchange(Fleet.call("once", "f1"), Bound);
+  CHECK(Reply.Status == 503);
+  CHECK(Reply.Head.find("Retry-After: ") != std::string::npos);
+  CHECK(Fleet.ranTimes("f1") == 0);
+}
+
+TEST_CASE("bad requests are refused with a status and cost nobody else") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  auto Raw = [&Fleet](const std::string &Text) {
+    http_connection Connection(Fleet.CallerPorts[0]);
+    REQUIRE(Connection.send(Text));
+    return Connection.readReply(Bound).Status;
+  };
+  const std::string Line = "POST /once/x HTTP/1.1\r\nHost: localhost\r\n";
+  CHECK(Raw("nonsense\r\n\r\n") == 400);
+  CHECK(Raw(Line + "X-Request-Id: b\r\nContent-Length: 5\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == 400);
+  CHECK(Raw(Line + "X-Request-Id: b\r\nX-Request-Id: c\r\n"
+                   "Content-Length: 0\r\n\r\n") == 400);
+  CHECK(Raw(Line + "X-Request-Id: b\r\nContent-Length: 200000\r\n\r\n") == 413);
+  CHECK(Raw(Line + "X-Big: " + std::string(20'000, 'x') + "\r\n\r\n") == 431);
+  CHECK(exchange(Fleet.call("once", "ok"), Bound).Status == 200);
+  CHECK(Fleet.ranTimes("b") == 0);
+}
+
+TEST_CASE("a host that stops finishes its requests and leaves the list") {
+  users_fleet Fleet(2);
+  REQUIRE(Fleet.waitReady());
+  users_backend_options Slow{"slow-0"};
+  Slow.Work = std::chrono::milliseconds(1'500);
+  Fleet.on([&Fleet] {
+    Fleet.Store->remove("servers", "plain-0");
+    Fleet.Store->remove("servers", "plain-1");
+  });
+  Fleet.add("plain", Slow);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'600));
+  http_connection Open(Fleet.CallerPorts[0]);
+  REQUIRE(Open.send(requestText(Fleet.call("once", "t1"))));
+  REQUIRE(waitUntil([&Fleet] { return Fleet.ranTimes("t1") == 1; }));
+  Fleet.Processes[0]->signal(SIGTERM);
+  REQUIRE(waitUntil([&Fleet] {
+    return exchange({Fleet.ReadyPorts[0], "GET", "/readyz", "", ""}).Status ==
+           503;
+  }));
+  // The balancer may still send requests; they are served, then closed.
+  http_reply During = exchange(Fleet.call("once", "t2"), Bound);
+  CHECK(During.Status == 200);
+  CHECK(During.Head.find("Connection: close") != std::string::npos);
+  CHECK(Open.readReply(Bound).Status == 200);
+  CHECK(Fleet.Processes[0]->waitExit(std::chrono::seconds(9)) == 0);
+  Fleet.on([&Fleet] {
+    CHECK_FALSE(Fleet.Store->has("entry-hosts", "host-0"));
+    CHECK(Fleet.Store->has("entry-hosts", "host-1"));
+  });
+  CHECK(Fleet.ranTimes("t1") == 1);
+}
--- a/packages/testing/standins/include/jasminecroft/standins/http_server.h
+++ b/packages/testing/standins/include/jasminecroft/standins/http_server.h
@@ -27,8 +27,10 @@
   /// Sends a whole answer; Headers are lines "Name: value\r\n".
   virtual void respond(int Status, std::string Body,
                        std::string Headers = {}) = 0;
-  /// Begins an answer of server-sent events.
-  virtual void beginEvents() = 0;
+  /// Begins an answer of server-sent events; Headers as for respond.
+  virtual void beginEvents(std::string Headers = {}) = 0;
+  /// Sends text of the stream as it is.
+  virtual void sendText(std::string_view Text) = 0;
   virtual void sendEvent(std::string_view Event, std::string_view Data) = 0;
   virtual void endEvents() = 0;
   /// Closes the connection without (the rest of) an answer.
--- /dev/null
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -0,0 +1,116 @@
+// Stand-in of the users' platform, in a small form: its store with objects,
+// lists and watches, and backend servers that run requests, pieces of stages
+// and streams. All of it runs on one io_context thread.
+#pragma once
+
+#include "jasminecroft/standins/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jasminecroft::standins {
+
+using exchange_ptr = std::shared_ptr<http_exchange>;
+
+/// Objects by kind and name under one counter of revisions.
+class users_store {
+public:
+  users_store(boost::asio::io_context &Context, std::string_view Address);
+
+  std::uint16_t port() const { return Server->port(); }
+  /// Writes an object as the operator or a backend server does.
+  void put(const std::string &Kind, const std::string &Name,
+           boost::json::value Spec);
+  void remove(const std::string &Kind, const std::string &Name);
+  bool has(const std::string &Kind, const std::string &Name) const;
+  std::size_t calls() const { return Calls; }
+
+private:
+  struct change {
+    std::uint64_t Revision = 0;
+    std::string Kind;
+    boost::json::value Event;
+  };
+  struct waiting_watch {
+    std::string Kind;
+    std::uint64_t Since = 0;
+    exchange_ptr Exchange;
+    std::shared_ptr<boost::asio::steady_timer> Timer;
+  };
+
+  void onRequest(const exchange_ptr &Exchange);
+  void list(const exchange_ptr &Exchange, const std::string &Kind);
+  void watch(const exchange_ptr &Exchange, const std::string &Kind,
+             std::uint64_t Since, std::int64_t WaitMs);
+  bool answerWatch(const waiting_watch &Watch, bool Ended);
+  void record(const std::string &Kind, boost::json::value Object, bool Gone);
+  boost::json::value object(const std::string &Kind,
+                            const std::string &Name) const;
+
+  boost::asio::io_context &Context;
+  std::map<std::string, std::map<std::string, boost::json::value>> Kinds;
+  std::vector<change> Changes;
+  std::list<waiting_watch> Watches;
+  std::uint64_t Revision = 1;
+  std::size_t Calls = 0;
+  std::unique_ptr<http_server> Server;
+};
+
+/// What a backend server of the users does with requests.
+struct users_backend_options {
+  std::string Id;
+  /// Time of a plain request, or of a call for pieces.
+  std::chrono::milliseconds Work{5};
+  /// Events of a stream.
+  unsigned Events = 3;
+  /// A stream is cut after this event; 0: never.
+  unsigned CutAfter = 0;
+  /// Refuses every request as not run.
+  bool Full = false;
+};
+
+/// A backend server: plain requests, pieces of stages, and streams, which need
+/// the inputs of their request.
+class users_backend {
+public:
+  users_backend(boost::asio::io_context &Context, std::string_view Address,
+                users_backend_options Options);
+
+  std::uint16_t port() const { return Server->port(); }
+  /// Ids of the requests that it ran, in order.
+  const std::vector<std::string> &ran() const { return Ran; }
+  /// Pieces made, as "request.stage.piece".
+  const std::vector<std::string> &made() const { return Made; }
+  /// Workspace names that came with requests.
+  const std::set<std::string> &workspaces() const { return Workspaces; }
+  std::size_t pieceCalls() const { return PieceCalls; }
+  bool sawForbiddenHeader() const { return Forbidden; }
+
+private:
+  void onRequest(const exchange_ptr &Exchange);
+  void makePieces(const exchange_ptr &Exchange);
+  void runRequest(const exchange_ptr &Exchange);
+  void stream(const exchange_ptr &Exchange, const std::string &Headers);
+  void later(std::function<void()> Action);
+
+  boost::asio::io_context &Context;
+  users_backend_options Options;
+  std::vector<std::string> Ran;
+  std::vector<std::string> Made;
+  std::set<std::string> Workspaces;
+  std::size_t PieceCalls = 0;
+  bool Forbidden = false;
+  std::unique_ptr<http_server> Server;
+};
+
+} // namespace jasminecroft::standins
--- a/packages/testing/standins/src/http_server.cc
+++ b/packages/testing/standins/src/http_server.cc
@@ -77,19 +77,23 @@
     Text += Body;
     Link->send(std::move(Text), true);
   }
-  void beginEvents() override {
+  void beginEvents(std::string Headers) override {
     Link->send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-               "Transfer-Encoding: chunked\r\n\r\n",
+               "Transfer-Encoding: chunked\r\n" +
+                   Headers + "\r\n",
                false);
   }
+  void sendText(std::string_view Text) override {
+    char Size[20];
+    std::snprintf(Size, sizeof Size, "%zx\r\n", Text.size());
+    Link->send(Size + std::string(Text) + "\r\n", false);
+  }
   void sendEvent(std::string_view Event, std::string_view Data) override {
     std::string Text;
     if (!Event.empty())
       Text += "event: " + std::string(Event) + "\n";
     Text += "data: " + std::string(Data) + "\n\n";
-    char Size[20];
-    std::snprintf(Size, sizeof Size, "%zx\r\n", Text.size());
-    Link->send(Size + Text + "\r\n", false);
+    sendText(Text);
   }
   void endEvents() override { Link->send("0\r\n\r\n", true); }
   void breakConnection() override { Link->close(); }
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -124,10 +124,12 @@
 }
 
 cbor_value writeBody(const pieces_made &Body) {
-  return writeRecord(Body.Job.Value, writeList(Body.Pieces, writeMade));
+  return writeRecord(Body.Job.Value, Body.Request.Value,
+                     writeList(Body.Pieces, writeMade));
 }
 void readBody(field_reader &Reader, pieces_made &Body) {
   Reader.version("job", Body.Job);
+  Reader.id("request", Body.Request);
   Reader.list("pieces", Body.Pieces, MaxPiecesPerJob, readMade);
 }
 
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -251,7 +251,8 @@
         {anyDuration(), anyDuration(), any32(), anyDuration()}};
   case 16:
     return pieces_made{
-        anyNumber<piece_job_id>(), some<made_piece>(4, [] {
+        anyNumber<piece_job_id>(), anyId<caller_request_id>(),
+        some<made_piece>(4, [] {
           return made_piece{any32(), anyId<result_handle>(), anyId<zone_id>()};
         })};
   case 17:
