--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -22,7 +22,7 @@
 
 namespace detail {
 class serving_impl;
-}
+} // namespace detail
 
 using call_id = strong_number<struct call_tag>;
 
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -17,8 +17,8 @@
 /// Time below which another try makes no sense.
 constexpr core_duration LeastTimeLeft = milliseconds(30);
 constexpr double HeadGain = 0.1;
+/// When to come back to servers that are full: about the time of a few calls.
 constexpr core_duration FullRetry = milliseconds(250);
-constexpr core_duration NoBackendRetry = milliseconds(700);
 constexpr unsigned FirstFailureStatus = 500;
 
 } // namespace
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -13,9 +13,6 @@
 /// When to come back to a host that has just started: a few times the time in
 /// which a host reads its configuration.
 constexpr core_duration NotReadyRetry = milliseconds(400);
-/// When to come back if a pool has no usable server: about the time in which
-/// servers that were lost are listed again.
-constexpr core_duration NoBackendRetry = milliseconds(700);
 constexpr core_duration MinRetry = milliseconds(100);
 constexpr core_duration MaxRetry = std::chrono::seconds(3);
 constexpr core_duration DirectoryCleanup = std::chrono::seconds(10);
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -17,6 +17,8 @@
 /// A job at another host is asked about at this interval: its owner may have
 /// died since it accepted it.
 constexpr core_duration JobCheckInterval = milliseconds(700);
+/// When to come back after pieces were not made: a call of the pool later.
+constexpr core_duration NotMadeRetry = milliseconds(500);
 constexpr std::uint32_t MaxRestages = 2;
 /// Pools with more servers than this have a queue for each zone.
 constexpr std::size_t MaxServersPerQueue = 8;
@@ -143,7 +145,7 @@
 void serving_impl::askStage(request_state &State, std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
   if (Servers.usable(Plan.Pool, Now).empty()) {
-    giveUp(State, refusal_kind::NoBackend, milliseconds(700));
+    giveUp(State, refusal_kind::NoBackend, NoBackendRetry);
     return;
   }
   piece_job_id Id(++LastJob);
@@ -358,7 +360,7 @@
     return;
   refusal_kind Kind = Failure == piece_failure::Late ? refusal_kind::Overloaded
                                                      : refusal_kind::NoBackend;
-  giveUp(*State, Kind, milliseconds(500));
+  giveUp(*State, Kind, NotMadeRetry);
 }
 
 // Begins the stages again because results were lost. False: there is no point.
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -12,6 +12,10 @@
 
 namespace jasminecroft::detail {
 
+/// When to come back if a pool has no usable server: about the time in which
+/// servers that were lost are listed again.
+inline constexpr core_duration NoBackendRetry = std::chrono::milliseconds(700);
+
 /// A configuration with its lookup; requests keep the one they began with.
 struct config_view {
   explicit config_view(std::shared_ptr<const route_config> Config)
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -256,11 +256,11 @@
   bool Close = willClose();
   std::string Text = platform::encodeRefusal(Refusal, CallerId, Close);
   finishAnswer(Close);
-  send(std::move(Text));
+  send(Text);
 }
 
 void caller_session::relayWhole(const backend_reply_head &Head,
-                                std::string Body) {
+                                const std::string &Body) {
   if (Phase != phase::InProgress)
     return;
   bool Close = willClose();
@@ -268,7 +268,7 @@
   if (!HeadOnly)
     Text += Body;
   finishAnswer(Close);
-  send(std::move(Text));
+  send(Text);
 }
 
 void caller_session::relayHead(const backend_reply_head &Head) {
@@ -308,7 +308,7 @@
   setDeadline(WriteTime);
 }
 
-void caller_session::send(std::string Text) {
+void caller_session::send(std::string_view Text) {
   Unsent += Text;
   if (Writing.empty())
     writeNext();
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace jasminecroft::detail {
 
@@ -42,7 +43,7 @@
   void start();
 
   void refuse(const refusal &Refusal);
-  void relayWhole(const backend_reply_head &Head, std::string Body);
+  void relayWhole(const backend_reply_head &Head, const std::string &Body);
   void relayHead(const backend_reply_head &Head);
   void relayEvents(std::string_view Text);
   void relayEnd();
@@ -84,7 +85,7 @@
   void refuseEarly(unsigned Status, std::string_view Why);
   void watchCaller();
   void onCallerReadable(const error &Error);
-  void send(std::string Text);
+  void send(std::string_view Text);
   void writeNext();
   void onWritten(const error &Error);
   void finishAnswer(bool Close);
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -290,7 +290,7 @@
     std::shared_ptr<caller_session> Session = Front.session(Request);
     Front.forget(Request);
     if (Session)
-      Session->relayWhole(Head, std::move(Body));
+      Session->relayWhole(Head, Body);
   }
   void relayHead(request_id Request, const backend_reply_head &Head) override {
     if (std::shared_ptr<caller_session> Session = Front.session(Request))
