--- a/packages/entry/test/serving-parts-test.cc
+++ b/packages/entry/test/serving-parts-test.cc
@@ -22,7 +22,7 @@
   "grace_s": 8, "added_later": {"x": 1}
 })";
 
-settings_error errorOf(std::string Text) {
+settings_error errorOf(const std::string &Text) {
   serving_settings_result Result = parseServingSettings(Text);
   REQUIRE(std::holds_alternative<settings_error>(Result));
   return std::get<settings_error>(Result);
--- a/packages/testing/processes/test/serving-path-test.cc
+++ b/packages/testing/processes/test/serving-path-test.cc
@@ -232,8 +232,11 @@
     http_reply Reply = exchange(Fleet.draft(Id, Host), Bound);
     CHECK(Reply.Status == 200);
     CHECK(Reply.Body.find("id: 3\n") != std::string::npos);
-    CHECK(Reply.Body.find("stage-0/" + Id + ".1.0,stage-0/" + Id + ".1.1") !=
-          std::string::npos);
+    std::string Inputs = "stage-0/" + Id;
+    Inputs += ".1.0,stage-0/";
+    Inputs += Id;
+    Inputs += ".1.1";
+    CHECK(Reply.Body.find(Inputs) != std::string::npos);
   }
   Fleet.on([&Fleet] { CHECK(Fleet.Backends["stage-0"]->made().size() == 9); });
 }
@@ -242,6 +245,7 @@
   users_fleet Fleet(3);
   REQUIRE(Fleet.waitReady());
   std::vector<std::thread> Callers;
+  Callers.reserve(24);
   std::atomic<int> Good = 0;
   for (int I = 0; I < 24; ++I)
     Callers.emplace_back([&Fleet, &Good, I] {
