Free the results of jobs that end without them

Cause: a job that failed or was cancelled forgot the pieces that were made for it, and results of an owner that was killed or had left were never freed. Ruled out: too little room planned for each call (the pools were below half of their room as their owners saw it). Change: jobs free what was made for them; results are freed where they lie, also by a host that did not have them made; a host whose owner is gone frees them itself. A map that was written and never read is gone.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -90,8 +90,9 @@
   /// Queues a job and returns how long its pieces are expected to wait.
   queue_wait submit(const entry_host_id &Host, const piece_job &Job,
                     core_time Now);
-  /// Forgets a job; results of pieces that are being made are freed.
-  void cancel(const entry_host_id &Host, piece_job_id Job);
+  /// Forgets a job; its results are freed, also those that are being made.
+  void cancel(const entry_host_id &Host, piece_job_id Job, core_time Now);
+  /// Frees results, also those that another owner had made.
   void release(const std::vector<result_handle> &Results, core_time Now);
   /// Takes how many pieces Host is about to ask for; replaces what it said.
   void onPlanned(const entry_host_id &Host, const pool_id &Pool,
@@ -99,7 +100,8 @@
   /// Gives back jobs of queues that IsOwn denies, unless a piece of them is
   /// being made.
   void
-  handOver(const std::function<bool(const pool_id &, const zone_id &)> &IsOwn);
+  handOver(const std::function<bool(const pool_id &, const zone_id &)> &IsOwn,
+           core_time Now);
 
   void onBatchAnswered(batch_id Batch,
                        const std::vector<batch_item_result> &Results,
@@ -219,8 +221,8 @@
   void repeatPieces(batch_state &Batch, bool AtFault, bool Charged,
                     core_time Now);
   void requeue(const batch_piece &Piece);
-  void failJob(const job_key &Key, piece_failure Failure);
-  void dropJob(const job_key &Key);
+  void failJob(const job_key &Key, piece_failure Failure, core_time Now);
+  void dropJob(const job_key &Key, core_time Now);
   void freeAt(const backend_id &Server, const result_handle &Result,
               core_time Now);
   void flushFrees(const backend_id &Id, maker_state &Maker);
--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -46,6 +46,8 @@
   std::uint32_t liveCount() const;
   const batching_host &self() const { return Self; }
   bool suspected(const entry_host_id &Host) const;
+  /// Whether the host is known, not suspected and not leaving.
+  bool live(const entry_host_id &Host) const;
 
 private:
   struct host_state {
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -73,7 +73,7 @@
       Known->second.Job.Stage == Job.Stage)
     return Wait;
   // The same number for other work comes from a later run of the host.
-  dropJob(Key);
+  dropJob(Key, Now);
   job_state State;
   State.Host = Host;
   State.Arrived = Now;
@@ -89,12 +89,14 @@
   return Wait;
 }
 
-void batch_owner::cancel(const entry_host_id &Host, piece_job_id Job) {
-  dropJob({Host, Job});
+void batch_owner::cancel(const entry_host_id &Host, piece_job_id Job,
+                         core_time Now) {
+  dropJob({Host, Job}, Now);
 }
 
 void batch_owner::handOver(
-    const std::function<bool(const pool_id &, const zone_id &)> &IsOwn) {
+    const std::function<bool(const pool_id &, const zone_id &)> &IsOwn,
+    core_time Now) {
   std::vector<job_key> Given;
   for (const std::pair<const queue_key, queue_state> &Queue : Queues)
     if (!Queue.second.Jobs.empty() &&
@@ -103,19 +105,22 @@
         if (Jobs.at(Key).Waiting.size() == Jobs.at(Key).Job.Pieces.size())
           Given.push_back(Key);
   for (const job_key &Key : Given)
-    failJob(Key, piece_failure::OwnerChanged);
+    failJob(Key, piece_failure::OwnerChanged, Now);
 }
 
-void batch_owner::dropJob(const job_key &Key) {
+void batch_owner::dropJob(const job_key &Key, core_time Now) {
   auto Found = Jobs.find(Key);
   if (Found == Jobs.end())
     return;
+  for (const made_piece &Made : Found->second.Made)
+    release({Made.Result}, Now);
   std::erase(queue(queueOf(Found->second.Job)), Key);
   Jobs.erase(Found);
 }
 
-void batch_owner::failJob(const job_key &Key, piece_failure Failure) {
-  dropJob(Key);
+void batch_owner::failJob(const job_key &Key, piece_failure Failure,
+                          core_time Now) {
+  dropJob(Key, Now);
   Actions.onJobFailed(Key.first, Key.second, Failure);
 }
 
@@ -176,7 +181,7 @@
       Hopeless.push_back(Id);
   }
   for (const job_key &Id : Hopeless)
-    failJob(Id, piece_failure::Late);
+    failJob(Id, piece_failure::Late, Now);
 }
 
 std::vector<planned_server> batch_owner::planServers(const queue_key &Key,
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -32,6 +32,11 @@
 /// this part of a server's room.
 constexpr double TightRoomPart = 0.4;
 
+// Handles begin with the address of the server that keeps the result.
+endpoint addressOf(const result_handle &Result) {
+  return endpoint(Result.Value.substr(0, Result.Value.find('/')));
+}
+
 } // namespace
 
 void batch_owner::onBatchAnswered(batch_id Id,
@@ -61,7 +66,7 @@
       continue;
     std::vector<made_piece> Made = std::move(Job->second.Made);
     const piece_job Ended = Job->second.Job;
-    dropJob(Piece.Job);
+    dropJob(Piece.Job, Now);
     Actions.onPiecesMade(Piece.Job.first, Ended, std::move(Made));
   }
 }
@@ -102,10 +107,10 @@
     return;
   switch (Result.Problem) {
   case batch_item_problem::Late:
-    failJob(Piece.Job, piece_failure::Late);
+    failJob(Piece.Job, piece_failure::Late, Now);
     return;
   case batch_item_problem::InputGone:
-    failJob(Piece.Job, piece_failure::InputGone);
+    failJob(Piece.Job, piece_failure::InputGone, Now);
     return;
   case batch_item_problem::NoRoom:
     Makers[Batch.Server.Id].BlockedUntil = Now + FullPause;
@@ -117,7 +122,7 @@
   if (Budget.take(Batch.Queue.Pool, 1, Now))
     requeue(Piece);
   else
-    failJob(Piece.Job, piece_failure::NotMade);
+    failJob(Piece.Job, piece_failure::NotMade, Now);
 }
 
 void batch_owner::requeue(const batch_piece &Piece) {
@@ -169,7 +174,7 @@
     bool GivenUp = Job->second.Avoid.size() >= MaxFailedServers ||
                    (Charged && !Budget.take(Batch.Queue.Pool, 1, Now));
     if (GivenUp)
-      failJob(Piece.Job, piece_failure::NotMade);
+      failJob(Piece.Job, piece_failure::NotMade, Now);
     else
       requeue(Piece);
   }
@@ -263,6 +268,9 @@
     auto Found = Kept.find(Result);
     if (Found != Kept.end())
       freeAt(Found->second.Server, Result, Now);
+    else if (const backend_state *Maker =
+                 Servers.findByAddress(addressOf(Result)))
+      freeAt(Maker->Entry.Id, Result, Now);
   }
 }
 
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -155,4 +155,12 @@
   return Found != Hosts.end() && Found->second.SuspectedSince.has_value();
 }
 
+bool fleet_hosts::live(const entry_host_id &Host) const {
+  if (Host == Self.Host)
+    return true;
+  auto Found = Hosts.find(Host);
+  return Found != Hosts.end() && !Found->second.SuspectedSince &&
+         !Found->second.Leaving;
+}
+
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -313,7 +313,6 @@
     return;
   if (Found->second.Kind == call_kind::Pieces) {
     batch_id Batch = Found->second.Batch;
-    BatchCalls.erase(Batch);
     Calls.erase(Found);
     batch_failure Why =
         Failure == call_failure::NotConnected ? batch_failure::NotConnected
@@ -363,7 +362,6 @@
                             core_duration Timeout) {
   call_id Id(++LastCall);
   Calls[Id] = {call_kind::Pieces, request_id(), Batch, Server, Now};
-  BatchCalls[Batch] = Id;
   Actions.runPieces(Id, Server, std::move(Items), Timeout);
 }
 
@@ -403,7 +401,6 @@
   batch_id Batch = Found->second.Batch;
   if (Load)
     Servers.onLoad(Found->second.Server.Id, *Load, Now);
-  BatchCalls.erase(Batch);
   Calls.erase(Found);
   Owner.onBatchAnswered(Batch, Results, Now);
 }
@@ -413,7 +410,6 @@
   if (Found == Calls.end() || Found->second.Kind != call_kind::Pieces)
     return;
   batch_id Batch = Found->second.Batch;
-  BatchCalls.erase(Batch);
   Calls.erase(Found);
   Owner.onBatchFailed(
       Batch, WrongServer ? batch_failure::Gone : batch_failure::Refused, Now);
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -147,7 +147,7 @@
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_cancelled &Body) {
-  Owner.cancel(Sender.Host, Body.Job);
+  Owner.cancel(Sender.Host, Body.Job, Now);
 }
 
 void serving_impl::on(const host_run &, const results_released &Body) {
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -137,9 +137,11 @@
 // Lets the hosts that own queues now have the jobs that wait here.
 void serving_impl::handOverQueues() {
   if (!Settings.BatchAlone)
-    Owner.handOver([this](const pool_id &Pool, const zone_id &Zone) {
-      return ownerOf(Pool, Zone) == Settings.Self.Host;
-    });
+    Owner.handOver(
+        [this](const pool_id &Pool, const zone_id &Zone) {
+          return ownerOf(Pool, Zone) == Settings.Self.Host;
+        },
+        Now);
 }
 
 void serving_impl::askStage(request_state &State, std::size_t Stage) {
@@ -387,10 +389,10 @@
   std::vector<result_handle> Results;
   for (const made_piece &Piece : Stage.Results)
     Results.push_back(Piece.Result);
-  if (Stage.Owner == Settings.Self.Host)
-    Owner.release(Results, Now);
-  else if (Hosts.find(Stage.Owner) && !Hosts.suspected(Stage.Owner))
+  if (Stage.Owner != Settings.Self.Host && Hosts.live(Stage.Owner))
     sendToHost(Stage.Owner, results_released{std::move(Results)});
+  else
+    Owner.release(Results, Now);
 }
 
 // Releases the results that every stage after them has fetched.
@@ -428,7 +430,7 @@
     entry_host_id Host = Found->second.Owner;
     JobsAsked.erase(Found);
     if (Host == Settings.Self.Host)
-      Owner.cancel(Host, Stage.Job);
+      Owner.cancel(Host, Stage.Job, Now);
     else
       sendToHost(Host, pieces_cancelled{Stage.Job});
   }
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -257,7 +257,6 @@
   request_map Requests;
   std::map<piece_job_id, job_state> JobsAsked;
   std::map<call_id, call_state> Calls;
-  std::map<batch_id, call_id> BatchCalls;
   std::multimap<core_time, timer> Timers;
   std::uint64_t LastCall = 0;
   std::uint64_t LastJob = 0;
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -395,6 +395,31 @@
   CHECK(Test.Actions.Forwards.size() == 1);
 }
 
+TEST_CASE("results of an owner that left are freed by the host that asked") {
+  serving_fixture Test;
+  Test.addAll();
+  entry_host_id Owner("h1");
+  Test.Core.onHost({Owner, zone_id("z0"), endpoint("h1:1"), 1'000'000'000},
+                   Test.Now);
+  request_id Request = Test.ask("staged", {1, 1});
+  const pieces_wanted *Wanted = nullptr;
+  for (const std::pair<entry_host_id, peer_body> &Message : Test.Actions.Sent)
+    if (const pieces_wanted *Body = std::get_if<pieces_wanted>(&Message.second))
+      Wanted = Body;
+  REQUIRE(Wanted);
+  result_handle Result("10.0.0.0:80/made");
+  Test.Core.onPeer({Owner, incarnation(1)},
+                   pieces_made{Wanted->Job.Job,
+                               Wanted->Job.Request,
+                               {made_piece{0, Result, zone_id("z0")}}},
+                   Test.Now);
+  Test.Core.onHostRemoved(Owner, Test.Now);
+  Test.Core.onCallerLeft(Request, Test.Now);
+  Test.pass(milliseconds(500));
+  REQUIRE(Test.Actions.Freed.size() == 1);
+  CHECK(Test.Actions.Freed[0] == Result);
+}
+
 TEST_CASE("a leaving host gives its queue back and is still answered") {
   serving_fixture Test;
   Test.addAll();
