Keep a call's inputs until it is known to have begun

Cause: 60 ms after a call was sent its inputs were released, also if the call waited at a server that another host still used, as after a change of owner. Ruled out: waiting longer than 60 ms for all calls (results would take up room for the time of a call in every stage). Change: inputs are released early only at servers whose last call was answered in the expected time not long ago. Conclusion: kept, because a lost input costs a request all its stages; it is not the main cause of lost inputs.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -178,6 +178,7 @@
     core_duration Expected{0};
     bool Overdue = false;
     core_time InputsFetchedAt;
+    /// The hosts were told, or will only hear that the pieces are made.
     bool FetchReported = false;
     core_time overdueAt() const;
   };
@@ -195,6 +196,9 @@
     std::uint64_t RoomBytes = 0;
     /// No batch before this time.
     core_time BlockedUntil;
+    /// When a call was last answered as soon as expected: no other host's call
+    /// was ahead of it.
+    core_time PromptAt;
     std::vector<result_handle> ToFree;
     core_time FreeBy;
   };
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -18,6 +18,9 @@
 constexpr double PlannedRoomPart = 0.88;
 /// A call that goes to an idle server has fetched its inputs by then.
 constexpr core_duration FetchTime = milliseconds(60);
+/// A server that answered promptly this long ago is taken to work for no other
+/// host: about the time of two calls.
+constexpr core_duration PromptLifetime = std::chrono::seconds(1);
 constexpr core_duration ExpiryInterval = milliseconds(500);
 /// While pieces wait, what may have become possible is looked at this often:
 /// room, servers that were avoided, deadlines.
@@ -272,6 +275,7 @@
   Known.RoomUsed += Batch.Bytes;
   core_duration Timeout = Batch.Expected * TimeoutFactor + TimeoutPause;
   Batch.InputsFetchedAt = Now + FetchTime;
+  Batch.FetchReported = Now - Known.PromptAt > PromptLifetime;
   Batches.emplace(Id, std::move(Batch));
   Actions.runBatch(Id, Server, std::move(Items), Timeout);
 }
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -23,6 +23,9 @@
 /// Time in which what is known of a server's slowness fades by two thirds.
 constexpr double SlownessFadeSeconds = 3;
 constexpr double SlownessGain = 0.5;
+/// A call that takes longer than this many times its expected time waited for
+/// another host's call or met a slow server.
+constexpr double PromptFactor = 1.3;
 constexpr double MinSlowness = 0.5;
 constexpr double MaxSlowness = 8;
 /// Results to be freed are collected this long into one call.
@@ -55,6 +58,8 @@
   if (Maker.Running == Id)
     Maker.Running.reset();
   Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
+  bool Prompt = Now - Batch.Started <= scaled(Batch.Expected, PromptFactor);
+  Maker.PromptAt = Prompt ? Now : core_time{};
   observe(Batch, Now);
   report(Batch, std::nullopt, Now);
   Servers.onCallSucceeded(Batch.Server.Id, 0);
--- a/packages/core/test/batch-owner-test.cc
+++ b/packages/core/test/batch-owner-test.cc
@@ -53,3 +53,33 @@
   Test.pass(milliseconds(500));
   CHECK(freed(Test, "s1", "10.0.0.1:80/elsewhere"));
 }
+
+TEST_CASE("inputs are kept while another host's call may be ahead") {
+  batch_owner_fixture Test;
+  // The first call here may wait at the server: another host may use it.
+  Test.submit(Test.laterJob(1, 2));
+  Test.pass(milliseconds(200));
+  CHECK(Test.Actions.Fetched.empty());
+  SUBCASE("a prompt answer shows that none is") {
+    Test.pass(milliseconds(80));
+    Test.answerAll(Test.onlyCall());
+    Test.submit(Test.laterJob(2, 2));
+    Test.pass(milliseconds(200));
+    CHECK(Test.Actions.Fetched == std::vector<piece_job_id>{piece_job_id(2)});
+  }
+  SUBCASE("a slow one does not") {
+    Test.pass(milliseconds(500));
+    Test.answerAll(Test.onlyCall());
+    Test.submit(Test.laterJob(2, 2));
+    Test.pass(milliseconds(200));
+    CHECK(Test.Actions.Fetched.empty());
+  }
+  SUBCASE("nor does one of long ago") {
+    Test.pass(milliseconds(80));
+    Test.answerAll(Test.onlyCall());
+    Test.pass(seconds(3));
+    Test.submit(Test.laterJob(2, 2));
+    Test.pass(milliseconds(200));
+    CHECK(Test.Actions.Fetched.empty());
+  }
+}
