Let one owner at a time speak for a job

Cause: a requester that suspected an owner, or saw another one come up, asked that one for the same pieces while the first still had them. Change: only the owner that was asked last is believed; a job is asked about at the owner that has it while that lives; an owner that is given up for silent is told to stop, as is the later one if the first delivers.

--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -126,24 +126,25 @@
   sendToHost(Sender.Host, pieces_accepted{Body.Job.Job, Wait});
 }
 
-void serving_impl::on(const host_run &, const pieces_accepted &Body) {
-  onJobAccepted(Body.Job, Body.Wait);
+void serving_impl::on(const host_run &Sender, const pieces_accepted &Body) {
+  if (askedOf(Sender.Host, Body.Job))
+    onJobAccepted(Body.Job, Body.Wait);
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_made &Body) {
   takePieces(Body.Job, Body.Request, Sender.Host, Body.Pieces);
 }
 
-void serving_impl::on(const host_run &, const inputs_fetched &Body) {
-  takeInputsFetched(Body.Job);
+void serving_impl::on(const host_run &Sender, const inputs_fetched &Body) {
+  takeInputsFetched(Body.Job, Sender.Host);
 }
 
 void serving_impl::on(const host_run &Sender, const work_planned &Body) {
   Owner.onPlanned(Sender.Host, Body.Pool, Body.QueueZone, Body.Pieces, Now);
 }
 
-void serving_impl::on(const host_run &, const pieces_failed &Body) {
-  takeJobFailure(Body.Job, Body.Failure);
+void serving_impl::on(const host_run &Sender, const pieces_failed &Body) {
+  takeJobFailure(Body.Job, Sender.Host, Body.Failure);
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_cancelled &Body) {
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -161,7 +161,19 @@
   sendJob(Id, State);
 }
 
+// Asks the present owner of the queue, whoever was asked before.
 void serving_impl::sendJob(piece_job_id Id, request_state &State) {
+  job_state &Asked = JobsAsked[Id];
+  const pool_id &Pool = State.Route->Stages[Asked.Stage].Pool;
+  Asked.QueueZone = queueZone(Pool, State);
+  Asked.Owner =
+      Settings.BatchAlone ? Settings.Self.Host : ownerOf(Pool, Asked.QueueZone);
+  askOwner(Id, State);
+}
+
+// Asks the owner that the job has; one that knows the job already only says
+// how long it will take.
+void serving_impl::askOwner(piece_job_id Id, request_state &State) {
   job_state &Asked = JobsAsked[Id];
   const route_stage &Plan = State.Route->Stages[Asked.Stage];
   piece_job Job;
@@ -185,9 +197,7 @@
                       State.Stages[Before].Results.size();
   if (isLastStage(State, Asked.Stage))
     Job.NearZone = State.PlannedZone;
-  Job.QueueZone = queueZone(Plan.Pool, State);
-  Asked.Owner = Settings.BatchAlone ? Settings.Self.Host
-                                    : ownerOf(Plan.Pool, Job.QueueZone);
+  Job.QueueZone = Asked.QueueZone;
   Asked.Accepted = false;
   Asked.AskedAt = Now;
   if (Asked.Owner != Settings.Self.Host) {
@@ -231,7 +241,7 @@
   if (Hosts.heardSince(Silent, Found->second.AskedAt)) {
     // The owner lives; the message or its answer was lost or is late.
     if (request_state *State = find(Found->second.Request))
-      sendJob(Id, *State);
+      askOwner(Id, *State);
     return;
   }
   if (Hosts.suspect(Silent, Now)) {
@@ -245,6 +255,7 @@
 }
 
 // Asks the owners that follow in rank for all that a lost owner has not made.
+// If that one lives after all, it need not make it.
 void serving_impl::askElsewhere(const entry_host_id &Lost) {
   std::vector<piece_job_id> Open;
   for (const std::pair<const piece_job_id, job_state> &Job : JobsAsked)
@@ -254,18 +265,25 @@
     auto Found = JobsAsked.find(Id);
     if (Found == JobsAsked.end())
       continue;
+    cancelAt(Lost, Id);
     if (request_state *State = find(Found->second.Request))
       sendJob(Id, *State);
   }
 }
 
-// Asks the owner again; one that still has the job only says how long it will
-// take, and one that was restarted takes it anew.
+// Asks the same owner again while it lives, also if another one owns the queue
+// by now: it may have begun. One that was restarted takes the job anew.
 void serving_impl::onJobCheck(piece_job_id Id) {
   auto Found = JobsAsked.find(Id);
   if (Found == JobsAsked.end())
     return;
-  if (request_state *State = find(Found->second.Request))
+  request_state *State = find(Found->second.Request);
+  if (!State)
+    return;
+  const entry_host_id &Owner = Found->second.Owner;
+  if (Hosts.find(Owner) && !Hosts.suspected(Owner))
+    askOwner(Id, *State);
+  else
     sendJob(Id, *State);
 }
 
@@ -280,7 +298,7 @@
 void serving_impl::onJobFailed(const entry_host_id &Host, piece_job_id Job,
                                piece_failure Failure) {
   if (Host == Settings.Self.Host)
-    takeJobFailure(Job, Failure);
+    takeJobFailure(Job, Host, Failure);
   else
     sendToHost(Host, pieces_failed{Job, Failure});
 }
@@ -288,15 +306,24 @@
 void serving_impl::onInputsFetched(const entry_host_id &Host,
                                    piece_job_id Job) {
   if (Host == Settings.Self.Host)
-    takeInputsFetched(Job);
+    takeInputsFetched(Job, Host);
   else
     sendToHost(Host, inputs_fetched{Job});
 }
 
-void serving_impl::takeInputsFetched(piece_job_id Id) {
+// Whether Host is the owner that was asked last. What an earlier owner says of
+// a job counts no more: the job is another's now.
+bool serving_impl::askedOf(const entry_host_id &Host, piece_job_id Job) const {
+  auto Found = JobsAsked.find(Job);
+  return Found != JobsAsked.end() && Found->second.Owner == Host;
+}
+
+void serving_impl::takeInputsFetched(piece_job_id Id,
+                                     const entry_host_id &From) {
+  if (!askedOf(From, Id))
+    return;
   auto Found = JobsAsked.find(Id);
-  request_state *State =
-      Found == JobsAsked.end() ? nullptr : find(Found->second.Request);
+  request_state *State = find(Found->second.Request);
   if (!State)
     return;
   stage_state &Stage = State->Stages[Found->second.Stage];
@@ -329,6 +356,8 @@
               return A.Piece < B.Piece;
             });
   stage_state &Stage = State->Stages[Found->second.Stage];
+  if (Found->second.Owner != From)
+    cancelAt(Found->second.Owner, Id);
   JobsAsked.erase(Found);
   Stage.Phase = stage_phase::Done;
   Stage.Results = std::move(Pieces);
@@ -337,10 +366,11 @@
   startReadyStages(*State);
 }
 
-void serving_impl::takeJobFailure(piece_job_id Id, piece_failure Failure) {
-  auto Found = JobsAsked.find(Id);
-  if (Found == JobsAsked.end())
+void serving_impl::takeJobFailure(piece_job_id Id, const entry_host_id &From,
+                                  piece_failure Failure) {
+  if (!askedOf(From, Id))
     return;
+  auto Found = JobsAsked.find(Id);
   request_state *State = find(Found->second.Request);
   std::uint32_t Stage = Found->second.Stage;
   if (State && Failure == piece_failure::OwnerChanged) {
@@ -429,11 +459,15 @@
       continue;
     entry_host_id Host = Found->second.Owner;
     JobsAsked.erase(Found);
-    if (Host == Settings.Self.Host)
-      Owner.cancel(Host, Stage.Job, Now);
-    else
-      sendToHost(Host, pieces_cancelled{Stage.Job});
+    cancelAt(Host, Stage.Job);
   }
 }
 
+void serving_impl::cancelAt(const entry_host_id &Host, piece_job_id Job) {
+  if (Host == Settings.Self.Host)
+    Owner.cancel(Host, Job, Now);
+  else
+    sendToHost(Host, pieces_cancelled{Job});
+}
+
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -73,7 +73,9 @@
 struct job_state {
   request_id Request;
   std::uint32_t Stage = 0;
+  /// The host that was asked last.
   entry_host_id Owner;
+  zone_id QueueZone;
   bool Accepted = false;
   core_time AskedAt;
 };
@@ -190,6 +192,7 @@
   bool stagesDone(const request_state &State) const;
   void askStage(request_state &State, std::size_t Stage);
   void sendJob(piece_job_id Id, request_state &State);
+  void askOwner(piece_job_id Id, request_state &State);
   zone_id queueZone(const pool_id &Pool, const request_state &State);
   std::vector<result_handle> inputsOf(const request_state &State,
                                       std::size_t Stage) const;
@@ -212,12 +215,15 @@
   void askElsewhere(const entry_host_id &Lost);
   void takePieces(piece_job_id Job, const caller_request_id &Request,
                   const entry_host_id &From, std::vector<made_piece> Pieces);
-  void takeInputsFetched(piece_job_id Job);
-  void takeJobFailure(piece_job_id Job, piece_failure Failure);
+  bool askedOf(const entry_host_id &Host, piece_job_id Job) const;
+  void takeInputsFetched(piece_job_id Job, const entry_host_id &From);
+  void takeJobFailure(piece_job_id Job, const entry_host_id &From,
+                      piece_failure Failure);
   void releaseStage(stage_state &Stage);
   void releaseUsed(request_state &State);
   void releaseAll(request_state &State);
   void cancelJobs(request_state &State);
+  void cancelAt(const entry_host_id &Host, piece_job_id Job);
   bool restage(request_state &State);
 
   // Calls.
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -395,6 +395,70 @@
   CHECK(Test.Actions.Forwards.size() == 1);
 }
 
+TEST_CASE("only the owner that was asked last speaks for a job") {
+  serving_fixture Test;
+  Test.addAll();
+  for (int I = 1; I < 12; ++I)
+    Test.Core.onHost({entry_host_id("h" + std::to_string(I)), zone_id("z0"),
+                      endpoint("h:1"), 1'000'000},
+                     Test.Now);
+  request_id Request = Test.ask("staged", {1, 1});
+  REQUIRE(Test.asked().size() == 1);
+  // The first stage is made; the owner of the second falls silent.
+  Test.makeFirstStage("10.0.0.0:80/first");
+  REQUIRE(Test.asked().size() == 2);
+  const std::pair<entry_host_id, piece_job> Silent = Test.asked()[1];
+  Test.pass(milliseconds(400));
+  REQUIRE(Test.asked().size() >= 3);
+  REQUIRE(Test.asked().back().first != Silent.first);
+  CHECK(Test.sentTo<pieces_cancelled>(Silent.first) == 1);
+  SUBCASE("inputs that an earlier owner fetched are kept") {
+    Test.Core.onPeer({Silent.first, incarnation(1)},
+                     inputs_fetched{Silent.second.Job}, Test.Now);
+    CHECK(Test.released() == 0);
+    Test.Core.onPeer({Test.asked().back().first, incarnation(1)},
+                     inputs_fetched{Silent.second.Job}, Test.Now);
+    CHECK(Test.released() == 1);
+  }
+  SUBCASE("an earlier owner's failure ends nothing") {
+    Test.Core.onPeer({Silent.first, incarnation(1)},
+                     pieces_failed{Silent.second.Job, piece_failure::NotMade},
+                     Test.Now);
+    CHECK(Test.Actions.Refusals[Request].empty());
+  }
+  SUBCASE("an earlier owner's pieces are taken, and the later one stops") {
+    entry_host_id Later = Test.asked().back().first;
+    Test.Core.onPeer(
+        {Silent.first, incarnation(1)},
+        pieces_made{Silent.second.Job,
+                    Silent.second.Request,
+                    {made_piece{0, result_handle("10.0.0.0:80/second"),
+                                zone_id("z0")}}},
+        Test.Now);
+    CHECK(Test.Actions.Forwards.size() == 1);
+    CHECK(Test.sentTo<pieces_cancelled>(Later) == 1);
+  }
+}
+
+TEST_CASE("a job stays with the owner that has it while that lives") {
+  serving_fixture Test;
+  Test.addAll();
+  entry_host_id First("h1");
+  Test.Core.onHost({First, zone_id("z0"), endpoint("h1:1"), 1'000'000},
+                   Test.Now);
+  Test.ask("staged", {1, 1});
+  REQUIRE(Test.asked().size() == 1);
+  REQUIRE(Test.asked()[0].first == First);
+  Test.Core.onPeer({First, incarnation(1)},
+                   pieces_accepted{Test.asked()[0].second.Job, {}}, Test.Now);
+  Test.Core.onHost(
+      {entry_host_id("h2"), zone_id("z0"), endpoint("h2:1"), 4'000'000'000},
+      Test.Now);
+  Test.pass(milliseconds(750));
+  REQUIRE(Test.asked().size() == 2);
+  CHECK(Test.asked()[1].first == First);
+}
+
 TEST_CASE("results of an owner that left are freed by the host that asked") {
   serving_fixture Test;
   Test.addAll();
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -233,6 +233,47 @@
     }
   }
 
+  /// The jobs that peers were asked for, in order.
+  std::vector<std::pair<entry_host_id, piece_job>> asked() const {
+    std::vector<std::pair<entry_host_id, piece_job>> Result;
+    for (const std::pair<entry_host_id, peer_body> &Message : Actions.Sent)
+      if (const pieces_wanted *Body =
+              std::get_if<pieces_wanted>(&Message.second))
+        Result.emplace_back(Message.first, Body->Job);
+    return Result;
+  }
+
+  /// Messages of a kind that a peer was sent.
+  template <typename Body> std::size_t sentTo(const entry_host_id &Host) const {
+    std::size_t Count = 0;
+    for (const std::pair<entry_host_id, peer_body> &Message : Actions.Sent)
+      if (Message.first == Host && std::holds_alternative<Body>(Message.second))
+        ++Count;
+    return Count;
+  }
+
+  /// Results that were freed here or given back to the hosts that had them
+  /// made.
+  std::size_t released() const {
+    std::size_t Count = Actions.Freed.size();
+    for (const std::pair<entry_host_id, peer_body> &Message : Actions.Sent)
+      if (const results_released *Body =
+              std::get_if<results_released>(&Message.second))
+        Count += Body->Results.size();
+    return Count;
+  }
+
+  /// The owner that was asked first answers with one piece.
+  void makeFirstStage(const std::string &Handle) {
+    const std::pair<entry_host_id, piece_job> First = asked().front();
+    Core.onPeer(
+        {First.first, incarnation(1)},
+        pieces_made{First.second.Job,
+                    First.second.Request,
+                    {made_piece{0, result_handle(Handle), zone_id("z0")}}},
+        Now);
+  }
+
   const forward_call &lastForward() const {
     return Actions.Forwards.at(Actions.LastForward);
   }
