--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -258,7 +258,7 @@
 struct work_planned {
   pool_id Pool;
   zone_id QueueZone;
-  std::uint32_t Pieces = 0;
+  by_urgency<std::uint32_t> Pieces{};
   bool operator==(const work_planned &) const = default;
 };
 /// All pieces of the job are being made; their inputs may be released.
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -6,6 +6,7 @@
 #include "jasminecroft/core/serving/backend_directory.h"
 #include "jasminecroft/core/serving/batch_plan.h"
 #include "jasminecroft/core/serving/pieces.h"
+#include "jasminecroft/core/serving/queue_order.h"
 #include "jasminecroft/core/serving/retry_budget.h"
 
 #include <compare>
@@ -66,6 +67,8 @@
                         core_duration Timeout) = 0;
   virtual void freeResults(const backend_entry &Server,
                            std::vector<result_handle> Results) = 0;
+  /// Asks a server for its load; see onServerLoad.
+  virtual void readServer(const backend_entry &Server) = 0;
   virtual void onPiecesMade(const entry_host_id &Host, const piece_job &Job,
                             std::vector<made_piece> Pieces) = 0;
   virtual void onJobFailed(const entry_host_id &Host, piece_job_id Job,
@@ -96,7 +99,8 @@
   void release(const std::vector<result_handle> &Results, core_time Now);
   /// Takes how many pieces Host is about to ask for; replaces what it said.
   void onPlanned(const entry_host_id &Host, const pool_id &Pool,
-                 const zone_id &Zone, std::uint32_t Pieces, core_time Now);
+                 const zone_id &Zone, const by_urgency<std::uint32_t> &Pieces,
+                 core_time Now);
   /// Gives back jobs of queues that IsOwn denies, unless a piece of them is
   /// being made.
   void
@@ -107,10 +111,13 @@
                        const std::vector<batch_item_result> &Results,
                        core_time Now);
   void onBatchFailed(batch_id Batch, batch_failure Failure, core_time Now);
+  /// Absent: the server did not say.
+  void onServerLoad(const backend_id &Server,
+                    const std::optional<pieces_load> &Load, core_time Now);
 
   /// Starts what can start; called after each change and at nextWakeup.
   void pump(core_time Now);
-  std::optional<core_time> nextWakeup(core_time Now) const;
+  std::optional<core_time> nextWakeup() const;
 
   /// How long a job that comes now is expected to wait.
   queue_wait expectedWait(const pool_id &Pool, const zone_id &Zone,
@@ -150,7 +157,7 @@
     /// room allows; 0: none yet.
     double FullCall = 0;
     struct planned {
-      std::uint32_t Pieces = 0;
+      by_urgency<std::uint32_t> Pieces{};
       core_time At;
     };
     std::map<entry_host_id, planned> Planned;
@@ -201,6 +208,13 @@
     core_time PromptAt;
     std::vector<result_handle> ToFree;
     core_time FreeBy;
+    /// Until then it is known what room there is. Afterwards, and if a piece
+    /// found none, the server is asked: another host may have used it.
+    core_time KnownUntil;
+    std::optional<core_time> AskedAt;
+    /// Room that results of other hosts' calls took up when the server said so.
+    std::uint64_t OthersBytes = 0;
+    core_time OthersAt;
   };
 
   struct kept_result {
@@ -212,9 +226,15 @@
   static queue_key queueOf(const piece_job &Job);
   std::vector<job_key> &queue(const queue_key &Key) { return Queues[Key].Jobs; }
   void pumpQueue(const queue_key &Key, core_time Now);
-  void dropHopeless(const queue_key &Key, core_time Now);
-  void sortQueue(std::vector<job_key> &Queue, core_time Now) const;
+  queue_speed speedOf(const queue_key &Key,
+                      const std::vector<planned_server> &Servers);
+  std::vector<waiting_job> waitingJobs(const queue_key &Key, core_time Now);
+  void dropHopeless(const queue_key &Key,
+                    const std::vector<waiting_job> &Waiting,
+                    const queue_order &Order, bool Long, core_time Now);
   std::vector<planned_server> planServers(const queue_key &Key, core_time Now);
+  void askServers(const queue_key &Key, core_time Now);
+  std::uint64_t othersBytes(const maker_state &Maker, core_time Now) const;
   void startBatch(const queue_key &Key, const backend_entry &Server,
                   double Slowness, std::vector<batch_piece> Pieces,
                   core_time Now);
@@ -247,6 +267,10 @@
   std::map<batch_id, batch_state> Batches;
   std::map<backend_id, maker_state> Makers;
   std::map<result_handle, kept_result> Kept;
+  /// Something happened that may let calls begin or end jobs.
+  bool Changed = false;
+  /// Waiting jobs are looked at by then in any case: time passes for them.
+  core_time LookAt;
   core_time NextExpiry;
   std::uint64_t LastBatch = 0;
   std::uint64_t Pieces = 0;
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -4,6 +4,8 @@
 
 #include "jasminecroft/core/types.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,6 +37,7 @@
   /// negative if it will be late.
   core_duration StartBy{0};
   std::uint32_t Priority = 0;
+  workspace_id Workspace;
   /// Approximate size of one result.
   std::uint64_t ResultBytes = 0;
   /// Where the results are wanted; empty: anywhere.
@@ -48,16 +51,26 @@
   bool operator==(const piece_job &) const = default;
 };
 
+/// Ranks of urgency that waits are told apart by.
+inline constexpr std::size_t UrgencyRanks = 3;
+template <typename Value> using by_urgency = std::array<Value, UrgencyRanks>;
+
+/// The least urgent rank takes all priorities from there on.
+constexpr std::size_t urgencyRank(std::uint32_t Priority) {
+  return Priority < UrgencyRanks ? Priority : UrgencyRanks - 1;
+}
+
 /// How long a job is expected to wait in a queue.
 struct queue_wait {
-  /// If it can be on time: behind all others that can.
-  core_duration OnTime{0};
+  /// If it can be on time: behind all others that can and are as urgent.
+  by_urgency<core_duration> OnTime{};
   /// If it will be late: behind all others.
   core_duration Late{0};
   /// Pieces that the queue's servers make in a second when they are busy.
   std::uint32_t PiecesPerSecond = 0;
-  /// Time that the servers need for pieces that hosts are about to ask for.
-  core_duration Planned{0};
+  /// Time that the servers need for pieces of this urgency or more that hosts
+  /// are about to ask for.
+  by_urgency<core_duration> Planned{};
 
   bool operator==(const queue_wait &) const = default;
 };
@@ -92,6 +105,16 @@
   core_duration Left{0};
 };
 
+/// What a backend server says of its work on pieces.
+struct pieces_load {
+  /// A call is being worked on.
+  bool Busy = false;
+  /// Calls that wait behind it.
+  std::uint32_t Waiting = 0;
+  /// Room for results that is not taken.
+  std::uint64_t FreeBytes = 0;
+};
+
 enum class batch_item_problem { Late, InputGone, NoRoom, Error };
 
 /// What a backend server says of one piece: a result or a problem.
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -154,6 +154,8 @@
                          core_duration Timeout) = 0;
   virtual void freeResults(const backend_entry &Server,
                            std::vector<result_handle> Results) = 0;
+  /// Asks a server for its load on pieces; answered by onServerLoad.
+  virtual void readServer(const backend_entry &Server) = 0;
   /// Closes the call's connection; nothing more is heard of the call.
   virtual void cancelCall(call_id Call) = 0;
 
@@ -221,6 +223,9 @@
                         const std::optional<backend_load> &Load, core_time Now);
   void onPiecesRefused(call_id Call, bool WrongServer, core_time Now);
 
+  void onServerLoad(const backend_id &Server,
+                    const std::optional<pieces_load> &Load, core_time Now);
+
   /// Takes a configuration if it is newer than the one in force. Text is its
   /// original form, kept for peers.
   bool onConfig(std::shared_ptr<const route_config> Config, std::string Text,
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -21,6 +21,10 @@
 /// A server that answered promptly this long ago is taken to work for no other
 /// host: about the time of two calls.
 constexpr core_duration PromptLifetime = std::chrono::seconds(1);
+/// A server that has not said its load by then is used without knowing it.
+constexpr core_duration LoadAnswerTime = milliseconds(100);
+/// Results that were made for other hosts are used up in about this time.
+constexpr core_duration OthersFade = milliseconds(1'500);
 constexpr core_duration ExpiryInterval = milliseconds(500);
 /// While pieces wait, what may have become possible is looked at this often:
 /// room, servers that were avoided, deadlines.
@@ -29,6 +33,9 @@
 /// time that results are kept.
 constexpr core_duration InputPatience = milliseconds(1'200);
 constexpr double FullCallGain = 0.2;
+/// Keeps rates finite for pools whose rules give calls no time.
+constexpr double LeastCallSeconds = 1e-3;
+constexpr double MicrosPerSecond = 1e6;
 /// What a host said of its plans holds this long: about the time that the
 /// earlier stages of its requests take.
 constexpr core_duration PlannedLifetime = milliseconds(1'500);
@@ -87,6 +94,7 @@
   State.Missing = Job.Pieces.size();
   Jobs.emplace(Key, std::move(State));
   queue(queueOf(Job)).push_back(Key);
+  Changed = true;
   for (std::size_t Piece = 0; Piece < Job.Pieces.size(); ++Piece)
     Budget.onRequest(Job.Pool, Now);
   return Wait;
@@ -119,6 +127,7 @@
     release({Made.Result}, Now);
   std::erase(queue(queueOf(Found->second.Job)), Key);
   Jobs.erase(Found);
+  Changed = true;
 }
 
 void batch_owner::failJob(const job_key &Key, piece_failure Failure,
@@ -134,57 +143,73 @@
   }
   checkOverdue(Now);
   reportFetched(Now);
-  for (const std::pair<const queue_key, queue_state> &Queue : Queues)
-    if (!Queue.second.Jobs.empty())
-      pumpQueue(Queue.first, Now);
+  for (std::pair<const backend_id, maker_state> &Maker : Makers)
+    if (Maker.second.AskedAt && Now >= *Maker.second.AskedAt + LoadAnswerTime)
+      onServerLoad(Maker.first, std::nullopt, Now);
+  if (Changed || Now >= LookAt) {
+    Changed = false;
+    LookAt = Now + WaitingInterval;
+    for (const std::pair<const queue_key, queue_state> &Queue : Queues)
+      if (!Queue.second.Jobs.empty())
+        pumpQueue(Queue.first, Now);
+  }
   for (std::pair<const backend_id, maker_state> &Maker : Makers)
     if (!Maker.second.ToFree.empty() && Now >= Maker.second.FreeBy)
       flushFrees(Maker.first, Maker.second);
 }
 
-// First come jobs whose inputs have waited long, because these take up room
-// and expire. Then jobs that can still be on time, the most pressing one before
-// the others; late ones follow in the order of their deadlines.
-void batch_owner::sortQueue(std::vector<job_key> &Queue, core_time Now) const {
-  auto Rank = [Now](const job_state &Job) {
-    if (!Job.Job.Inputs.empty() && Now - Job.Arrived > InputPatience)
-      return 0;
-    return Job.StartBy < Now ? 2 : 1;
-  };
-  std::sort(
-      Queue.begin(), Queue.end(), [&](const job_key &A, const job_key &B) {
-        const job_state &Left = Jobs.at(A);
-        const job_state &Right = Jobs.at(B);
-        int LeftRank = Rank(Left);
-        int RightRank = Rank(Right);
-        if (LeftRank != RightRank)
-          return LeftRank < RightRank;
-        core_time LeftTime = LeftRank == 2 ? Left.Deadline : Left.StartBy;
-        core_time RightTime = RightRank == 2 ? Right.Deadline : Right.StartBy;
-        if (LeftTime != RightTime)
-          return LeftTime < RightTime;
-        return A < B;
-      });
+queue_speed batch_owner::speedOf(const queue_key &Key,
+                                 const std::vector<planned_server> &Servers) {
+  const batch_rules &Rules = Pools[Key.Pool];
+  queue_speed Speed;
+  for (const planned_server &Server : Servers)
+    Speed.FreeIn.push_back(Server.FreeIn);
+  std::sort(Speed.FreeIn.begin(), Speed.FreeIn.end());
+  double Full = Queues[Key].FullCall;
+  Speed.PiecesPerCall =
+      Full > 0 ? static_cast<std::size_t>(std::lround(Full)) : Rules.MaxPieces;
+  Speed.PiecesPerCall = std::max<std::size_t>(Speed.PiecesPerCall, 1);
+  Speed.CallTime = expectedCallTime(Rules, Speed.PiecesPerCall);
+  return Speed;
+}
+
+// The jobs of a queue as the order sees them.
+std::vector<waiting_job> batch_owner::waitingJobs(const queue_key &Key,
+                                                  core_time Now) {
+  std::vector<waiting_job> Result;
+  for (const job_key &Id : queue(Key)) {
+    const job_state &Job = Jobs.at(Id);
+    waiting_job Waiting;
+    Waiting.StartIn = Job.StartBy - Now;
+    Waiting.DeadlineIn = Job.Deadline - Now;
+    Waiting.Pieces = Job.Waiting.size();
+    Waiting.Priority = Job.Job.Priority;
+    Waiting.Begun =
+        !Job.Job.Inputs.empty() || Job.Missing < Job.Job.Pieces.size();
+    Waiting.Pressing =
+        !Job.Job.Inputs.empty() && Now - Job.Arrived > InputPatience;
+    Waiting.Workspace = Job.Job.Workspace;
+    Result.push_back(std::move(Waiting));
+  }
+  return Result;
 }
 
 // Tells the hosts of jobs that cannot be made before their deadline. Jobs for
-// which nothing was made yet are also turned away once they are late and the
+// which nothing was made yet are also turned away if they will be late and the
 // queue is long: their callers do better to come back than to wait behind
 // those that can be on time.
-void batch_owner::dropHopeless(const queue_key &Key, core_time Now) {
+void batch_owner::dropHopeless(const queue_key &Key,
+                               const std::vector<waiting_job> &Waiting,
+                               const queue_order &Order, bool Long,
+                               core_time Now) {
   core_duration Least = expectedCallTime(Pools[Key.Pool], 1);
-  bool Long = expectedWait(Key.Pool, Key.Zone, Now).Late > LongestLateWait;
-  std::vector<job_key> Hopeless;
-  for (const job_key &Id : queue(Key)) {
-    const job_state &Job = Jobs.at(Id);
-    bool Untouched =
-        Job.Job.Inputs.empty() && Job.Waiting.size() == Job.Job.Pieces.size();
-    bool Late = Job.StartBy < Now;
-    if (Job.Deadline < Now + Least || (Untouched && Late && Long))
-      Hopeless.push_back(Id);
+  const std::vector<job_key> Ids = queue(Key);
+  for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
+    const waiting_job &Job = Waiting[Order.Jobs[Place]];
+    bool Late = Place >= Order.OnTime;
+    if (Job.DeadlineIn < Least || (Late && !Job.Begun && Long))
+      failJob(Ids[Order.Jobs[Place]], piece_failure::Late, Now);
   }
-  for (const job_key &Id : Hopeless)
-    failJob(Id, piece_failure::Late, Now);
 }
 
 std::vector<planned_server> batch_owner::planServers(const queue_key &Key,
@@ -202,38 +227,77 @@
     Planned.Id = Server->Entry.Id;
     Planned.Zone = Server->Entry.Zone;
     core_time FreeAt = std::max({Now, Maker.BlockedUntil, Server->AvoidUntil});
-    Planned.Idle = !Maker.Running && FreeAt == Now;
+    bool Asked = Maker.AskedAt && Now - *Maker.AskedAt < LoadAnswerTime;
+    Planned.Idle = !Maker.Running && FreeAt == Now && !Asked;
     if (Maker.Running)
       FreeAt = std::max(FreeAt, Maker.FreeAt);
     Planned.FreeIn = FreeAt - Now;
     Planned.Slowness = slowness(Maker, Now);
-    Planned.RoomLeft = Room > Maker.RoomUsed ? Room - Maker.RoomUsed : 0;
+    std::uint64_t Taken = Maker.RoomUsed + othersBytes(Maker, Now);
+    Planned.RoomLeft = Room > Taken ? Room - Taken : 0;
     Result.push_back(std::move(Planned));
   }
   return Result;
 }
 
+std::uint64_t batch_owner::othersBytes(const maker_state &Maker,
+                                       core_time Now) const {
+  double Age = std::chrono::duration<double>(Now - Maker.OthersAt).count();
+  double Fade = std::chrono::duration<double>(OthersFade).count();
+  return static_cast<std::uint64_t>(static_cast<double>(Maker.OthersBytes) *
+                                    std::clamp(1 - Age / Fade, 0.0, 1.0));
+}
+
+// Asks the idle servers of a queue of which it is not known what room they
+// have: this host has just become the owner, or a piece found no room.
+void batch_owner::askServers(const queue_key &Key, core_time Now) {
+  for (const backend_state *Server : Servers.usable(Key.Pool, Now)) {
+    if (!Key.Zone.empty() && Server->Entry.Zone != Key.Zone)
+      continue;
+    maker_state &Maker = Makers[Server->Entry.Id];
+    if (Maker.Running || Maker.AskedAt || Now < Maker.KnownUntil ||
+        Now < Server->AvoidUntil)
+      continue;
+    Maker.AskedAt = Now;
+    Actions.readServer(Server->Entry);
+  }
+}
+
 void batch_owner::pumpQueue(const queue_key &Key, core_time Now) {
-  dropHopeless(Key, Now);
+  askServers(Key, Now);
   std::vector<planned_server> Planned = planServers(Key, Now);
+  if (Planned.empty())
+    return;
+  queue_speed Speed = speedOf(Key, Planned);
+  const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
+  queue_order Order = orderQueue(Waiting, Speed);
+  const std::vector<job_key> Ids = queue(Key);
+  std::size_t All = 0;
+  for (const waiting_job &Job : Waiting)
+    All += Job.Pieces;
+  dropHopeless(Key, Waiting, Order, Speed.waitBehind(All) > LongestLateWait,
+               Now);
   bool AnyIdle =
       std::any_of(Planned.begin(), Planned.end(),
                   [](const planned_server &Server) { return Server.Idle; });
-  if (!AnyIdle || queue(Key).empty())
+  if (!AnyIdle)
     return;
-  sortQueue(queue(Key), Now);
-  const std::vector<job_key> Order = queue(Key);
-  std::vector<planned_job> Waiting;
-  for (const job_key &Id : Order) {
-    const job_state &Job = Jobs.at(Id);
-    Waiting.push_back(
-        {&Job.Job, {Job.Waiting.begin(), Job.Waiting.end()}, &Job.Avoid});
+  std::vector<job_key> Chosen;
+  std::vector<planned_job> Ready;
+  for (std::size_t Place : Order.Jobs) {
+    auto Job = Jobs.find(Ids[Place]);
+    if (Job == Jobs.end())
+      continue;
+    Chosen.push_back(Ids[Place]);
+    Ready.push_back({&Job->second.Job,
+                     {Job->second.Waiting.begin(), Job->second.Waiting.end()},
+                     &Job->second.Avoid});
   }
   for (const planned_call &Call :
-       planCalls(Pools[Key.Pool], std::move(Waiting), Planned)) {
+       planCalls(Pools[Key.Pool], std::move(Ready), Planned)) {
     std::vector<batch_piece> Started;
     for (const std::pair<std::size_t, std::uint32_t> &Piece : Call.Pieces)
-      Started.push_back({Order[Piece.first], Piece.second, false});
+      Started.push_back({Chosen[Piece.first], Piece.second, false});
     const planned_server &Server = Planned[Call.Server];
     if (const backend_state *State = Servers.find(Server.Id))
       startBatch(Key, State->Entry, Server.Slowness, std::move(Started), Now);
@@ -282,50 +346,50 @@
 
 queue_wait batch_owner::expectedWait(const pool_id &Pool, const zone_id &Zone,
                                      core_time Now) {
-  auto Found = Pools.find(Pool);
-  if (Found == Pools.end())
+  if (!Pools.contains(Pool))
     return {};
-  const batch_rules &Rules = Found->second;
-  std::vector<core_duration> Busy;
-  for (const planned_server &Server : planServers({Pool, Zone}, Now))
-    Busy.push_back(Server.FreeIn);
-  if (Busy.empty())
-    return {NoServerWait, NoServerWait, 0, core_duration{0}};
-  std::sort(Busy.begin(), Busy.end());
-  const queue_state &Queue = Queues[{Pool, Zone}];
-  std::size_t Full = Rules.MaxPieces;
-  if (Queue.FullCall > 0)
-    Full = static_cast<std::size_t>(std::lround(Queue.FullCall));
-  Full = std::max<std::size_t>(Full, 1);
-  std::size_t OnTime = 0;
+  queue_key Key{Pool, Zone};
+  queue_wait Result;
+  std::vector<planned_server> Planned = planServers(Key, Now);
+  if (Planned.empty()) {
+    Result.OnTime.fill(NoServerWait);
+    Result.Late = NoServerWait;
+    return Result;
+  }
+  queue_speed Speed = speedOf(Key, Planned);
+  const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
+  queue_order Order = orderQueue(Waiting, Speed);
   std::size_t All = 0;
-  for (const job_key &Key : Queue.Jobs) {
-    const job_state &Job = Jobs.at(Key);
-    All += Job.Waiting.size();
-    OnTime += Job.StartBy < Now ? 0 : Job.Waiting.size();
+  by_urgency<std::size_t> Before{};
+  for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
+    const waiting_job &Job = Waiting[Order.Jobs[Place]];
+    All += Job.Pieces;
+    if (Place < Order.OnTime)
+      Before[urgencyRank(Job.Priority)] += Job.Pieces;
   }
-  auto WaitBehind = [&](std::size_t Pieces) {
-    std::size_t Call = Pieces / Full;
-    return Busy[Call % Busy.size()] +
-           expectedCallTime(Rules, Full) *
-               static_cast<std::int64_t>(Call / Busy.size());
-  };
-  double Call =
-      std::chrono::duration<double>(expectedCallTime(Rules, Full)).count();
-  double Rate = static_cast<double>(Busy.size() * Full) / std::max(Call, 1e-3);
-  std::uint64_t Planned = 0;
-  for (const std::pair<const entry_host_id, queue_state::planned> &Host :
-       Queue.Planned)
-    if (Now - Host.second.At < PlannedLifetime)
-      Planned += Host.second.Pieces;
-  core_duration PlannedTime(
-      static_cast<std::int64_t>(static_cast<double>(Planned) / Rate * 1e6));
-  return {WaitBehind(OnTime), WaitBehind(All), static_cast<std::uint32_t>(Rate),
-          PlannedTime};
+  double Call = std::chrono::duration<double>(Speed.CallTime).count();
+  double Rate = static_cast<double>(Planned.size() * Speed.PiecesPerCall) /
+                std::max(Call, LeastCallSeconds);
+  std::size_t Ahead = 0;
+  std::uint64_t Coming = 0;
+  for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
+    Ahead += Before[Rank];
+    for (const std::pair<const entry_host_id, queue_state::planned> &Host :
+         Queues[Key].Planned)
+      if (Now - Host.second.At < PlannedLifetime)
+        Coming += Host.second.Pieces[Rank];
+    Result.OnTime[Rank] = Speed.waitBehind(Ahead);
+    Result.Planned[Rank] = core_duration(static_cast<std::int64_t>(
+        static_cast<double>(Coming) / Rate * MicrosPerSecond));
+  }
+  Result.Late = Speed.waitBehind(All);
+  Result.PiecesPerSecond = static_cast<std::uint32_t>(Rate);
+  return Result;
 }
 
 void batch_owner::onPlanned(const entry_host_id &Host, const pool_id &Pool,
-                            const zone_id &Zone, std::uint32_t Pieces,
+                            const zone_id &Zone,
+                            const by_urgency<std::uint32_t> &Pieces,
                             core_time Now) {
   if (Pools.contains(Pool))
     Queues[{Pool, Zone}].Planned[Host] = {Pieces, Now};
@@ -341,7 +405,7 @@
   return Count;
 }
 
-std::optional<core_time> batch_owner::nextWakeup(core_time Now) const {
+std::optional<core_time> batch_owner::nextWakeup() const {
   std::optional<core_time> Next;
   auto Consider = [&Next](core_time Time) {
     if (!Next || Time < *Next)
@@ -353,12 +417,15 @@
     if (!Entry.second.FetchReported)
       Consider(Entry.second.InputsFetchedAt);
   }
-  for (const std::pair<const backend_id, maker_state> &Maker : Makers)
+  for (const std::pair<const backend_id, maker_state> &Maker : Makers) {
     if (!Maker.second.ToFree.empty())
       Consider(Maker.second.FreeBy);
+    if (Maker.second.AskedAt)
+      Consider(*Maker.second.AskedAt + LoadAnswerTime);
+  }
   for (const std::pair<const queue_key, queue_state> &Queue : Queues)
     if (!Queue.second.Jobs.empty())
-      Consider(Now + WaitingInterval);
+      Consider(LookAt);
   return Next;
 }
 
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -28,6 +28,12 @@
 constexpr double PromptFactor = 1.3;
 constexpr double MinSlowness = 0.5;
 constexpr double MaxSlowness = 8;
+/// A server that this host has had work for another host's call is left alone
+/// for about half of a call.
+constexpr int BusyPart = 2;
+/// What is known of a server's room holds this long without a call: about the
+/// time that unused results are kept.
+constexpr core_duration KnownTime = std::chrono::seconds(4);
 /// Results to be freed are collected this long into one call.
 constexpr core_duration FreeDelay = milliseconds(100);
 constexpr std::size_t MaxFreesPerCall = 64;
@@ -54,12 +60,14 @@
   }
   batch_state Batch = std::move(Found->second);
   Batches.erase(Found);
+  Changed = true;
   maker_state &Maker = Makers[Batch.Server.Id];
   if (Maker.Running == Id)
     Maker.Running.reset();
   Maker.RoomUsed -= std::min(Maker.RoomUsed, Batch.Bytes);
   bool Prompt = Now - Batch.Started <= scaled(Batch.Expected, PromptFactor);
   Maker.PromptAt = Prompt ? Now : core_time{};
+  Maker.KnownUntil = Now + KnownTime;
   observe(Batch, Now);
   report(Batch, std::nullopt, Now);
   Servers.onCallSucceeded(Batch.Server.Id, 0);
@@ -118,8 +126,10 @@
     failJob(Piece.Job, piece_failure::InputGone, Now);
     return;
   case batch_item_problem::NoRoom:
-    Makers[Batch.Server.Id].BlockedUntil = Now + FullPause;
-    break;
+    // The server did no work for it.
+    Makers[Batch.Server.Id].KnownUntil = Now;
+    requeue(Piece);
+    return;
   case batch_item_problem::Error:
     Job.Avoid.insert(Batch.Server.Id);
     break;
@@ -130,6 +140,28 @@
     failJob(Piece.Job, piece_failure::NotMade, Now);
 }
 
+void batch_owner::onServerLoad(const backend_id &Server,
+                               const std::optional<pieces_load> &Load,
+                               core_time Now) {
+  maker_state &Maker = Makers[Server];
+  Maker.AskedAt.reset();
+  Maker.KnownUntil = Now + KnownTime;
+  Changed = true;
+  const backend_state *State = Servers.find(Server);
+  auto Rules = State ? Pools.find(State->Entry.Pool) : Pools.end();
+  if (!Load || Rules == Pools.end())
+    return;
+  std::uint64_t Taken = Load->FreeBytes < Rules->second.RoomBytes
+                            ? Rules->second.RoomBytes - Load->FreeBytes
+                            : 0;
+  Maker.OthersBytes = Taken > Maker.RoomUsed ? Taken - Maker.RoomUsed : 0;
+  Maker.OthersAt = Now;
+  if (Load->Busy && !Maker.Running)
+    Maker.BlockedUntil =
+        Now +
+        expectedCallTime(Rules->second, Rules->second.MaxPieces) / BusyPart;
+}
+
 void batch_owner::requeue(const batch_piece &Piece) {
   auto Found = Jobs.find(Piece.Job);
   if (Found == Jobs.end())
@@ -140,6 +172,7 @@
   if (Waiting.empty())
     queue(queueOf(Found->second.Job)).push_back(Piece.Job);
   Waiting.push_back(Piece.Piece);
+  Changed = true;
 }
 
 void batch_owner::onBatchFailed(batch_id Id, batch_failure Failure,
@@ -149,6 +182,7 @@
     return;
   batch_state Batch = std::move(Found->second);
   Batches.erase(Found);
+  Changed = true;
   maker_state &Maker = Makers[Batch.Server.Id];
   if (Maker.Running == Id)
     Maker.Running.reset();
@@ -288,6 +322,7 @@
     Maker.RoomUsed -= std::min(Maker.RoomUsed, Found->second.Bytes);
     Kept.erase(Found);
   }
+  Changed = true;
   if (Maker.ToFree.empty())
     Maker.FreeBy = Now + FreeDelay;
   Maker.ToFree.push_back(Result);
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -392,6 +392,10 @@
   Actions.freeResults(Server, std::move(Results));
 }
 
+void serving_impl::readServer(const backend_entry &Server) {
+  Actions.readServer(Server);
+}
+
 void serving_impl::onPiecesAnswered(
     call_id Call, const std::vector<batch_item_result> &Results,
     const std::optional<backend_load> &Load, core_time) {
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -30,9 +30,13 @@
     return {};
   double Age = std::chrono::duration<double>(Now - Found->second.At).count();
   double Part = std::clamp(1 - Age / WaitFadeSeconds, 0.0, 1.0);
-  const queue_wait &Said = Found->second.Wait;
-  return {scaled(Said.OnTime, Part), scaled(Said.Late, Part),
-          Said.PiecesPerSecond, scaled(Said.Planned, Part)};
+  queue_wait Wait = Found->second.Wait;
+  for (core_duration &Time : Wait.OnTime)
+    Time = scaled(Time, Part);
+  for (core_duration &Time : Wait.Planned)
+    Time = scaled(Time, Part);
+  Wait.Late = scaled(Wait.Late, Part);
+  return Wait;
 }
 
 // Tells the owners of later stages' queues what this host's requests will ask
@@ -56,14 +60,15 @@
   }
 }
 
-std::uint32_t serving_impl::plannedPieces(const pool_id &Pool) const {
-  std::uint32_t Planned = 0;
+by_urgency<std::uint32_t>
+serving_impl::plannedPieces(const pool_id &Pool) const {
+  by_urgency<std::uint32_t> Planned{};
   for (const request_map::value_type &Entry : Requests) {
     const request_state &State = Entry.second;
     for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
       if (State.Stages[Stage].Phase == stage_phase::Waiting &&
           State.Route->Stages[Stage].Pool == Pool)
-        Planned += State.Call.Pieces[Stage];
+        Planned[urgencyRank(State.Priority)] += State.Call.Pieces[Stage];
   }
   return Planned;
 }
@@ -82,7 +87,8 @@
 
 core_duration serving_impl::stageTime(const request_state &State,
                                       std::size_t Stage) const {
-  return knownWait(State.Route->Stages[Stage].Pool).OnTime +
+  return knownWait(State.Route->Stages[Stage].Pool)
+             .OnTime[urgencyRank(State.Priority)] +
          callTime(State, Stage);
 }
 
@@ -114,6 +120,7 @@
 serving_impl::forecast
 serving_impl::forecastStages(const request_state &State) const {
   forecast Result;
+  std::size_t Rank = urgencyRank(State.Priority);
   std::vector<core_duration> Ends(State.Stages.size(), core_duration{0});
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
     const route_stage &Plan = State.Route->Stages[Stage];
@@ -125,10 +132,9 @@
     if (State.Call.Pieces[Stage] == 0)
       continue;
     queue_wait Wait = knownWait(Plan.Pool);
-    core_duration Planned =
-        Plan.After.empty() ? core_duration{0} : Wait.Planned;
     core_duration None{0};
-    core_duration OnTime = std::max(None, Wait.OnTime + Planned - Start);
+    core_duration Planned = Plan.After.empty() ? None : Wait.Planned[Rank];
+    core_duration OnTime = std::max(None, Wait.OnTime[Rank] + Planned - Start);
     core_duration Late = std::max(None, Wait.Late + Planned - Start);
     Ends[Stage] = Start + OnTime + callTime(State, Stage);
     Result.LongestLateWait = std::max(Result.LongestLateWait, Late);
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -237,6 +237,12 @@
   handled_event Event(*Impl, Now);
   Impl->onPiecesRefused(Call, WrongServer, Now);
 }
+void serving_core::onServerLoad(const backend_id &Server,
+                                const std::optional<pieces_load> &Load,
+                                core_time Now) {
+  handled_event Event(*Impl, Now);
+  Impl->Owner.onServerLoad(Server, Load, Now);
+}
 bool serving_core::onConfig(std::shared_ptr<const route_config> Config,
                             std::string Text, core_time Now) {
   handled_event Event(*Impl, Now);
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -320,7 +320,7 @@
 }
 
 std::optional<core_time> serving_impl::nextWakeup(core_time Time) const {
-  std::optional<core_time> Next = Owner.nextWakeup(Time);
+  std::optional<core_time> Next = Owner.nextWakeup();
   auto Consider = [&Next](core_time Candidate) {
     if (!Next || Candidate < *Next)
       Next = Candidate;
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -190,6 +190,7 @@
   Job.StartBy = State.GoalAt - Now - stageTime(State, Asked.Stage) -
                 timeAfter(State, Asked.Stage);
   Job.Priority = State.Priority;
+  Job.Workspace = State.Workspace;
   Job.ResultBytes = Plan.ResultBytes;
   Job.InputZone = zoneOfInputs(State);
   for (std::uint32_t Before : Plan.After)
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -139,6 +139,7 @@
                 std::vector<batch_item> Items, core_duration Timeout) override;
   void freeResults(const backend_entry &Server,
                    std::vector<result_handle> Results) override;
+  void readServer(const backend_entry &Server) override;
   void onPiecesMade(const entry_host_id &Host, const piece_job &Job,
                     std::vector<made_piece> Pieces) override;
   void onJobFailed(const entry_host_id &Host, piece_job_id Job,
@@ -207,7 +208,7 @@
   void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
   queue_wait knownWait(const pool_id &Pool) const;
   void tellPlans(const request_state &State);
-  std::uint32_t plannedPieces(const pool_id &Pool) const;
+  by_urgency<std::uint32_t> plannedPieces(const pool_id &Pool) const;
   forecast forecastStages(const request_state &State) const;
   bool turnedAway(request_state &State);
   void onJobUnanswered(piece_job_id Job);
--- a/packages/core/test/batch-owner-fixture.h
+++ b/packages/core/test/batch-owner-fixture.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminecroft {
@@ -26,6 +27,9 @@
     for (result_handle &Result : Results)
       Freed[Server.Id].push_back(std::move(Result));
   }
+  void readServer(const backend_entry &Server) override {
+    LoadQuestions.push_back(Server.Id);
+  }
   void onPiecesMade(const entry_host_id &, const piece_job &Job,
                     std::vector<made_piece> Pieces) override {
     Made[Job.Job] = std::move(Pieces);
@@ -43,6 +47,7 @@
 
   std::map<batch_id, call> Calls;
   std::map<backend_id, std::vector<result_handle>> Freed;
+  std::vector<backend_id> LoadQuestions;
   std::map<piece_job_id, std::vector<made_piece>> Made;
   std::map<piece_job_id, piece_failure> Failed;
   std::vector<piece_job_id> Fetched;
@@ -107,17 +112,26 @@
   queue_wait submit(const piece_job &Job) {
     queue_wait Wait = Owner.submit(Host, Job, Now);
     Owner.pump(Now);
+    sayLoads();
     return Wait;
   }
 
+  /// Servers that were asked for their load answer with Load.
+  void sayLoads() {
+    for (const backend_id &Server : std::exchange(Actions.LoadQuestions, {}))
+      Owner.onServerLoad(Server, Load, Now);
+    Owner.pump(Now);
+  }
+
   /// Lets time pass, with every wake-up that the owner asks for.
   void pass(core_duration Time) {
     core_time End = Now + Time;
-    while (std::optional<core_time> Next = Owner.nextWakeup(Now)) {
+    while (std::optional<core_time> Next = Owner.nextWakeup()) {
       if (*Next > End)
         break;
       Now = std::max(Now, *Next) + std::chrono::microseconds(100);
       Owner.pump(Now);
+      sayLoads();
     }
     Now = std::max(Now, End);
   }
@@ -140,6 +154,7 @@
     Actions.Calls.erase(Batch);
     Owner.onBatchAnswered(Batch, Results, Now);
     Owner.pump(Now);
+    sayLoads();
   }
 
   /// Answers a call with a result for each piece, named after the piece.
@@ -164,6 +179,8 @@
   retry_budget Budget;
   batch_owner Owner;
   entry_host_id Host{"h0"};
+  /// What servers say of themselves.
+  pieces_load Load{false, 0, 1'500'000};
   core_time Now{std::chrono::seconds(1'000)};
 };
 
--- a/packages/core/test/batch-owner-test.cc
+++ b/packages/core/test/batch-owner-test.cc
@@ -83,3 +83,59 @@
     CHECK(Test.Actions.Fetched.empty());
   }
 }
+
+TEST_CASE("a new owner asks servers for their room before it uses them") {
+  batch_owner_fixture Test;
+  piece_job Job = Test.job(1, 8);
+  Job.ResultBytes = 200'000;
+  SUBCASE("calls fit into the room that is left") {
+    Test.Load = {false, 0, 700'000};
+    Test.submit(Job);
+    REQUIRE(Test.Actions.Calls.size() == 1);
+    CHECK(Test.Actions.Calls.begin()->second.Items.size() <= 3);
+  }
+  SUBCASE("a busy server is left alone for a while") {
+    Test.Load = {true, 0, 1'500'000};
+    Test.submit(Job);
+    CHECK(Test.Actions.Calls.empty());
+    Test.pass(milliseconds(300));
+    CHECK(Test.Actions.Calls.size() == 1);
+  }
+  SUBCASE("one that does not answer is used all the same") {
+    Test.Owner.submit(Test.Host, Job, Test.Now);
+    Test.Owner.pump(Test.Now);
+    REQUIRE(Test.Actions.LoadQuestions.size() == 1);
+    Test.Actions.LoadQuestions.clear();
+    CHECK(Test.Actions.Calls.empty());
+    Test.pass(milliseconds(120));
+    CHECK(Test.Actions.Calls.size() == 1);
+  }
+}
+
+TEST_CASE("a piece that found no room is made later, and its server asked") {
+  batch_owner_fixture Test;
+  Test.submit(Test.job(1, 2));
+  Test.pass(milliseconds(280));
+  Test.Load = {false, 0, 0};
+  Test.answer(Test.onlyCall(), {Test.made("10.0.0.0:80/a"),
+                                Test.failed(batch_item_problem::NoRoom)});
+  CHECK(Test.Actions.Failed.empty());
+  CHECK(Test.Actions.Calls.empty());
+  // What others keep there is used up after a while.
+  Test.pass(seconds(2));
+  REQUIRE(Test.Actions.Calls.size() == 1);
+  Test.answerAll(Test.onlyCall());
+  CHECK(Test.Actions.Made.size() == 1);
+}
+
+TEST_CASE("a server in steady use is not asked for its load") {
+  batch_owner_fixture Test;
+  Test.submit(Test.job(1, 2));
+  for (std::uint64_t Job = 2; Job < 20; ++Job) {
+    Test.pass(milliseconds(280));
+    Test.answerAll(Test.onlyCall());
+    Test.Owner.submit(Test.Host, Test.job(Job, 2), Test.Now);
+    Test.Owner.pump(Test.Now);
+    CHECK(Test.Actions.LoadQuestions.empty());
+  }
+}
--- /dev/null
+++ b/packages/core/test/queue-order-test.cc
@@ -0,0 +1,134 @@
+// Which jobs are on time when not all can be, and what the others make of it.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "jasminecroft/core/serving/queue_order.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace jasminecroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// One server, one piece a call of 100 ms: the wait behind n pieces is n * 100.
+queue_speed oneServer() {
+  queue_speed Speed;
+  Speed.FreeIn = {core_duration{0}};
+  Speed.CallTime = milliseconds(100);
+  return Speed;
+}
+
+waiting_job job(int StartInMs, std::uint32_t Priority = 0,
+                const std::string &Workspace = "w") {
+  waiting_job Job;
+  Job.StartIn = milliseconds(StartInMs);
+  Job.DeadlineIn = Job.StartIn + seconds(5);
+  Job.Pieces = 1;
+  Job.Priority = Priority;
+  Job.Workspace = workspace_id(Workspace);
+  return Job;
+}
+
+std::vector<std::size_t> onTime(const queue_order &Order) {
+  return {Order.Jobs.begin(),
+          Order.Jobs.begin() + static_cast<std::ptrdiff_t>(Order.OnTime)};
+}
+
+} // namespace
+
+TEST_CASE("jobs that can all be on time are begun by their time to begin") {
+  queue_order Order =
+      orderQueue({job(900), job(0, 2), job(400, 1)}, oneServer());
+  CHECK(Order.Jobs == std::vector<std::size_t>{1, 2, 0});
+  CHECK(Order.OnTime == 3);
+}
+
+TEST_CASE("the wait counts calls, servers and their work in progress") {
+  queue_speed Speed;
+  Speed.FreeIn = {milliseconds(10), milliseconds(60)};
+  Speed.PiecesPerCall = 8;
+  Speed.CallTime = milliseconds(400);
+  CHECK(Speed.waitBehind(0) == milliseconds(10));
+  CHECK(Speed.waitBehind(7) == milliseconds(10));
+  CHECK(Speed.waitBehind(8) == milliseconds(60));
+  CHECK(Speed.waitBehind(16) == milliseconds(410));
+}
+
+TEST_CASE("if not all can be on time the least urgent wait") {
+  std::vector<waiting_job> Jobs;
+  for (int I = 0; I < 10; ++I)
+    Jobs.push_back(job(400, I % 2 == 0 ? 2 : 0));
+  queue_order Order = orderQueue(Jobs, oneServer());
+  REQUIRE(Order.OnTime == 5);
+  for (std::size_t Job : onTime(Order))
+    CHECK(Jobs[Job].Priority == 0);
+}
+
+TEST_CASE("a more urgent job that comes later displaces a less urgent one") {
+  std::vector<waiting_job> Jobs = {job(0, 1), job(100, 1), job(150, 0)};
+  queue_order Order = orderQueue(Jobs, oneServer());
+  CHECK(Order.OnTime == 2);
+  CHECK(onTime(Order).back() == 2);
+}
+
+TEST_CASE("among equals the workspace with most work before it waits") {
+  std::vector<waiting_job> Jobs;
+  for (int I = 0; I < 8; ++I)
+    Jobs.push_back(job(300, 0, "large"));
+  Jobs.push_back(job(300, 0, "small"));
+  Jobs.push_back(job(300, 0, "small"));
+  queue_order Order = orderQueue(Jobs, oneServer());
+  std::vector<std::size_t> First = onTime(Order);
+  REQUIRE(First.size() == 4);
+  CHECK(std::count(First.begin(), First.end(), 8) == 1);
+  CHECK(std::count(First.begin(), First.end(), 9) == 1);
+}
+
+TEST_CASE("work that was begun is not given up for work that was not") {
+  std::vector<waiting_job> Jobs = {job(0), job(0)};
+  Jobs[1].Begun = true;
+  queue_order Order = orderQueue(Jobs, oneServer());
+  CHECK(Order.OnTime == 1);
+  CHECK(Order.Jobs == std::vector<std::size_t>{1, 0});
+}
+
+TEST_CASE("late jobs come last, pressing ones first") {
+  std::vector<waiting_job> Jobs = {job(-10), job(500), job(-20)};
+  Jobs[2].Pressing = true;
+  queue_order Order = orderQueue(Jobs, oneServer());
+  CHECK(Order.Jobs == std::vector<std::size_t>{2, 1, 0});
+  CHECK(Order.OnTime == 2);
+}
+
+TEST_CASE("every job has one place, and those on time can be") {
+  CHECK(rc::check([] {
+    std::vector<waiting_job> Jobs;
+    for (int I = *rc::gen::inRange(0, 40); I > 0; --I) {
+      waiting_job Job = job(*rc::gen::inRange(-200, 3'000),
+                            static_cast<std::uint32_t>(*rc::gen::inRange(0, 4)),
+                            std::string(1, *rc::gen::inRange('a', 'e')));
+      Job.Pieces = *rc::gen::inRange<std::size_t>(1, 12);
+      Job.Begun = *rc::gen::arbitrary<bool>();
+      Jobs.push_back(Job);
+    }
+    queue_speed Speed;
+    Speed.CallTime = milliseconds(400);
+    Speed.PiecesPerCall = *rc::gen::inRange<std::size_t>(1, 16);
+    for (int I = *rc::gen::inRange(1, 5); I > 0; --I)
+      Speed.FreeIn.push_back(milliseconds(*rc::gen::inRange(0, 300)));
+    std::sort(Speed.FreeIn.begin(), Speed.FreeIn.end());
+    queue_order Order = orderQueue(Jobs, Speed);
+    RC_ASSERT(
+        std::set<std::size_t>(Order.Jobs.begin(), Order.Jobs.end()).size() ==
+        Jobs.size());
+    RC_ASSERT(Order.Jobs.size() == Jobs.size());
+    std::size_t Before = 0;
+    for (std::size_t Job : onTime(Order)) {
+      RC_ASSERT(Speed.waitBehind(Before) <= Jobs[Job].StartIn);
+      Before += Jobs[Job].Pieces;
+    }
+  }));
+}
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -54,6 +55,9 @@
                    std::vector<result_handle> Results) override {
     Freed.insert(Freed.end(), Results.begin(), Results.end());
   }
+  void readServer(const backend_entry &Server) override {
+    LoadQuestions.push_back(Server.Id);
+  }
   void cancelCall(call_id Call) override { Cancelled.push_back(Call); }
   void sendToPeer(const batching_host &Host, peer_body Body) override {
     Sent.emplace_back(Host.Host, std::move(Body));
@@ -70,6 +74,7 @@
   call_id LastForward;
   std::map<call_id, pieces_call> Pieces;
   std::vector<result_handle> Freed;
+  std::vector<backend_id> LoadQuestions;
   std::vector<call_id> Cancelled;
   std::vector<std::pair<entry_host_id, peer_body>> Sent;
   std::vector<event_record> Log;
@@ -182,6 +187,7 @@
     Request.PieceKey = "piece-key";
     request_id Number = Request.Number;
     Core.onRequest(std::move(Request), Now);
+    sayLoads();
     return Number;
   }
 
@@ -199,6 +205,12 @@
     return Head;
   }
 
+  /// Servers that were asked for their load say that they are free.
+  void sayLoads() {
+    for (const backend_id &Server : std::exchange(Actions.LoadQuestions, {}))
+      Core.onServerLoad(Server, pieces_load{false, 0, 1'500'000}, Now);
+  }
+
   /// Lets time pass, with every wake-up that the core asks for.
   void pass(core_duration Time) {
     core_time End = Now + Time;
@@ -207,6 +219,7 @@
         break;
       Now = std::max(Now, *Next);
       Core.onWakeup(Now);
+      sayLoads();
       // A wake-up that is due at once would not let time pass.
       Now += std::chrono::microseconds(100);
     }
@@ -230,6 +243,7 @@
       }
       pass(std::chrono::milliseconds(300));
       Core.onPiecesAnswered(Call, Results, std::nullopt, Now);
+      sayLoads();
     }
   }
 
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -11,7 +11,8 @@
 /// A server ends its work at the time it was given; its answer may take this
 /// much longer to arrive.
 constexpr std::chrono::milliseconds AnswerSlack{250};
-constexpr std::chrono::seconds FreeTimeout{2};
+/// For calls that no request waits for.
+constexpr std::chrono::seconds SideCallTimeout{2};
 /// Longest event of a stream.
 constexpr std::size_t MaxEventBytes = 1'048'576;
 
@@ -147,6 +148,26 @@
   void onFailed(call_failure) override {}
 };
 
+class load_listener final : public backend_call_listener {
+public:
+  load_listener(backend_results &Results, backend_id Server)
+      : Results(Results), Server(std::move(Server)) {}
+
+  void onWhole(const platform::http_head &Head, std::string Body) override {
+    Results.onServerLoad(Server, platform::decodePiecesLoad(Head, Body));
+  }
+  void onStreamHead(const platform::http_head &) override {}
+  void onStreamText(std::string) override {}
+  void onStreamEnd() override {}
+  void onFailed(call_failure) override {
+    Results.onServerLoad(Server, std::nullopt);
+  }
+
+private:
+  backend_results &Results;
+  backend_id Server;
+};
+
 } // namespace
 
 void serving_backends::forward(call_id Call, const forward_call &Forward) {
@@ -180,11 +201,20 @@
   backend_call_request Request;
   Request.Address = Server.Address;
   Request.Text = platform::encodeFree(Server, Handles);
-  Request.Timeout = FreeTimeout;
+  Request.Timeout = SideCallTimeout;
   startBackendCall(Context, Pool, std::move(Request),
                    std::make_shared<free_listener>());
 }
 
+void serving_backends::readServer(const backend_entry &Server) {
+  backend_call_request Request;
+  Request.Address = Server.Address;
+  Request.Text = platform::encodeLoadQuestion(Server);
+  Request.Timeout = SideCallTimeout;
+  startBackendCall(Context, Pool, std::move(Request),
+                   std::make_shared<load_listener>(Results, Server.Id));
+}
+
 void serving_backends::cancel(call_id Call) {
   auto Found = Calls.find(Call);
   if (Found == Calls.end())
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -24,6 +24,8 @@
                                 const std::vector<batch_item_result> &Results,
                                 const std::optional<backend_load> &Load) = 0;
   virtual void onPiecesRefused(call_id Call, bool WrongServer) = 0;
+  virtual void onServerLoad(const backend_id &Server,
+                            const std::optional<pieces_load> &Load) = 0;
 };
 
 class serving_backends {
@@ -36,6 +38,7 @@
                  const std::vector<batch_item> &Items, core_duration Timeout);
   void freeResults(const backend_entry &Server,
                    const std::vector<result_handle> &Handles);
+  void readServer(const backend_entry &Server);
   void cancel(call_id Call);
   /// The call has ended and is no longer known.
   void forget(call_id Call) { Calls.erase(Call); }
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -321,6 +321,9 @@
     Metrics.observeBatch(Items.size());
     Backends.runPieces(Call, Server, Items, Timeout);
   }
+  void readServer(const backend_entry &Server) override {
+    Backends.readServer(Server);
+  }
   void freeResults(const backend_entry &Server,
                    std::vector<result_handle> Results) override {
     Backends.freeResults(Server, Results);
@@ -375,6 +378,12 @@
     arm();
   }
 
+  void onServerLoad(const backend_id &Server,
+                    const std::optional<pieces_load> &Load) override {
+    Core.onServerLoad(Server, Load, now());
+    arm();
+  }
+
   // peer_transport_listener
   void onReceived(peer_message Message) override {
     Core.onPeer(Message.Sender, Message.Body, now());
--- a/packages/testing/standins/src/serving_platform.cc
+++ b/packages/testing/standins/src/serving_platform.cc
@@ -179,6 +179,8 @@
     makePieces(Exchange);
   else if (Exchange->target() == "/stage-free")
     Exchange->respond(200, "{}");
+  else if (Exchange->target() == "/report")
+    Exchange->respond(200, R"({"busy":false,"queued":0,"free_mb":100})");
   else
     runRequest(Exchange);
 }
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -37,6 +37,20 @@
   Number = Reader.number32("number");
 }
 
+cbor_value writeTimes(const by_urgency<core_duration> &Times) {
+  return writeRecord(Times[0].count(), Times[1].count(), Times[2].count());
+}
+
+void readTimes(field_reader &Reader, by_urgency<core_duration> &Times) {
+  for (core_duration &Time : Times)
+    Time = core_duration(Reader.signedNumber("time"));
+}
+
+void readCounts(field_reader &Reader, by_urgency<std::uint32_t> &Counts) {
+  for (std::uint32_t &Count : Counts)
+    Count = Reader.number32("count");
+}
+
 cbor_value writeMade(const made_piece &Piece) {
   return writeRecord(Piece.Piece, Piece.Result.Value, Piece.Zone.Value);
 }
@@ -51,9 +65,9 @@
   return writeRecord(Job.Job.Value, Job.Request.Value, Job.Pool.Value,
                      Job.Stage, writeList(Job.Pieces, writeNumber), Job.Key,
                      writeList(Job.Inputs, writeHandle), Job.DeadlineIn.count(),
-                     Job.StartBy.count(), Job.Priority, Job.ResultBytes,
-                     Job.NearZone.Value, Job.InputZone.Value, Job.InputBytes,
-                     Job.QueueZone.Value);
+                     Job.StartBy.count(), Job.Priority, Job.Workspace.Value,
+                     Job.ResultBytes, Job.NearZone.Value, Job.InputZone.Value,
+                     Job.InputBytes, Job.QueueZone.Value);
 }
 
 void readJob(field_reader &Reader, piece_job &Job) {
@@ -67,6 +81,7 @@
   Job.DeadlineIn = core_duration(Reader.signedNumber("deadline_in"));
   Job.StartBy = core_duration(Reader.signedNumber("start_by"));
   Job.Priority = Reader.number32("priority");
+  Reader.id("workspace", Job.Workspace);
   Job.ResultBytes = Reader.number("result_bytes");
   Reader.id("near_zone", Job.NearZone);
   Reader.id("input_zone", Job.InputZone);
@@ -111,16 +126,16 @@
 }
 
 cbor_value writeBody(const pieces_accepted &Body) {
-  return writeRecord(Body.Job.Value, Body.Wait.OnTime.count(),
+  return writeRecord(Body.Job.Value, writeTimes(Body.Wait.OnTime),
                      Body.Wait.Late.count(), Body.Wait.PiecesPerSecond,
-                     Body.Wait.Planned.count());
+                     writeTimes(Body.Wait.Planned));
 }
 void readBody(field_reader &Reader, pieces_accepted &Body) {
   Reader.version("job", Body.Job);
-  Body.Wait.OnTime = core_duration(Reader.signedNumber("wait_on_time"));
+  Reader.record("wait_on_time", Body.Wait.OnTime, readTimes);
   Body.Wait.Late = core_duration(Reader.signedNumber("wait_late"));
   Body.Wait.PiecesPerSecond = Reader.number32("pieces_per_second");
-  Body.Wait.Planned = core_duration(Reader.signedNumber("planned"));
+  Reader.record("planned", Body.Wait.Planned, readTimes);
 }
 
 cbor_value writeBody(const pieces_made &Body) {
@@ -163,12 +178,14 @@
 }
 
 cbor_value writeBody(const work_planned &Body) {
-  return writeRecord(Body.Pool.Value, Body.QueueZone.Value, Body.Pieces);
+  return writeRecord(
+      Body.Pool.Value, Body.QueueZone.Value,
+      writeRecord(Body.Pieces[0], Body.Pieces[1], Body.Pieces[2]));
 }
 void readBody(field_reader &Reader, work_planned &Body) {
   Reader.id("pool", Body.Pool);
   Reader.id("queue_zone", Body.QueueZone);
-  Body.Pieces = Reader.number32("pieces");
+  Reader.record("pieces", Body.Pieces, readCounts);
 }
 
 } // namespace jasminecroft::detail
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -188,6 +188,9 @@
 core_duration anyDuration() {
   return core_duration(*rc::gen::arbitrary<std::int64_t>());
 }
+by_urgency<core_duration> anyTimes() {
+  return {anyDuration(), anyDuration(), anyDuration()};
+}
 piece_job anyJob() {
   piece_job Job;
   Job.Job = anyNumber<piece_job_id>();
@@ -200,6 +203,7 @@
   Job.DeadlineIn = anyDuration();
   Job.StartBy = anyDuration();
   Job.Priority = any32();
+  Job.Workspace = anyId<workspace_id>();
   Job.ResultBytes = anyNumber<incarnation>().Value;
   Job.NearZone = anyId<zone_id>();
   Job.InputZone = anyId<zone_id>();
@@ -246,9 +250,8 @@
   case 14:
     return pieces_wanted{anyJob()};
   case 15:
-    return pieces_accepted{
-        anyNumber<piece_job_id>(),
-        {anyDuration(), anyDuration(), any32(), anyDuration()}};
+    return pieces_accepted{anyNumber<piece_job_id>(),
+                           {anyTimes(), anyDuration(), any32(), anyTimes()}};
   case 16:
     return pieces_made{
         anyNumber<piece_job_id>(), anyId<caller_request_id>(),
@@ -266,7 +269,8 @@
   case 20:
     return inputs_fetched{anyNumber<piece_job_id>()};
   case 21:
-    return work_planned{anyId<pool_id>(), anyId<zone_id>(), any32()};
+    return work_planned{
+        anyId<pool_id>(), anyId<zone_id>(), {any32(), any32(), any32()}};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
