Make again only what was lost, and keep what takes no room

Change: stages whose results are below 1% of a server's room keep them until the answer begins; a lost result is made again alone, with what it needs.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -130,7 +130,7 @@
                             const backend_reply_head &Head) {
   if (Head.InputGone) {
     --State.Sends;
-    if (!restage(State))
+    if (!restage(State, lastStages(State)))
       giveUp(State, refusal_kind::NoBackend, FullRetry);
     return;
   }
@@ -193,7 +193,7 @@
     sendCall(State);
     return;
   }
-  if (!restage(State))
+  if (!restage(State, lastStages(State)))
     giveUp(State, refusal_kind::Failed, core_duration{0});
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -224,8 +224,12 @@
   void releaseUsed(request_state &State);
   void releaseAll(request_state &State);
   void cancelJobs(request_state &State);
+  void cancelJob(const stage_state &Stage);
   void cancelAt(const entry_host_id &Host, piece_job_id Job);
-  bool restage(request_state &State);
+  void remake(request_state &State, std::size_t Stage);
+  bool restage(request_state &State, const std::vector<std::uint32_t> &Lost);
+  std::vector<std::uint32_t> lastStages(const request_state &State) const;
+  bool smallResults(const request_state &State, std::size_t Stage) const;
 
   // Calls.
   void sendCall(request_state &State);
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -266,10 +266,73 @@
   Gone.InputGone = true;
   Test.Core.onReplyWhole(Test.Actions.LastForward, Gone, "", Test.Now);
   CHECK(Test.Actions.Forwards.size() == 1);
+  // The first stage's result is still there.
+  REQUIRE(Test.Actions.Pieces.size() == 1);
+  CHECK(Test.Actions.Pieces.begin()->second.Items.front().Stage == 1);
   Test.makePieces();
   CHECK(Test.Actions.Forwards.size() == 2);
 }
 
+TEST_CASE("only what was lost is made again") {
+  serving_fixture Test;
+  std::shared_ptr<route_config> Config = serving_fixture::config();
+  // A stage beside the chain of two, all results of which the answer needs.
+  Config->Routes[4].Stages.push_back({pool_id("beside"), {}, 100'000});
+  Config->Pools[pool_id("beside")] = Config->Pools[pool_id("first")];
+  Test.Core.onConfig(Config, "text", Test.Now);
+  for (const char *Pool : {"plain", "engine", "first", "second", "beside"})
+    Test.addServers(Pool, 3);
+  auto Asked = [&Test](std::uint32_t Stage) {
+    std::size_t Count = 0;
+    for (const std::pair<const call_id, recorded_actions::pieces_call> &Call :
+         Test.Actions.Pieces)
+      for (const batch_item &Item : Call.second.Items)
+        Count += Item.Stage == Stage ? 1 : 0;
+    return Count;
+  };
+  Test.ask("staged", {1, 2, 1});
+  REQUIRE(Asked(0) == 1);
+  REQUIRE(Asked(2) == 1);
+  // The chain's first result is lost before the second stage has it.
+  Test.answerPieces(0);
+  REQUIRE(Asked(1) == 2);
+  Test.failPieces(1, batch_item_problem::InputGone);
+  CHECK(Asked(0) == 1);
+  CHECK(Asked(2) == 1);
+  Test.answerPieces(0);
+  Test.answerPieces(1);
+  Test.answerPieces(2);
+  CHECK(Test.Actions.Forwards.size() == 1);
+  CHECK(Test.lastForward().Inputs.size() == 3);
+}
+
+TEST_CASE("small results stay until the answer begins, large ones do not") {
+  serving_fixture Test;
+  Test.addAll();
+  std::shared_ptr<route_config> Config = serving_fixture::config(2);
+  SUBCASE("small") {
+    Test.ask("staged", {1, 2});
+    Test.answerPieces(0);
+    Test.answerPieces(1);
+    Test.pass(milliseconds(200));
+    CHECK(Test.Actions.Freed.empty());
+  }
+  SUBCASE("large") {
+    Config->Routes[4].Stages[0].ResultBytes = 100'000;
+    Test.Core.onConfig(Config, "text", Test.Now);
+    Test.ask("staged", {1, 2});
+    Test.answerPieces(0);
+    Test.answerPieces(1);
+    Test.pass(milliseconds(200));
+    CHECK(Test.Actions.Freed.size() == 1);
+  }
+  REQUIRE(Test.Actions.Forwards.size() == 1);
+  Test.Core.onStreamHead(Test.Actions.LastForward, serving_fixture::good(),
+                         Test.Now);
+  Test.pass(milliseconds(300));
+  CHECK(Test.Actions.Freed.size() == 3);
+}
+
 TEST_CASE("hosts fill one call together through the owner of the queue") {
   serving_fixture Test;
   Test.addAll();
@@ -398,6 +461,9 @@
 TEST_CASE("only the owner that was asked last speaks for a job") {
   serving_fixture Test;
   Test.addAll();
+  std::shared_ptr<route_config> Config = serving_fixture::config(2);
+  Config->Routes[4].Stages[0].ResultBytes = 100'000;
+  Test.Core.onConfig(Config, "text", Test.Now);
   for (int I = 1; I < 12; ++I)
     Test.Core.onHost({entry_host_id("h" + std::to_string(I)), zone_id("z0"),
                       endpoint("h:1"), 1'000'000},
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -288,10 +288,45 @@
         Now);
   }
 
+  /// Answers the calls that have pieces of a stage; the only ones.
+  void answerPieces(std::uint32_t Stage) { endPieces(Stage, std::nullopt); }
+  void failPieces(std::uint32_t Stage, batch_item_problem Problem) {
+    endPieces(Stage, Problem);
+  }
+
   const forward_call &lastForward() const {
     return Actions.Forwards.at(Actions.LastForward);
   }
 
+private:
+  void endPieces(std::uint32_t Stage,
+                 std::optional<batch_item_problem> Problem) {
+    pass(std::chrono::milliseconds(300));
+    std::map<call_id, recorded_actions::pieces_call> Open = Actions.Pieces;
+    for (const std::pair<const call_id, recorded_actions::pieces_call> &Call :
+         Open) {
+      if (Call.second.Items.front().Stage != Stage)
+        continue;
+      Actions.Pieces.erase(Call.first);
+      std::vector<batch_item_result> Results;
+      for (const batch_item &Item : Call.second.Items) {
+        batch_item_result Result;
+        if (Problem)
+          Result.Problem = *Problem;
+        else
+          Result.Result = result_handle(
+              Call.second.Server.Address.Value + "/" + Item.Request.Value +
+              "." + std::to_string(Item.Stage) + "." +
+              std::to_string(Item.Piece) + "." + std::to_string(++LastResult));
+        Results.push_back(Result);
+      }
+      Core.onPiecesAnswered(Call.first, Results, std::nullopt, Now);
+      sayLoads();
+    }
+  }
+  std::uint64_t LastResult = 0;
+
+public:
   recorded_actions Actions;
   core_time Now{std::chrono::seconds(1'000)};
   serving_core Core;
