Plan with 97% of the room for results; forecasts count slow servers and calls as they are

Cause: a pool whose results are used up at once still alternated between full and half full calls, as 12% of its room were never planned with; the time of a call in forecasts was that of one filled to half, and slow servers counted as usual ones. The log says of each request what each stage took and what was forecast.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -156,6 +156,8 @@
     /// Smoothed size of calls that left pieces waiting: what the servers'
     /// room allows; 0: none yet.
     double FullCall = 0;
+    /// Smoothed expected time of calls, in microseconds; 0: none yet.
+    double CallMicros = 0;
     struct planned {
       by_urgency<std::uint32_t> Pieces{};
       core_time At;
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -66,8 +66,8 @@
   by_urgency<core_duration> OnTime{};
   /// If it will be late: behind all others.
   core_duration Late{0};
-  /// Pieces that the queue's servers make in a second when they are busy.
-  std::uint32_t PiecesPerSecond = 0;
+  /// What calls have taken lately; zero if there were none.
+  core_duration Call{0};
   /// Time that the servers need for pieces of this urgency or more that hosts
   /// are about to ask for.
   by_urgency<core_duration> Planned{};
--- a/packages/core/include/jasminecroft/core/serving/queue_order.h
+++ b/packages/core/include/jasminecroft/core/serving/queue_order.h
@@ -28,14 +28,30 @@
 };
 
 /// How fast the servers of a queue work.
-struct queue_speed {
-  /// Time until each server can begin another call, shortest first.
-  std::vector<core_duration> FreeIn;
-  std::size_t PiecesPerCall = 1;
-  core_duration CallTime{0};
-
-  /// Time until a piece behind Pieces others is begun. There must be a server.
-  core_duration waitBehind(std::size_t Pieces) const;
+class queue_speed {
+public:
+  struct server {
+    /// Time until it can begin another call.
+    core_duration FreeIn{0};
+    /// Time that its calls take.
+    core_duration CallTime{0};
+  };
+
+  /// There must be a server. UsualCall: the time of a call that is not slowed.
+  queue_speed(std::vector<server> Servers, std::size_t PiecesPerCall,
+              core_duration UsualCall);
+
+  /// Time until a piece behind Pieces others is begun; longer by as much as a
+  /// slow server is expected to make it late. Remembers what it has found.
+  core_duration waitBehind(std::size_t Pieces);
+
+private:
+  /// FreeIn is when the server is done with the calls in Waits.
+  std::vector<server> Servers;
+  std::size_t PiecesPerCall;
+  core_duration UsualCall;
+  /// By number of the call.
+  std::vector<core_duration> Waits;
 };
 
 struct queue_order {
@@ -50,6 +66,6 @@
 /// one for which nothing was done yet, of the workspace that has most pieces
 /// before it, and the one that has most time.
 queue_order orderQueue(const std::vector<waiting_job> &Jobs,
-                       const queue_speed &Speed);
+                       queue_speed &Speed);
 
 } // namespace jasminecroft
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -15,7 +15,7 @@
 constexpr core_duration TimeoutPause = milliseconds(500);
 /// Part of a server's room that is planned with: sizes of results are
 /// approximate.
-constexpr double PlannedRoomPart = 0.88;
+constexpr double PlannedRoomPart = 0.97;
 /// A call that goes to an idle server has fetched its inputs by then.
 constexpr core_duration FetchTime = milliseconds(60);
 /// A server that answered promptly this long ago is taken to work for no other
@@ -33,9 +33,7 @@
 /// time that results are kept.
 constexpr core_duration InputPatience = milliseconds(1'200);
 constexpr double FullCallGain = 0.2;
-/// Keeps rates finite for pools whose rules give calls no time.
-constexpr double LeastCallSeconds = 1e-3;
-constexpr double MicrosPerSecond = 1e6;
+constexpr double CallTimeGain = 0.1;
 /// What a host said of its plans holds this long: about the time that the
 /// earlier stages of its requests take.
 constexpr core_duration PlannedLifetime = milliseconds(1'500);
@@ -161,16 +159,15 @@
 queue_speed batch_owner::speedOf(const queue_key &Key,
                                  const std::vector<planned_server> &Servers) {
   const batch_rules &Rules = Pools[Key.Pool];
-  queue_speed Speed;
-  for (const planned_server &Server : Servers)
-    Speed.FreeIn.push_back(Server.FreeIn);
-  std::sort(Speed.FreeIn.begin(), Speed.FreeIn.end());
   double Full = Queues[Key].FullCall;
-  Speed.PiecesPerCall =
+  std::size_t PerCall =
       Full > 0 ? static_cast<std::size_t>(std::lround(Full)) : Rules.MaxPieces;
-  Speed.PiecesPerCall = std::max<std::size_t>(Speed.PiecesPerCall, 1);
-  Speed.CallTime = expectedCallTime(Rules, Speed.PiecesPerCall);
-  return Speed;
+  core_duration Call =
+      expectedCallTime(Rules, std::max<std::size_t>(PerCall, 1));
+  std::vector<queue_speed::server> Speeds;
+  for (const planned_server &Server : Servers)
+    Speeds.push_back({Server.FreeIn, scaled(Call, Server.Slowness)});
+  return {std::move(Speeds), PerCall, Call};
 }
 
 // The jobs of a queue as the order sees them.
@@ -330,6 +327,9 @@
     double &FullCall = Queues[Key].FullCall;
     FullCall += (FullCall == 0 ? 1 : FullCallGain) * (Size - FullCall);
   }
+  double Micros = static_cast<double>(Batch.Expected.count());
+  double &CallMicros = Queues[Key].CallMicros;
+  CallMicros += (CallMicros == 0 ? 1 : CallTimeGain) * (Micros - CallMicros);
   Pieces += Started.size();
   Batch.Pieces = std::move(Started);
   maker_state &Known = Makers[Server.Id];
@@ -367,11 +367,8 @@
     if (Place < Order.OnTime)
       Before[urgencyRank(Job.Priority)] += Job.Pieces;
   }
-  double Call = std::chrono::duration<double>(Speed.CallTime).count();
-  double Rate = static_cast<double>(Planned.size() * Speed.PiecesPerCall) /
-                std::max(Call, LeastCallSeconds);
   std::size_t Ahead = 0;
-  std::uint64_t Coming = 0;
+  std::size_t Coming = 0;
   for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
     Ahead += Before[Rank];
     for (const std::pair<const entry_host_id, queue_state::planned> &Host :
@@ -379,11 +376,12 @@
       if (Now - Host.second.At < PlannedLifetime)
         Coming += Host.second.Pieces[Rank];
     Result.OnTime[Rank] = Speed.waitBehind(Ahead);
-    Result.Planned[Rank] = core_duration(static_cast<std::int64_t>(
-        static_cast<double>(Coming) / Rate * MicrosPerSecond));
+    Result.Planned[Rank] =
+        Speed.waitBehind(Ahead + Coming) - Result.OnTime[Rank];
   }
   Result.Late = Speed.waitBehind(All);
-  Result.PiecesPerSecond = static_cast<std::uint32_t>(Rate);
+  Result.Call =
+      core_duration(static_cast<std::int64_t>(Queues[Key].CallMicros));
   return Result;
 }
 
--- a/packages/core/src/serving/queue_order.cc
+++ b/packages/core/src/serving/queue_order.cc
@@ -6,21 +6,35 @@
 #include <map>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace jasminecroft {
 
-core_duration queue_speed::waitBehind(std::size_t Pieces) const {
-  std::size_t Call = Pieces / std::max<std::size_t>(PiecesPerCall, 1);
-  std::size_t Round = Call / FreeIn.size();
-  return FreeIn[Call % FreeIn.size()] +
-         CallTime * static_cast<std::int64_t>(Round);
+queue_speed::queue_speed(std::vector<server> Servers, std::size_t PiecesPerCall,
+                         core_duration UsualCall)
+    : Servers(std::move(Servers)),
+      PiecesPerCall(std::max<std::size_t>(PiecesPerCall, 1)),
+      UsualCall(UsualCall) {}
+
+// Each call goes to the server that is done with it first.
+core_duration queue_speed::waitBehind(std::size_t Pieces) {
+  std::size_t Call = Pieces / PiecesPerCall;
+  while (Waits.size() <= Call) {
+    auto Next = std::min_element(
+        Servers.begin(), Servers.end(), [](const server &A, const server &B) {
+          return A.FreeIn + A.CallTime < B.FreeIn + B.CallTime;
+        });
+    Next->FreeIn += Next->CallTime;
+    Waits.push_back(std::max(core_duration{0}, Next->FreeIn - UsualCall));
+  }
+  return Waits[Call];
 }
 
 namespace {
 
 class orderer {
 public:
-  orderer(const std::vector<waiting_job> &Jobs, const queue_speed &Speed)
+  orderer(const std::vector<waiting_job> &Jobs, queue_speed &Speed)
       : Jobs(Jobs), Speed(Speed) {}
 
   queue_order run() {
@@ -79,7 +93,7 @@
   }
 
   const std::vector<waiting_job> &Jobs;
-  const queue_speed &Speed;
+  queue_speed &Speed;
   /// In the order of their time to begin.
   std::vector<std::size_t> OnTime;
   std::vector<std::size_t> Late;
@@ -91,7 +105,7 @@
 } // namespace
 
 queue_order orderQueue(const std::vector<waiting_job> &Jobs,
-                       const queue_speed &Speed) {
+                       queue_speed &Speed) {
   return orderer(Jobs, Speed).run();
 }
 
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -12,8 +12,7 @@
 
 /// Time to the first event before any was seen.
 constexpr core_duration FirstHeadTime = milliseconds(150);
-/// Calls are expected to be filled to this part when a stage's time is
-/// estimated.
+/// Calls of which nothing is known are expected to be filled to this part.
 constexpr std::uint32_t TypicalBatchDivisor = 2;
 /// What an owner said of its queue counts for nothing after this time.
 constexpr double WaitFadeSeconds = 1.5;
@@ -80,9 +79,12 @@
   if (Found == State.View->Config->Pools.end() || !Found->second.Batches)
     return core_duration{0};
   const batch_rules &Rules = *Found->second.Batches;
+  std::uint32_t Own = State.Call.Pieces[Stage];
+  queue_wait Known = knownWait(State.Route->Stages[Stage].Pool);
+  if (Known.Call.count() > 0)
+    return std::max(Known.Call, expectedCallTime(Rules, Own));
   return expectedCallTime(Rules,
-                          std::max(State.Call.Pieces[Stage],
-                                   Rules.MaxPieces / TypicalBatchDivisor));
+                          std::max(Own, Rules.MaxPieces / TypicalBatchDivisor));
 }
 
 core_duration serving_impl::stageTime(const request_state &State,
@@ -149,6 +151,7 @@
 // block servers, before the next stage comes to them.
 bool serving_impl::turnedAway(request_state &State) {
   forecast Forecast = forecastStages(State);
+  State.Forecast = Forecast.Needed;
   bool OnTime = Now + Forecast.Needed <= State.GoalAt;
   if (OnTime || Forecast.LongestLateWait < LongestLateWait)
     return false;
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -249,6 +249,11 @@
         {"stages_ms", State.StagesDoneAt > State.Arrived
                           ? inMs(State.StagesDoneAt - State.Arrived)
                           : "open"});
+    std::string Times;
+    for (const stage_state &Stage : State.Stages)
+      Times += (Times.empty() ? "" : "/") + inMs(Stage.Took);
+    Fields.push_back({"stage_ms", std::move(Times)});
+    Fields.push_back({"forecast_ms", inMs(State.Forecast)});
     Fields.push_back({"restages", std::to_string(State.Restages)});
   }
   log(Good ? event_number::RequestServed : event_number::RequestEnded,
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -158,6 +158,7 @@
   Asked.Phase = stage_phase::Asked;
   Asked.Job = Id;
   Asked.Released = false;
+  Asked.AskedAt = Now;
   job_state &Job = JobsAsked[Id];
   Job.Request = State.Call.Number;
   Job.Stage = static_cast<std::uint32_t>(Stage);
@@ -364,6 +365,7 @@
     cancelAt(Found->second.Owner, Id);
   JobsAsked.erase(Found);
   Stage.Phase = stage_phase::Done;
+  Stage.Took = Now - Stage.AskedAt;
   Stage.Results = std::move(Pieces);
   Stage.Owner = From;
   releaseUsed(*State);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -35,6 +35,9 @@
   /// Who made the results and is told when they are no longer needed.
   entry_host_id Owner;
   bool Released = false;
+  core_time AskedAt;
+  /// Time from being asked for until done.
+  core_duration Took{0};
 };
 
 struct request_state {
@@ -55,6 +58,8 @@
   /// Times that the stages were begun again.
   std::uint32_t Restages = 0;
   core_time StagesDoneAt;
+  /// Time to the answer's first byte as expected on arrival.
+  core_duration Forecast{0};
 
   /// The call in progress, if any.
   std::optional<call_id> Current;
--- a/packages/core/test/queue-order-test.cc
+++ b/packages/core/test/queue-order-test.cc
@@ -15,10 +15,7 @@
 
 // One server, one piece a call of 100 ms: the wait behind n pieces is n * 100.
 queue_speed oneServer() {
-  queue_speed Speed;
-  Speed.FreeIn = {core_duration{0}};
-  Speed.CallTime = milliseconds(100);
-  return Speed;
+  return {{{core_duration{0}, milliseconds(100)}}, 1, milliseconds(100)};
 }
 
 waiting_job job(int StartInMs, std::uint32_t Priority = 0,
@@ -32,6 +29,10 @@
   return Job;
 }
 
+queue_order orderIn(queue_speed Speed, const std::vector<waiting_job> &Jobs) {
+  return orderQueue(Jobs, Speed);
+}
+
 std::vector<std::size_t> onTime(const queue_order &Order) {
   return {Order.Jobs.begin(),
           Order.Jobs.begin() + static_cast<std::ptrdiff_t>(Order.OnTime)};
@@ -40,28 +41,35 @@
 } // namespace
 
 TEST_CASE("jobs that can all be on time are begun by their time to begin") {
-  queue_order Order =
-      orderQueue({job(900), job(0, 2), job(400, 1)}, oneServer());
+  queue_order Order = orderIn(oneServer(), {job(900), job(0, 2), job(400, 1)});
   CHECK(Order.Jobs == std::vector<std::size_t>{1, 2, 0});
   CHECK(Order.OnTime == 3);
 }
 
 TEST_CASE("the wait counts calls, servers and their work in progress") {
-  queue_speed Speed;
-  Speed.FreeIn = {milliseconds(10), milliseconds(60)};
-  Speed.PiecesPerCall = 8;
-  Speed.CallTime = milliseconds(400);
+  queue_speed Speed({{milliseconds(10), milliseconds(400)},
+                     {milliseconds(60), milliseconds(400)}},
+                    8, milliseconds(400));
   CHECK(Speed.waitBehind(0) == milliseconds(10));
   CHECK(Speed.waitBehind(7) == milliseconds(10));
   CHECK(Speed.waitBehind(8) == milliseconds(60));
   CHECK(Speed.waitBehind(16) == milliseconds(410));
 }
 
+TEST_CASE("a slow server takes fewer calls and makes them later") {
+  queue_speed Speed({{milliseconds(0), milliseconds(100)},
+                     {milliseconds(0), milliseconds(350)}},
+                    1, milliseconds(100));
+  CHECK(Speed.waitBehind(2) == milliseconds(200));
+  CHECK(Speed.waitBehind(3) == milliseconds(250));
+  CHECK(Speed.waitBehind(4) == milliseconds(300));
+}
+
 TEST_CASE("if not all can be on time the least urgent wait") {
   std::vector<waiting_job> Jobs;
   for (int I = 0; I < 10; ++I)
     Jobs.push_back(job(400, I % 2 == 0 ? 2 : 0));
-  queue_order Order = orderQueue(Jobs, oneServer());
+  queue_order Order = orderIn(oneServer(), Jobs);
   REQUIRE(Order.OnTime == 5);
   for (std::size_t Job : onTime(Order))
     CHECK(Jobs[Job].Priority == 0);
@@ -69,7 +77,7 @@
 
 TEST_CASE("a more urgent job that comes later displaces a less urgent one") {
   std::vector<waiting_job> Jobs = {job(0, 1), job(100, 1), job(150, 0)};
-  queue_order Order = orderQueue(Jobs, oneServer());
+  queue_order Order = orderIn(oneServer(), Jobs);
   CHECK(Order.OnTime == 2);
   CHECK(onTime(Order).back() == 2);
 }
@@ -80,7 +88,7 @@
     Jobs.push_back(job(300, 0, "large"));
   Jobs.push_back(job(300, 0, "small"));
   Jobs.push_back(job(300, 0, "small"));
-  queue_order Order = orderQueue(Jobs, oneServer());
+  queue_order Order = orderIn(oneServer(), Jobs);
   std::vector<std::size_t> First = onTime(Order);
   REQUIRE(First.size() == 4);
   CHECK(std::count(First.begin(), First.end(), 8) == 1);
@@ -90,7 +98,7 @@
 TEST_CASE("work that was begun is not given up for work that was not") {
   std::vector<waiting_job> Jobs = {job(0), job(0)};
   Jobs[1].Begun = true;
-  queue_order Order = orderQueue(Jobs, oneServer());
+  queue_order Order = orderIn(oneServer(), Jobs);
   CHECK(Order.OnTime == 1);
   CHECK(Order.Jobs == std::vector<std::size_t>{1, 0});
 }
@@ -98,7 +106,7 @@
 TEST_CASE("late jobs come last, pressing ones first") {
   std::vector<waiting_job> Jobs = {job(-10), job(500), job(-20)};
   Jobs[2].Pressing = true;
-  queue_order Order = orderQueue(Jobs, oneServer());
+  queue_order Order = orderIn(oneServer(), Jobs);
   CHECK(Order.Jobs == std::vector<std::size_t>{2, 1, 0});
   CHECK(Order.OnTime == 2);
 }
@@ -114,12 +122,12 @@
       Job.Begun = *rc::gen::arbitrary<bool>();
       Jobs.push_back(Job);
     }
-    queue_speed Speed;
-    Speed.CallTime = milliseconds(400);
-    Speed.PiecesPerCall = *rc::gen::inRange<std::size_t>(1, 16);
+    std::vector<queue_speed::server> Servers;
     for (int I = *rc::gen::inRange(1, 5); I > 0; --I)
-      Speed.FreeIn.push_back(milliseconds(*rc::gen::inRange(0, 300)));
-    std::sort(Speed.FreeIn.begin(), Speed.FreeIn.end());
+      Servers.push_back({milliseconds(*rc::gen::inRange(0, 300)),
+                         milliseconds(*rc::gen::inRange(200, 900))});
+    queue_speed Speed(Servers, *rc::gen::inRange<std::size_t>(1, 16),
+                      milliseconds(400));
     queue_order Order = orderQueue(Jobs, Speed);
     RC_ASSERT(
         std::set<std::size_t>(Order.Jobs.begin(), Order.Jobs.end()).size() ==
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -250,8 +250,9 @@
   case 14:
     return pieces_wanted{anyJob()};
   case 15:
-    return pieces_accepted{anyNumber<piece_job_id>(),
-                           {anyTimes(), anyDuration(), any32(), anyTimes()}};
+    return pieces_accepted{
+        anyNumber<piece_job_id>(),
+        {anyTimes(), anyDuration(), anyDuration(), anyTimes()}};
   case 16:
     return pieces_made{
         anyNumber<piece_job_id>(), anyId<caller_request_id>(),
