Count planned pieces only until they are asked for

Cause: what a host had planned for a queue counted for 1.5 s or until its next request, also when the pieces had been asked for. Ruled out: too few servers (full calls have twice the capacity needed). Change: an owner takes the pieces of a job off what its host had planned.

--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -93,6 +93,10 @@
   Jobs.emplace(Key, std::move(State));
   queue(queueOf(Job)).push_back(Key);
   Changed = true;
+  // What the host had planned has come.
+  std::uint32_t &Planned =
+      Queues[queueOf(Job)].Planned[Host].Pieces[urgencyRank(Job.Priority)];
+  Planned -= std::min(Planned, static_cast<std::uint32_t>(Job.Pieces.size()));
   for (std::size_t Piece = 0; Piece < Job.Pieces.size(); ++Piece)
     Budget.onRequest(Job.Pool, Now);
   return Wait;
--- a/packages/core/test/batch-owner-test.cc
+++ b/packages/core/test/batch-owner-test.cc
@@ -139,3 +139,19 @@
     CHECK(Test.Actions.LoadQuestions.empty());
   }
 }
+
+TEST_CASE("planned pieces count until they are asked for") {
+  batch_owner_fixture Test;
+  auto Planned = [&Test] {
+    return Test.Owner.expectedWait(pool_id("pool"), zone_id(), Test.Now)
+        .Planned[0];
+  };
+  Test.Owner.onPlanned(Test.Host, pool_id("pool"), zone_id(), {24, 0, 0},
+                       Test.Now);
+  core_duration Before = Planned();
+  CHECK(Before > core_duration{0});
+  Test.Owner.submit(Test.Host, Test.laterJob(1, 16), Test.Now);
+  CHECK(Planned() < Before);
+  Test.Owner.submit(Test.Host, Test.laterJob(2, 8), Test.Now);
+  CHECK(Planned() == core_duration{0});
+}
