Ask the zone's queue that begins first; tell waits apart by queue

Cause: what an owner said of its zone's queue was taken for the whole pool, and pieces went to the queue of the inputs' zone however long it was; zones have 3 to 5 servers of a pool. Change: waits are kept by queue; the queue is taken that is expected to begin first, another zone's counting as slower by what moving the results is worth.

--- a/packages/core/src/serving/batch_plan.cc
+++ b/packages/core/src/serving/batch_plan.cc
@@ -66,8 +66,7 @@
       Bytes += Wanted.InputBytes;
     if (!Wanted.NearZone.empty() && Server.Zone != Wanted.NearZone)
       Bytes += Wanted.ResultBytes * Wanted.Pieces.size();
-    return core_duration(
-        static_cast<std::int64_t>(Bytes / FarBytesPerMicrosecond));
+    return movingTime(Bytes);
   }
 
   std::optional<std::size_t> earliest(const planned_job &Job) const {
@@ -133,6 +132,11 @@
 
 } // namespace
 
+core_duration movingTime(std::uint64_t Bytes) {
+  return core_duration(
+      static_cast<std::int64_t>(Bytes / FarBytesPerMicrosecond));
+}
+
 core_duration scaled(core_duration Time, double Factor) {
   return core_duration(
       static_cast<std::int64_t>(static_cast<double>(Time.count()) * Factor));
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -21,10 +21,11 @@
 
 using namespace detail;
 
-// The wait in a pool's queue as its owner last said it; it counts less as it
-// gets older.
-queue_wait serving_impl::knownWait(const pool_id &Pool) const {
-  auto Found = Waits.find(Pool);
+// The wait in a queue as its owner last said it; it counts less as it gets
+// older.
+queue_wait serving_impl::knownWait(const pool_id &Pool,
+                                   const zone_id &Zone) const {
+  auto Found = Waits.find({Pool, Zone});
   if (Found == Waits.end())
     return {};
   double Age = std::chrono::duration<double>(Now - Found->second.At).count();
@@ -38,6 +39,12 @@
   return Wait;
 }
 
+queue_wait serving_impl::knownWait(const request_state &State,
+                                   std::size_t Stage) const {
+  return knownWait(State.Route->Stages[Stage].Pool,
+                   State.Stages[Stage].QueueZone);
+}
+
 // Tells the owners of later stages' queues what this host's requests will ask
 // of them, so that others see it too.
 void serving_impl::tellPlans(const request_state &State) {
@@ -47,7 +54,7 @@
       continue;
     work_planned Work;
     Work.Pool = Plan.Pool;
-    Work.QueueZone = queueZone(Plan.Pool, State);
+    Work.QueueZone = State.Stages[Stage].QueueZone;
     Work.Pieces = plannedPieces(Plan.Pool);
     entry_host_id Target = Settings.BatchAlone
                                ? Settings.Self.Host
@@ -80,7 +87,7 @@
     return core_duration{0};
   const batch_rules &Rules = *Found->second.Batches;
   std::uint32_t Own = State.Call.Pieces[Stage];
-  queue_wait Known = knownWait(State.Route->Stages[Stage].Pool);
+  queue_wait Known = knownWait(State, Stage);
   if (Known.Call.count() > 0)
     return std::max(Known.Call, expectedCallTime(Rules, Own));
   return expectedCallTime(Rules,
@@ -89,8 +96,7 @@
 
 core_duration serving_impl::stageTime(const request_state &State,
                                       std::size_t Stage) const {
-  return knownWait(State.Route->Stages[Stage].Pool)
-             .OnTime[urgencyRank(State.Priority)] +
+  return knownWait(State, Stage).OnTime[urgencyRank(State.Priority)] +
          callTime(State, Stage);
 }
 
@@ -133,7 +139,7 @@
     Ends[Stage] = Start;
     if (State.Call.Pieces[Stage] == 0)
       continue;
-    queue_wait Wait = knownWait(Plan.Pool);
+    queue_wait Wait = knownWait(State, Stage);
     core_duration None{0};
     core_duration Planned = Plan.After.empty() ? None : Wait.Planned[Rank];
     core_duration OnTime = std::max(None, Wait.OnTime[Rank] + Planned - Start);
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -170,6 +170,8 @@
   if (!State.Stages.empty())
     if (const backend_state *Planned = chooseServer(State))
       State.PlannedZone = Planned->Entry.Zone;
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+    State.Stages[Stage].QueueZone = queueZone(State, Stage);
   if (turnedAway(State))
     return;
   tellPlans(State);
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -25,6 +25,9 @@
 constexpr double SmallResultsPart = 0.01;
 /// Pools with more servers than this have a queue for each zone.
 constexpr std::size_t MaxServersPerQueue = 8;
+/// Another zone's queue has to be shorter by more than this: what is known of
+/// waits is some tens of milliseconds old.
+constexpr core_duration OtherZoneTime = milliseconds(60);
 
 } // namespace
 
@@ -119,17 +122,35 @@
 }
 
 // Small pools have one queue. In large ones each zone has its own, so that an
-// owner's work and what its loss affects do not grow with the fleet.
-zone_id serving_impl::queueZone(const pool_id &Pool,
-                                const request_state &State) {
-  std::vector<backend_state *> Usable = Servers.usable(Pool, Now);
+// owner's work and what its loss affects do not grow with the fleet. Of these
+// the one is taken that is expected to begin first; far ones count as slower by
+// what moving the results is worth.
+zone_id serving_impl::queueZone(const request_state &State, std::size_t Stage) {
+  const route_stage &Plan = State.Route->Stages[Stage];
+  std::vector<backend_state *> Usable = Servers.usable(Plan.Pool, Now);
   if (Usable.size() <= MaxServersPerQueue)
     return zone_id();
-  zone_id Near = zoneOfInputs(State);
+  std::set<zone_id> Zones;
   for (const backend_state *Server : Usable)
-    if (Server->Entry.Zone == Near)
-      return Near;
-  return Usable.front()->Entry.Zone;
+    Zones.insert(Server->Entry.Zone);
+  zone_id Near = zoneOfInputs(State);
+  std::uint64_t Bytes = Plan.ResultBytes * State.Call.Pieces[Stage];
+  for (std::uint32_t Before : Plan.After)
+    Bytes +=
+        State.Route->Stages[Before].ResultBytes * State.Call.Pieces[Before];
+  const zone_id *Best = nullptr;
+  core_duration BestTime{0};
+  for (const zone_id &Zone : Zones) {
+    core_duration Time =
+        knownWait(Plan.Pool, Zone).OnTime[urgencyRank(State.Priority)];
+    if (Zone != Near)
+      Time += movingTime(Bytes) + OtherZoneTime;
+    if (!Best || Time < BestTime) {
+      Best = &Zone;
+      BestTime = Time;
+    }
+  }
+  return *Best;
 }
 
 entry_host_id serving_impl::ownerOf(const pool_id &Pool,
@@ -169,7 +190,8 @@
 void serving_impl::sendJob(piece_job_id Id, request_state &State) {
   job_state &Asked = JobsAsked[Id];
   const pool_id &Pool = State.Route->Stages[Asked.Stage].Pool;
-  Asked.QueueZone = queueZone(Pool, State);
+  Asked.QueueZone = queueZone(State, Asked.Stage);
+  State.Stages[Asked.Stage].QueueZone = Asked.QueueZone;
   Asked.Owner =
       Settings.BatchAlone ? Settings.Self.Host : ownerOf(Pool, Asked.QueueZone);
   askOwner(Id, State);
@@ -225,7 +247,7 @@
   request_state *State = find(Job.Request);
   if (!State)
     return;
-  Waits[State->Route->Stages[Job.Stage].Pool] = {Wait, Now};
+  Waits[{State->Route->Stages[Job.Stage].Pool, Job.QueueZone}] = {Wait, Now};
   core_duration Needed =
       stageTime(*State, Job.Stage) + timeAfter(*State, Job.Stage);
   core_duration Left = State->Deadline - Now;
@@ -409,7 +431,9 @@
     return;
   cancelJob(State.Stages[Stage]);
   releaseStage(State.Stages[Stage]);
+  zone_id Zone = State.Stages[Stage].QueueZone;
   State.Stages[Stage] = stage_state{};
+  State.Stages[Stage].QueueZone = Zone;
   for (std::uint32_t Before : State.Route->Stages[Stage].After)
     if (State.Stages[Before].Released)
       remake(State, Before);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -35,6 +35,8 @@
   /// Who made the results and is told when they are no longer needed.
   entry_host_id Owner;
   bool Released = false;
+  /// The queue that the pieces are asked of, or are planned to be.
+  zone_id QueueZone;
   core_time AskedAt;
   /// Time from being asked for until done.
   core_duration Took{0};
@@ -199,7 +201,7 @@
   void askStage(request_state &State, std::size_t Stage);
   void sendJob(piece_job_id Id, request_state &State);
   void askOwner(piece_job_id Id, request_state &State);
-  zone_id queueZone(const pool_id &Pool, const request_state &State);
+  zone_id queueZone(const request_state &State, std::size_t Stage);
   std::vector<result_handle> inputsOf(const request_state &State,
                                       std::size_t Stage) const;
   std::vector<result_handle> finalInputs(const request_state &State) const;
@@ -211,7 +213,8 @@
   entry_host_id ownerOf(const pool_id &Pool, const zone_id &Zone) const;
   void handOverQueues();
   void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
-  queue_wait knownWait(const pool_id &Pool) const;
+  queue_wait knownWait(const pool_id &Pool, const zone_id &Zone) const;
+  queue_wait knownWait(const request_state &State, std::size_t Stage) const;
   void tellPlans(const request_state &State);
   by_urgency<std::uint32_t> plannedPieces(const pool_id &Pool) const;
   forecast forecastStages(const request_state &State) const;
@@ -284,8 +287,8 @@
     queue_wait Wait;
     core_time At;
   };
-  /// Expected wait in each pool's queue, as owners last said it.
-  std::map<pool_id, said_wait> Waits;
+  /// Expected wait in each queue, as its owner last said it.
+  std::map<std::pair<pool_id, zone_id>, said_wait> Waits;
   /// Smoothed time to the first byte of a pool's answers, in microseconds.
   std::map<pool_id, double> HeadMicros;
 };
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -594,6 +594,36 @@
   CHECK(Answered);
 }
 
+TEST_CASE("of a large pool's queues the one that begins first is asked") {
+  serving_fixture Test;
+  Test.configure();
+  Test.addServers("engine", 3);
+  // Twelve servers in three zones: each zone has a queue.
+  for (int I = 0; I < 12; ++I) {
+    backend_entry Entry;
+    Entry.Id = backend_id("first" + std::to_string(I));
+    Entry.Pool = pool_id("first");
+    Entry.Address = endpoint("10.0.1." + std::to_string(I) + ":80");
+    Entry.Zone = zone_id("z" + std::to_string(I % 3));
+    Entry.Run = incarnation(1);
+    Test.Core.onBackend(Entry, Test.Now);
+  }
+  Test.Core.onHost(
+      {entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 1'000'000'000},
+      Test.Now);
+  Test.ask("staged", {1, 0});
+  REQUIRE(Test.asked().size() == 1);
+  CHECK(Test.asked()[0].second.QueueZone == zone_id("z0"));
+  queue_wait Wait;
+  Wait.OnTime.fill(milliseconds(400));
+  Wait.Late = milliseconds(400);
+  Test.Core.onPeer({entry_host_id("h1"), incarnation(1)},
+                   pieces_accepted{Test.asked()[0].second.Job, Wait}, Test.Now);
+  Test.ask("staged", {1, 0});
+  REQUIRE(Test.asked().size() == 2);
+  CHECK(Test.asked()[1].second.QueueZone != zone_id("z0"));
+}
+
 TEST_CASE("a request that cannot be done in time is refused at once") {
   serving_fixture Test;
   Test.configure();
