Leave a stage's own wait out of its time to begin

Cause: the time by which a stage has to begin was reckoned with the wait in its own queue, which the order of the queue takes into account again.

--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -213,7 +213,7 @@
   if (Plan.After.empty())
     Job.Key = State.Call.PieceKey;
   Job.DeadlineIn = State.Deadline - Now - timeAfter(State, Asked.Stage);
-  Job.StartBy = State.GoalAt - Now - stageTime(State, Asked.Stage) -
+  Job.StartBy = State.GoalAt - Now - callTime(State, Asked.Stage) -
                 timeAfter(State, Asked.Stage);
   Job.Priority = State.Priority;
   Job.Workspace = State.Workspace;
