Tell jobs of a host's runs apart; give back jobs that nothing serves

Cause: a host that was restarted counts its jobs from one again; a call that the owner had begun for the earlier run answered the job of the same number of the later run. Change: the owner keeps jobs by host, run and number, and drops those of earlier runs. 2. Causes: jobs of a queue without servers waited for ever (since the queues' new order), and calls whose results nobody wants were waited for. Change: such jobs are given back after 0.5 s; only jobs that somebody waits for keep a host. Each has a test that failed first.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -8,6 +8,7 @@
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/queue_order.h"
 #include "jasminecroft/core/serving/retry_budget.h"
+#include "jasminecroft/core/stored_objects.h"
 
 #include <compare>
 #include <deque>
@@ -91,10 +92,9 @@
   void configure(const std::map<pool_id, serving_pool> &Pools);
 
   /// Queues a job and returns how long its pieces are expected to wait.
-  queue_wait submit(const entry_host_id &Host, const piece_job &Job,
-                    core_time Now);
+  queue_wait submit(const host_run &Host, const piece_job &Job, core_time Now);
   /// Forgets a job; its results are freed, also those that are being made.
-  void cancel(const entry_host_id &Host, piece_job_id Job, core_time Now);
+  void cancel(const host_run &Host, piece_job_id Job, core_time Now);
   /// Frees results, also those that another owner had made.
   void release(const std::vector<result_handle> &Results, core_time Now);
   /// Takes how many pieces Host is about to ask for; replaces what it said.
@@ -123,17 +123,18 @@
   queue_wait expectedWait(const pool_id &Pool, const zone_id &Zone,
                           core_time Now);
   std::size_t waitingPieces(const pool_id &Pool, const zone_id &Zone) const;
-  /// Whether nothing waits and nothing is being made.
-  bool idle() const { return Jobs.empty() && Batches.empty(); }
+  /// Whether nobody waits for anything. Calls of which nobody wants the results
+  /// may still be in progress.
+  bool idle() const { return Jobs.empty(); }
   /// Calls and pieces started so far.
   std::uint64_t batchesStarted() const { return LastBatch; }
   std::uint64_t piecesStarted() const { return Pieces; }
 
 private:
-  using job_key = std::pair<entry_host_id, piece_job_id>;
+  /// Numbers of jobs begin anew with each run of a host.
+  using job_key = std::pair<host_run, piece_job_id>;
 
   struct job_state {
-    entry_host_id Host;
     piece_job Job;
     core_time Arrived;
     core_time Deadline;
@@ -228,6 +229,7 @@
   static queue_key queueOf(const piece_job &Job);
   std::vector<job_key> &queue(const queue_key &Key) { return Queues[Key].Jobs; }
   void pumpQueue(const queue_key &Key, core_time Now);
+  void giveBackUnserved(const queue_key &Key, core_time Now);
   queue_speed speedOf(const queue_key &Key,
                       const std::vector<planned_server> &Servers);
   std::vector<waiting_job> waitingJobs(const queue_key &Key, core_time Now);
@@ -249,6 +251,7 @@
   void requeue(const batch_piece &Piece);
   void failJob(const job_key &Key, piece_failure Failure, core_time Now);
   void dropJob(const job_key &Key, core_time Now);
+  void dropEarlierRuns(const host_run &Host, core_time Now);
   void freeAt(const backend_id &Server, const result_handle &Result,
               core_time Now);
   void flushFrees(const backend_id &Id, maker_state &Maker);
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -37,6 +37,9 @@
 /// What a host said of its plans holds this long: about the time that the
 /// earlier stages of its requests take.
 constexpr core_duration PlannedLifetime = milliseconds(1'500);
+/// Jobs wait this long for a server of their queue: about the time that a new
+/// host needs for the platform's list.
+constexpr core_duration NoServerPatience = milliseconds(500);
 /// Said when no server of the pool is known.
 constexpr core_duration NoServerWait = std::chrono::hours(1);
 
@@ -68,22 +71,18 @@
   return {Job.Pool, Job.QueueZone};
 }
 
-queue_wait batch_owner::submit(const entry_host_id &Host, const piece_job &Job,
+queue_wait batch_owner::submit(const host_run &Host, const piece_job &Job,
                                core_time Now) {
   job_key Key{Host, Job.Job};
   if (!Pools.contains(Job.Pool)) {
-    Actions.onJobFailed(Host, Job.Job, piece_failure::NotMade);
+    Actions.onJobFailed(Host.Host, Job.Job, piece_failure::NotMade);
     return {};
   }
   queue_wait Wait = expectedWait(Job.Pool, Job.QueueZone, Now);
-  auto Known = Jobs.find(Key);
-  if (Known != Jobs.end() && Known->second.Job.Request == Job.Request &&
-      Known->second.Job.Stage == Job.Stage)
+  if (Jobs.contains(Key))
     return Wait;
-  // The same number for other work comes from a later run of the host.
-  dropJob(Key, Now);
+  dropEarlierRuns(Host, Now);
   job_state State;
-  State.Host = Host;
   State.Arrived = Now;
   State.Job = Job;
   State.Deadline = Now + Job.DeadlineIn;
@@ -95,18 +94,28 @@
   Changed = true;
   // What the host had planned has come.
   std::uint32_t &Planned =
-      Queues[queueOf(Job)].Planned[Host].Pieces[urgencyRank(Job.Priority)];
+      Queues[queueOf(Job)].Planned[Host.Host].Pieces[urgencyRank(Job.Priority)];
   Planned -= std::min(Planned, static_cast<std::uint32_t>(Job.Pieces.size()));
   for (std::size_t Piece = 0; Piece < Job.Pieces.size(); ++Piece)
     Budget.onRequest(Job.Pool, Now);
   return Wait;
 }
 
-void batch_owner::cancel(const entry_host_id &Host, piece_job_id Job,
+void batch_owner::cancel(const host_run &Host, piece_job_id Job,
                          core_time Now) {
   dropJob({Host, Job}, Now);
 }
 
+// Nobody waits for what an earlier run of a host has asked for.
+void batch_owner::dropEarlierRuns(const host_run &Host, core_time Now) {
+  std::vector<job_key> Earlier;
+  for (auto It = Jobs.lower_bound({{Host.Host, incarnation()}, piece_job_id()});
+       It != Jobs.end() && It->first.first < Host; ++It)
+    Earlier.push_back(It->first);
+  for (const job_key &Key : Earlier)
+    dropJob(Key, Now);
+}
+
 void batch_owner::handOver(
     const std::function<bool(const pool_id &, const zone_id &)> &IsOwn,
     core_time Now) {
@@ -135,7 +144,7 @@
 void batch_owner::failJob(const job_key &Key, piece_failure Failure,
                           core_time Now) {
   dropJob(Key, Now);
-  Actions.onJobFailed(Key.first, Key.second, Failure);
+  Actions.onJobFailed(Key.first.Host, Key.second, Failure);
 }
 
 void batch_owner::pump(core_time Now) {
@@ -264,11 +273,21 @@
   }
 }
 
+// Without servers jobs wait only as long as news of one may take.
+void batch_owner::giveBackUnserved(const queue_key &Key, core_time Now) {
+  const std::vector<job_key> Ids = queue(Key);
+  for (const job_key &Id : Ids)
+    if (Now - Jobs.at(Id).Arrived > NoServerPatience)
+      failJob(Id, piece_failure::NotMade, Now);
+}
+
 void batch_owner::pumpQueue(const queue_key &Key, core_time Now) {
   askServers(Key, Now);
   std::vector<planned_server> Planned = planServers(Key, Now);
-  if (Planned.empty())
+  if (Planned.empty()) {
+    giveBackUnserved(Key, Now);
     return;
+  }
   queue_speed Speed = speedOf(Key, Planned);
   const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
   queue_order Order = orderQueue(Waiting, Speed);
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -80,7 +80,7 @@
     std::vector<made_piece> Made = std::move(Job->second.Made);
     const piece_job Ended = Job->second.Job;
     dropJob(Piece.Job, Now);
-    Actions.onPiecesMade(Piece.Job.first, Ended, std::move(Made));
+    Actions.onPiecesMade(Piece.Job.first.Host, Ended, std::move(Made));
   }
 }
 
@@ -242,7 +242,7 @@
         Fetched.insert(Piece.Job);
     }
     for (const job_key &Key : Fetched)
-      Actions.onInputsFetched(Key.first, Key.second);
+      Actions.onInputsFetched(Key.first.Host, Key.second);
   }
 }
 
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -122,7 +122,7 @@
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_wanted &Body) {
-  queue_wait Wait = Owner.submit(Sender.Host, Body.Job, Now);
+  queue_wait Wait = Owner.submit(Sender, Body.Job, Now);
   sendToHost(Sender.Host, pieces_accepted{Body.Job.Job, Wait});
 }
 
@@ -148,7 +148,7 @@
 }
 
 void serving_impl::on(const host_run &Sender, const pieces_cancelled &Body) {
-  Owner.cancel(Sender.Host, Body.Job, Now);
+  Owner.cancel(Sender, Body.Job, Now);
 }
 
 void serving_impl::on(const host_run &, const results_released &Body) {
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -232,7 +232,7 @@
     sendToHost(Asked.Owner, pieces_wanted{std::move(Job)});
     return;
   }
-  queue_wait Wait = Owner.submit(Settings.Self.Host, Job, Now);
+  queue_wait Wait = Owner.submit(Settings.Self, Job, Now);
   onJobAccepted(Id, Wait);
 }
 
@@ -541,7 +541,7 @@
 
 void serving_impl::cancelAt(const entry_host_id &Host, piece_job_id Job) {
   if (Host == Settings.Self.Host)
-    Owner.cancel(Host, Job, Now);
+    Owner.cancel(Settings.Self, Job, Now);
   else
     sendToHost(Host, pieces_cancelled{Job});
 }
--- a/packages/core/test/batch-owner-fixture.h
+++ b/packages/core/test/batch-owner-fixture.h
@@ -178,7 +178,7 @@
   backend_directory Servers;
   retry_budget Budget;
   batch_owner Owner;
-  entry_host_id Host{"h0"};
+  host_run Host{entry_host_id("h0"), incarnation(1)};
   /// What servers say of themselves.
   pieces_load Load{false, 0, 1'500'000};
   core_time Now{std::chrono::seconds(1'000)};
--- a/packages/core/test/batch-owner-test.cc
+++ b/packages/core/test/batch-owner-test.cc
@@ -146,7 +146,7 @@
     return Test.Owner.expectedWait(pool_id("pool"), zone_id(), Test.Now)
         .Planned[0];
   };
-  Test.Owner.onPlanned(Test.Host, pool_id("pool"), zone_id(), {24, 0, 0},
+  Test.Owner.onPlanned(Test.Host.Host, pool_id("pool"), zone_id(), {24, 0, 0},
                        Test.Now);
   core_duration Before = Planned();
   CHECK(Before > core_duration{0});
@@ -155,3 +155,43 @@
   Test.Owner.submit(Test.Host, Test.laterJob(2, 8), Test.Now);
   CHECK(Planned() == core_duration{0});
 }
+
+TEST_CASE("jobs for which there is no server are given back") {
+  batch_owner_fixture Test(0);
+  Test.Owner.submit(Test.Host, Test.job(1, 2), Test.Now);
+  Test.Owner.pump(Test.Now);
+  CHECK(Test.Actions.Failed.empty());
+  Test.pass(milliseconds(700));
+  REQUIRE(Test.Actions.Failed.size() == 1);
+  CHECK(Test.Actions.Failed.at(piece_job_id(1)) == piece_failure::NotMade);
+  CHECK(Test.Owner.idle());
+}
+
+TEST_CASE("a call of a host's earlier run is no answer to its later run") {
+  batch_owner_fixture Test;
+  Test.submit(Test.job(1, 2));
+  REQUIRE(Test.Actions.Calls.size() == 1);
+  batch_id Earlier = Test.onlyCall();
+  // The host was restarted and counts its jobs from one again.
+  Test.Host.Run = incarnation(2);
+  piece_job Later = Test.laterJob(1, 2);
+  Later.Request = caller_request_id("later");
+  Test.submit(Later);
+  Test.pass(milliseconds(280));
+  Test.answerAll(Earlier);
+  CHECK(Test.Actions.Made.empty());
+  Test.pass(milliseconds(500));
+  CHECK(freed(Test, "s0", "10.0.0.0:80/r1.0"));
+  REQUIRE(Test.Actions.Calls.size() == 1);
+  CHECK(Test.Actions.Calls.begin()->second.Items[0].Request ==
+        caller_request_id("later"));
+}
+
+TEST_CASE("a call whose results nobody wants is no work to wait for") {
+  batch_owner_fixture Test;
+  Test.submit(Test.job(1, 2));
+  CHECK_FALSE(Test.Owner.idle());
+  Test.Owner.cancel(Test.Host, piece_job_id(1), Test.Now);
+  REQUIRE(Test.Actions.Calls.size() == 1);
+  CHECK(Test.Owner.idle());
+}
