Soak real entry hosts: signals, a fault proxy, new configurations

Change: users_fleet, out of the serving path's test, reaches the store and the backend servers through proxies that delay, silence, cut one way and reset; serving-soak pauses, kills, stops and restarts hosts in series while callers use them, then demands service from every host. Judged from what callers get and servers ran: own whole answers, at most once, true refusals, clean stops, recovery. Conclusion: nothing found yet; peers talk directly, so cuts between hosts are left to the fuzz and the bench.

--- /dev/null
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -0,0 +1,261 @@
+// Callers, faults, and what the answers and the servers' records have to say.
+#include "jasminecroft/processes/serving_soak.h"
+
+#include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/users_fleet.h"
+
+#include <boost/json/parse.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <random>
+
+namespace jasminecroft::processes {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::seconds Bound{8};
+constexpr milliseconds LongestPause{700};
+constexpr milliseconds CallerPause{15};
+/// A host that was told to stop ends by itself within its grace.
+constexpr std::chrono::seconds StopBound{10};
+constexpr std::size_t CalmRequests = 6;
+constexpr unsigned StatusOk = 200;
+/// Statuses that promise that the request has not run and never will.
+bool promisesNotRun(unsigned Status) {
+  return Status == 429 || Status == 503 || Status == 408 || Status == 421;
+}
+
+enum class soak_kind { Read, Once, Draft };
+
+struct soak_answer {
+  std::string Id;
+  soak_kind Kind = soak_kind::Read;
+  http_reply Reply;
+};
+
+class soak {
+public:
+  explicit soak(const soak_options &Options)
+      : Options(Options), Random(Options.Seed), Fleet(Options.Hosts, true) {
+    Fleet.add("engine", {"engine-1"});
+    Fleet.add("stage", {"stage-1"});
+  }
+
+  soak_report run() {
+    if (!Fleet.waitReady()) {
+      broken("hosts are not ready after their start");
+      return std::move(Report);
+    }
+    std::vector<std::thread> Callers;
+    for (std::size_t Caller = 0; Caller < Options.Callers; ++Caller)
+      Callers.emplace_back([this, Caller] { callUntilStopped(Caller); });
+    steady::time_point End = steady::now() + Options.FaultTime;
+    while (steady::now() < End) {
+      faultOne();
+      std::this_thread::sleep_for(pause(LongestPause));
+    }
+    calm();
+    Stopping = true;
+    for (std::thread &Caller : Callers)
+      Caller.join();
+    checkCalm();
+    judge();
+    return std::move(Report);
+  }
+
+private:
+  struct fault {
+    const char *Name;
+    std::function<void()> Act;
+  };
+
+  milliseconds pause(milliseconds Longest) {
+    return milliseconds(Random() % static_cast<std::uint64_t>(Longest.count()));
+  }
+
+  void broken(std::string What) { Report.Broken.push_back(std::move(What)); }
+
+  std::string anyProxy() {
+    auto Chosen = Fleet.Proxies.begin();
+    std::advance(Chosen, Random() % Fleet.Proxies.size());
+    return Chosen->first;
+  }
+
+  void faultOne() {
+    std::size_t Host = Random() % Options.Hosts;
+    std::string Name = anyProxy();
+    const std::vector<fault> Faults = {
+        {"pause", [&] { pauseHost(Host); }},
+        {"kill", [&] { restartHost(Host, SIGKILL); }},
+        {"stop", [&] { restartHost(Host, SIGTERM); }},
+        {"hang up", [&] { Fleet.Processes[Host]->signal(SIGHUP); }},
+        {"reset", [&] { Fleet.on([&] { Fleet.Proxies[Name]->resetAll(); }); }},
+        {"silence",
+         [&] {
+           Fleet.on([&] { Fleet.Proxies[Name]->setLoss(proxy_loss::Both); });
+         }},
+        {"one way",
+         [&] {
+           Fleet.on(
+               [&] { Fleet.Proxies[Name]->setLoss(proxy_loss::FromServer); });
+         }},
+        {"delay",
+         [&] {
+           Fleet.on([&] { Fleet.Proxies[Name]->setDelay(milliseconds(60)); });
+         }},
+        {"heal", [&] { healProxies(); }},
+        {"heal", [&] { healProxies(); }},
+        {"new configuration", [&] { changeConfig(); }}};
+    const fault &Chosen = Faults[Random() % Faults.size()];
+    Report.Faults.push_back(std::string(Chosen.Name) + " (host " +
+                            std::to_string(Host) + ", proxy of " + Name + ")");
+    Chosen.Act();
+  }
+
+  void pauseHost(std::size_t Host) {
+    Fleet.Processes[Host]->signal(SIGSTOP);
+    std::this_thread::sleep_for(pause(LongestPause) + milliseconds(200));
+    Fleet.Processes[Host]->signal(SIGCONT);
+  }
+
+  void restartHost(std::size_t Host, int Signal) {
+    Fleet.Processes[Host]->signal(Signal);
+    std::optional<int> Exit = Fleet.Processes[Host]->waitExit(StopBound);
+    if (Signal == SIGTERM && Exit != 0)
+      broken("host " + std::to_string(Host) +
+             " did not end well after SIGTERM, but with " +
+             (Exit ? std::to_string(*Exit) : "nothing"));
+    Fleet.startHost(Host);
+  }
+
+  void healProxies() {
+    Fleet.on([this] {
+      for (const std::pair<const std::string, std::unique_ptr<fault_proxy>>
+               &Proxy : Fleet.Proxies) {
+        Proxy.second->setLoss(proxy_loss::None);
+        Proxy.second->setDelay(milliseconds(0));
+      }
+    });
+  }
+
+  void changeConfig() {
+    json::value Config = json::parse(usersConfig());
+    ++Version;
+    Config.as_object()["version"] = Version;
+    Fleet.on([&] { Fleet.Store->put("config", "main", Config); });
+  }
+
+  void calm() {
+    healProxies();
+    // Connections that went silent are found out by now.
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    if (!Fleet.waitReady())
+      broken("hosts are not ready after the faults ended");
+  }
+
+  soak_answer ask(const std::string &Id, soak_kind Kind, std::size_t Host) {
+    http_call Call = Kind == soak_kind::Draft
+                         ? Fleet.draft(Id, Host)
+                         : Fleet.call(Kind == soak_kind::Once ? "once" : "read",
+                                      Id, "key-1", Host);
+    return {Id, Kind, processes::exchange(Call, Bound)};
+  }
+
+  void callUntilStopped(std::size_t Caller) {
+    std::mt19937_64 Own(Options.Seed * 1'000 + Caller);
+    for (std::size_t Number = 0; !Stopping; ++Number) {
+      std::string Id =
+          "c" + std::to_string(Caller) + "-" + std::to_string(Number);
+      soak_answer Answer =
+          ask(Id, static_cast<soak_kind>(Own() % 3), Own() % Options.Hosts);
+      {
+        std::lock_guard<std::mutex> Lock(AnswersMutex);
+        Answers.push_back(std::move(Answer));
+      }
+      std::this_thread::sleep_for(CallerPause);
+    }
+  }
+
+  void checkCalm() {
+    for (std::size_t Host = 0; Host < Options.Hosts; ++Host)
+      for (std::size_t I = 0; I < CalmRequests; ++I) {
+        std::string Id =
+            "calm-" + std::to_string(Host) + "-" + std::to_string(I);
+        soak_answer Answer = ask(Id, static_cast<soak_kind>(I % 3), Host);
+        if (Answer.Reply.Status != StatusOk)
+          broken(Id + " gets " + std::to_string(Answer.Reply.Status) +
+                 " after the faults ended");
+        Answers.push_back(std::move(Answer));
+      }
+  }
+
+  void judge() {
+    std::map<std::string, std::size_t> Runs;
+    Fleet.on([&] {
+      for (const std::pair<const std::string,
+                           std::unique_ptr<standins::users_backend>> &Backend :
+           Fleet.Backends)
+        for (const std::string &Id : Backend.second->ran())
+          ++Runs[Id];
+    });
+    for (const soak_answer &Answer : Answers) {
+      ++Report.Requests;
+      std::size_t Ran = Runs.contains(Answer.Id) ? Runs[Answer.Id] : 0;
+      unsigned Status = Answer.Reply.Status;
+      Report.Served += Status == StatusOk ? 1 : 0;
+      Report.Refused += promisesNotRun(Status) ? 1 : 0;
+      Report.Unanswered += Status == 0 ? 1 : 0;
+      if (Answer.Kind == soak_kind::Once && Ran > 1)
+        broken(Answer.Id + " ran " + std::to_string(Ran) + " times");
+      if (Answer.Kind != soak_kind::Read && promisesNotRun(Status) && Ran > 0)
+        broken(Answer.Id + " got " + std::to_string(Status) + ", but ran");
+      if (Status == StatusOk)
+        judgeServed(Answer, Ran);
+    }
+  }
+
+  void judgeServed(const soak_answer &Answer, std::size_t Ran) {
+    if (Ran == 0)
+      broken(Answer.Id + " was served, but ran nowhere");
+    const std::string &Body = Answer.Reply.Body;
+    if (Answer.Kind != soak_kind::Draft) {
+      if (Body.find("\"id\":\"" + Answer.Id + "\"") == std::string::npos)
+        broken(Answer.Id + " got another answer: " + Body);
+      return;
+    }
+    std::size_t At = 0;
+    for (const char *Event : {"id: 1\n", "id: 2\n", "id: 3\n"}) {
+      At = Body.find(Event, At);
+      if (At == std::string::npos) {
+        broken(Answer.Id + " got a stream with a hole: " + Body);
+        return;
+      }
+    }
+    for (const char *Piece : {".1.0", ".1.1"})
+      if (Body.find("/" + Answer.Id + Piece) == std::string::npos)
+        broken(Answer.Id + " was run without its own inputs: " + Body);
+  }
+
+  soak_options Options;
+  std::mt19937_64 Random;
+  users_fleet Fleet;
+  std::uint64_t Version = 1;
+  std::atomic<bool> Stopping = false;
+  std::mutex AnswersMutex;
+  std::vector<soak_answer> Answers;
+  soak_report Report;
+};
+
+} // namespace
+
+soak_report runSoak(const soak_options &Options) { return soak(Options).run(); }
+
+} // namespace jasminecroft::processes
--- a/packages/testing/processes/test/serving-path-test.cc
+++ b/packages/testing/processes/test/serving-path-test.cc
@@ -1,13 +1,9 @@
 // The whole serving path with real entry hosts, against stand-ins of the
 // users' store and backend servers.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "jasminecroft/processes/child_process.h"
-#include "jasminecroft/processes/http_call.h"
 #include "jasminecroft/processes/local_fleet.h"
-#include "jasminecroft/standins/serving_platform.h"
+#include "jasminecroft/processes/users_fleet.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
 
 #include <csignal>
@@ -27,175 +23,6 @@
 
 constexpr std::chrono::seconds Bound{20};
 
-constexpr const char *ConfigText = R"({"version":1,
- "routes":[
-  {"name":"read","hostname":"localhost","path_prefix":"/read/",
-   "type":"idempotent","timeout_ms":3000,"goal_ms":500,"priority":1,
-   "service":"plain","attempts":2,"public":false},
-  {"name":"once","hostname":"localhost","path_prefix":"/once/",
-   "type":"non_idempotent","timeout_ms":3000,"goal_ms":500,"priority":1,
-   "service":"plain","attempts":1,"public":false},
-  {"name":"draft","hostname":"localhost","path_prefix":"/draft/",
-   "type":"stream","timeout_ms":8000,"goal_ms":5000,"priority":0,
-   "service":"engine","attempts":2,"public":false,"resumable":true,
-   "stages":[{"service":"stage","after":[],"bytes":8000},
-             {"service":"stage","after":[0],"bytes":6000}]}],
- "services":[{"name":"plain","max_conns":48},
-  {"name":"engine","max_conns":64,"engine":{"slots":64,"kv_cap_tokens":1000}},
-  {"name":"stage","max_conns":64,"pieces":{"slots":1,"queue":2,"batch":8,
-   "call_ms":20,"item_ms":1,"room_mb":1.0,"handle_s":4.0}}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
-  "header_timeout_ms":3000,"idle_timeout_ms":15000},
- "tenants":[{"name":"w1","api_keys":["key-1"]},
-            {"name":"w2","api_keys":["key-2"]}]})";
-
-/// Stand-ins on one thread, and entry hosts as processes.
-class users_fleet {
-public:
-  explicit users_fleet(std::size_t Hosts) {
-    Thread = std::thread([this] { Context.run(); });
-    on([this] {
-      Store = std::make_unique<users_store>(Context, "127.0.0.1:0");
-      Store->put("config", "main", json::parse(ConfigText));
-    });
-    add("plain", {"plain-0"});
-    add("plain", {"plain-1"});
-    add("engine", {"engine-0"});
-    add("stage", {"stage-0"});
-    Folder = std::filesystem::temp_directory_path() /
-             ("jasminecroft-serving-" + std::to_string(::getpid()) + "-" +
-              std::to_string(++Fleets));
-    std::filesystem::create_directories(Folder);
-    std::vector<std::uint16_t> Ports = freePorts(3 * Hosts);
-    for (std::size_t I = 0; I < Hosts; ++I)
-      startHost(I, Ports[3 * I], Ports[3 * I + 1], Ports[3 * I + 2]);
-  }
-
-  ~users_fleet() {
-    Processes.clear();
-    // The stand-ins live on their thread and end there.
-    on([this] {
-      Backends.clear();
-      Store.reset();
-    });
-    Guard.reset();
-    Context.stop();
-    Thread.join();
-    std::filesystem::remove_all(Folder);
-  }
-
-  /// Runs Action on the stand-ins' thread and waits for it.
-  template <typename Action> void on(const Action &Run) {
-    std::promise<void> Done;
-    boost::asio::post(Context, [&] {
-      Run();
-      Done.set_value();
-    });
-    Done.get_future().wait();
-  }
-
-  users_backend &add(const std::string &Pool, users_backend_options Options) {
-    users_backend *Added = nullptr;
-    on([&] {
-      std::string Id = Options.Id;
-      Backends[Id] =
-          std::make_unique<users_backend>(Context, "127.0.0.1:0", Options);
-      Added = Backends[Id].get();
-      list(Pool, Id, "ready");
-    });
-    return *Added;
-  }
-
-  /// Writes a server's entry; only on the stand-ins' thread.
-  void list(const std::string &Pool, const std::string &Id,
-            const std::string &State) {
-    Store->put(
-        "servers", Id,
-        json::object{
-            {"service", Pool},
-            {"address", "127.0.0.1:" + std::to_string(Backends[Id]->port())},
-            {"az", "z"},
-            {"version", "v1"},
-            {"slots", 6},
-            {"state", State},
-            {"born", 1},
-            {"seq", 1}});
-  }
-
-  bool waitReady() const {
-    return waitUntil([this] {
-      for (std::uint16_t Port : ReadyPorts)
-        if (exchange({Port, "GET", "/readyz", "", ""}).Status != 200)
-          return false;
-      return true;
-    });
-  }
-
-  http_call call(const std::string &Path, const std::string &Id,
-                 const std::string &Key = "key-1", std::size_t Host = 0) const {
-    return {CallerPorts[Host], "POST", "/" + Path + "/x",
-            "X-Request-Id: " + Id +
-                "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer " + Key +
-                "\r\nX-Hold: forged\r\n",
-            "body"};
-  }
-
-  http_call draft(const std::string &Id, std::size_t Host = 0) const {
-    http_call Call = call("draft", Id, "key-1", Host);
-    // Each request is of a session of its own.
-    std::string Session = std::to_string(std::hash<std::string>()(Id) % 9'973);
-    Call.Headers +=
-        "X-Model: m\r\nX-Token-Count: 10,5\r\nX-Prefix-Hash: " + Session +
-        ":5,b2:5\r\nX-Pieces: 1,2\r\nX-Piece-Key: k\r\n";
-    return Call;
-  }
-
-  std::size_t ranTimes(const std::string &Id) {
-    std::size_t Count = 0;
-    on([&] {
-      for (const std::pair<const std::string, std::unique_ptr<users_backend>>
-               &Backend : Backends)
-        Count += static_cast<std::size_t>(std::count(
-            Backend.second->ran().begin(), Backend.second->ran().end(), Id));
-    });
-    return Count;
-  }
-
-  boost::asio::io_context Context;
-  std::unique_ptr<users_store> Store;
-  std::map<std::string, std::unique_ptr<users_backend>> Backends;
-  std::vector<std::unique_ptr<child_process>> Processes;
-  std::vector<std::uint16_t> CallerPorts;
-  std::vector<std::uint16_t> ReadyPorts;
-
-private:
-  void startHost(std::size_t I, std::uint16_t Callers, std::uint16_t Ready,
-                 std::uint16_t Peers) {
-    CallerPorts.push_back(Callers);
-    ReadyPorts.push_back(Ready);
-    std::string Name = "host-" + std::to_string(I);
-    std::string File = (Folder / (Name + ".json")).string();
-    std::ofstream(File) << "{\"fleet\":\"f\",\"host\":\"" << Name
-                        << "\",\"zone\":\"z\",\"region\":\"r\","
-                        << "\"callers\":\"127.0.0.1:" << Callers
-                        << "\",\"readiness\":\"127.0.0.1:" << Ready
-                        << "\",\"peers\":\"127.0.0.1:" << Peers
-                        << "\",\"store\":\"127.0.0.1:" << Store->port()
-                        << "\",\"seeds\":[],\"retry_ratio\":0.2,"
-                        << "\"retry_slack\":50,\"grace_s\":8}";
-    Processes.push_back(std::make_unique<child_process>(
-        JASMINECROFT_BINARY_DIR "/packages/entry/jasminecroftd",
-        std::vector<std::string>{"--serve", File},
-        (Folder / (Name + ".log")).string()));
-  }
-
-  static inline int Fleets = 0;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      Guard{Context.get_executor()};
-  std::thread Thread;
-  std::filesystem::path Folder;
-};
-
 } // namespace
 
 TEST_CASE("plain requests reach a server with their workspace and once only") {
@@ -293,7 +120,7 @@
   Fleet.add("other", {"other-0"});
   CHECK(exchange(Fleet.call("read", "k1", "key-2", 1), Bound).Status == 200);
   Fleet.on([&Fleet] {
-    json::value Config = json::parse(ConfigText);
+    json::value Config = json::parse(usersConfig());
     Config.as_object()["version"] = 4;
     Config.at("tenants").as_array()[1].as_object()["api_keys"] = json::array{};
     Config.at("routes").as_array()[0].as_object()["service"] = "other";
