Watch entry hosts at little cost

Change: these watches last 30 s and may bring old data, at a tenth of the price; one that brings old data at once is not repeated for a second.

--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -7,12 +7,17 @@
 
 namespace {
 
-/// Changes gather this long before the next call, each a part of the time in
-/// which its kind of change has to be known: configurations 2 s, leaving
-/// servers 2 s; entry hosts are also found by their messages.
-constexpr std::chrono::milliseconds ConfigGathering{60};
-constexpr std::chrono::milliseconds BackendGathering{300};
-constexpr std::chrono::milliseconds EntryHostGathering{1'000};
+using std::chrono::milliseconds;
+
+/// Changes gather for a part of the time in which their kind has to be known:
+/// configurations and leaving servers 2 s. Entry hosts are also found by their
+/// messages, so that old news and the longest watch will do.
+constexpr watch_rules ConfigRules{milliseconds(60), milliseconds(10'000),
+                                  false};
+constexpr watch_rules BackendRules{milliseconds(300), milliseconds(10'000),
+                                   false};
+constexpr watch_rules EntryHostRules{milliseconds(1'000), milliseconds(30'000),
+                                     true};
 
 } // namespace
 
@@ -23,18 +28,18 @@
       Changed(std::move(Changed)), Client(makeHttpClient(Context)) {}
 
 void serving_store::start() {
-  startWatch(platform::ConfigKind, ConfigGathering);
-  startWatch(platform::BackendKind, BackendGathering);
-  startWatch(platform::EntryHostKind, EntryHostGathering);
+  startWatch(platform::ConfigKind, ConfigRules);
+  startWatch(platform::BackendKind, BackendRules);
+  startWatch(platform::EntryHostKind, EntryHostRules);
   Registration = std::make_shared<host_registration>(
       Context, *Client, Address, Core.selfAsHost(), Core.self().Run);
   Registration->start();
 }
 
 void serving_store::startWatch(std::string_view Kind,
-                               std::chrono::milliseconds Gathering) {
+                               const watch_rules &Rules) {
   Watches.push_back(std::make_shared<store_watch>(
-      Context, *Client, Address, Kind, Gathering,
+      Context, *Client, Address, Kind, Rules,
       Core.self().Run.Value + Watches.size(),
       static_cast<store_watch_listener &>(*this)));
   Watches.back()->start();
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -29,7 +29,7 @@
   void takeConfig(const std::string &Text);
 
 private:
-  void startWatch(std::string_view Kind, std::chrono::milliseconds Gathering);
+  void startWatch(std::string_view Kind, const watch_rules &Rules);
   void onObjects(std::string_view Kind,
                  const std::vector<platform::store_object> &Objects,
                  object_version Current) override;
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -11,10 +11,10 @@
 
 /// Time that a list may take while the store is slow.
 constexpr std::chrono::seconds ListTimeout{4};
-/// Time that one watch waits for changes. Each watch is a call that counts; a
-/// dead connection is noticed earlier by its probes.
-constexpr milliseconds WatchTime{10'000};
-/// Time beyond it for the answer of a slow store.
+/// A watch without changes that took less is not repeated at once: an answer of
+/// old data need not wait.
+constexpr milliseconds LeastWatch{1'000};
+/// Time beyond a watch's own for the answer of a slow store.
 constexpr std::chrono::seconds WatchSlack{4};
 constexpr milliseconds FirstPause{100};
 constexpr milliseconds LongestPause{1'500};
@@ -56,9 +56,9 @@
 
 store_watch::store_watch(boost::asio::io_context &Context, http_client &Client,
                          endpoint Store, std::string_view Kind,
-                         milliseconds Gathering, std::uint64_t Seed,
+                         const watch_rules &Rules, std::uint64_t Seed,
                          store_watch_listener &Listener)
-    : Client(Client), Store(std::move(Store)), Kind(Kind), Gathering(Gathering),
+    : Client(Client), Store(std::move(Store)), Kind(Kind), Rules(Rules),
       Listener(Listener), Timer(Context), Pause(Seed) {}
 
 void store_watch::start() { list(); }
@@ -73,12 +73,14 @@
 void store_watch::list() {
   Listing = true;
   std::string After = Pages.empty() ? "" : Pages.back().Name;
-  call(platform::listTarget(Kind, After), ListTimeout);
+  call(platform::listTarget(Kind, After, Rules.MayBeOld), ListTimeout);
 }
 
 void store_watch::watch() {
   Listing = false;
-  call(platform::watchTarget(Kind, Since, WatchTime), WatchTime + WatchSlack);
+  WatchedAt = std::chrono::steady_clock::now();
+  call(platform::watchTarget(Kind, Since, Rules.WatchTime, Rules.MayBeOld),
+       Rules.WatchTime + WatchSlack);
 }
 
 void store_watch::call(std::string Target, std::chrono::microseconds Timeout) {
@@ -140,7 +142,7 @@
   std::vector<platform::store_object> Objects = std::exchange(Pages, {});
   Listing = false;
   Listener.onObjects(Kind, Objects, Since);
-  callAfter(Gathering);
+  callAfter(Rules.Gathering);
 }
 
 void store_watch::onEvents(const std::string &Body) {
@@ -156,10 +158,15 @@
   for (const platform::store_object &Object : Events.Changes)
     Listener.onChange(Kind, Object);
   Since = std::max(Since, Events.Current);
-  if (Events.Changes.empty() || Gathering.count() == 0)
-    watch();
-  else
-    callAfter(Gathering);
+  if (Events.Changes.empty()) {
+    bool Early = std::chrono::steady_clock::now() - WatchedAt < LeastWatch;
+    if (Rules.MayBeOld && Early)
+      callAfter(LeastWatch);
+    else
+      watch();
+  } else {
+    callAfter(Rules.Gathering);
+  }
 }
 
 void store_watch::onFailed(std::string_view Why) {
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -6,6 +6,7 @@
 #include "../io_types.h"
 #include "platform/store/store_objects.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <random>
@@ -45,12 +46,23 @@
   std::chrono::milliseconds Last{0};
 };
 
+/// How closely a kind of objects is watched.
+struct watch_rules {
+  /// Time after a change in which further ones are left to gather, so that one
+  /// call brings them all.
+  std::chrono::milliseconds Gathering{0};
+  /// Time that one call waits for changes. Each counts; a dead connection is
+  /// noticed earlier by its probes.
+  std::chrono::milliseconds WatchTime{10'000};
+  /// What is read may be seconds old; such calls cost little.
+  bool MayBeOld = false;
+};
+
 class store_watch : public std::enable_shared_from_this<store_watch> {
 public:
   store_watch(boost::asio::io_context &Context, http_client &Client,
-              endpoint Store, std::string_view Kind,
-              std::chrono::milliseconds Gathering, std::uint64_t Seed,
-              store_watch_listener &Listener);
+              endpoint Store, std::string_view Kind, const watch_rules &Rules,
+              std::uint64_t Seed, store_watch_listener &Listener);
   void start();
   void stop();
 
@@ -69,9 +81,7 @@
   http_client &Client;
   endpoint Store;
   std::string_view Kind;
-  /// Time after a change in which further ones are left to gather, so that one
-  /// call brings them all.
-  std::chrono::milliseconds Gathering;
+  watch_rules Rules;
   store_watch_listener &Listener;
   io_timer Timer;
   retry_pause Pause;
@@ -83,6 +93,7 @@
   std::vector<platform::store_object> Pages;
   object_version FirstPage;
   object_version Since;
+  std::chrono::steady_clock::time_point WatchedAt;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/test/store-watch-test.cc
+++ b/packages/entry/test/store-watch-test.cc
@@ -54,10 +54,12 @@
 
 class watch_test {
 public:
-  watch_test()
+  explicit watch_test(bool MayBeOld = false)
       : Watch(std::make_shared<store_watch>(
             Context, Client, endpoint("10.0.0.1:1"), platform::BackendKind,
-            std::chrono::milliseconds(5), 7, Heard)) {
+            watch_rules{std::chrono::milliseconds(5),
+                        std::chrono::milliseconds(10'000), MayBeOld},
+            7, Heard)) {
     Watch->start();
   }
 
@@ -102,6 +104,26 @@
   CHECK(Test.Heard.Changed == std::vector<std::string>{"b"});
 }
 
+TEST_CASE("a watch that may be old says so and is not repeated at once") {
+  watch_test Test(true);
+  CHECK(Test.target() == platform::listTarget(platform::BackendKind, "", true));
+  CHECK(Test.target() != platform::listTarget(platform::BackendKind, ""));
+  Test.answer(200, OneObject);
+  REQUIRE(Test.Client.Requests.size() == 2);
+  CHECK(Test.target() ==
+        platform::watchTarget(platform::BackendKind, object_version(5),
+                              std::chrono::milliseconds(10'000), true));
+  // Old data came at once, and no news.
+  Test.Client.Listeners.back()->onComplete(200,
+                                           R"({"events":[],"current_rev":4})");
+  Test.Context.restart();
+  Test.Context.run_for(std::chrono::milliseconds(300));
+  CHECK(Test.Client.Requests.size() == 2);
+  Test.Context.run_for(std::chrono::milliseconds(900));
+  REQUIRE(Test.Client.Requests.size() == 3);
+  CHECK(Test.target().find("watch=5") != std::string::npos);
+}
+
 TEST_CASE("all pages are read before the list counts") {
   watch_test Test;
   Test.answer(200, R"({"entries":[{"meta":{"name":"a","revision":3},)"
