--- a/packages/testing/processes/include/jasminecroft/processes/child_process.h
+++ b/packages/testing/processes/include/jasminecroft/processes/child_process.h
@@ -11,10 +11,12 @@
 
 class child_process {
 public:
-  /// Starts Program; its standard error goes to the file LogFile.
+  /// Starts Program; its standard error goes to the file LogFile, its standard
+  /// output to OutputFile.
   child_process(const std::string &Program,
                 const std::vector<std::string> &Arguments,
-                const std::string &LogFile);
+                const std::string &LogFile,
+                const std::string &OutputFile = "/dev/null");
   /// Kills the process if it still runs.
   ~child_process();
   child_process(const child_process &) = delete;
--- a/packages/testing/processes/src/child_process.cc
+++ b/packages/testing/processes/src/child_process.cc
@@ -20,7 +20,8 @@
 
 child_process::child_process(const std::string &Program,
                              const std::vector<std::string> &Arguments,
-                             const std::string &LogFile) {
+                             const std::string &LogFile,
+                             const std::string &OutputFile) {
   std::vector<char *> Texts;
   Texts.push_back(const_cast<char *>(Program.c_str()));
   for (const std::string &Argument : Arguments)
@@ -30,8 +31,8 @@
   posix_spawn_file_actions_init(&Files);
   posix_spawn_file_actions_addopen(&Files, STDERR_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, "/dev/null", O_WRONLY,
-                                   0);
+  posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, OutputFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
   int Result = posix_spawn(&Pid, Program.c_str(), &Files, nullptr, Texts.data(),
                            environ);
   posix_spawn_file_actions_destroy(&Files);
--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -51,7 +51,7 @@
 
   soak_report run() {
     if (!Fleet.waitReady()) {
-      broken("hosts are not ready after their start");
+      broken("hosts are not ready after their start" + logs());
       return std::move(Report);
     }
     std::vector<std::thread> Callers;
@@ -83,6 +83,18 @@
 
   void broken(std::string What) { Report.Broken.push_back(std::move(What)); }
 
+  /// The last lines of each host's log.
+  std::string logs() {
+    constexpr std::size_t LogTail = 400;
+    std::string Text;
+    for (std::size_t Host = 0; Host < Options.Hosts; ++Host) {
+      std::string Log = Fleet.logOf(Host);
+      Text += "\n  host " + std::to_string(Host) + ": " +
+              Log.substr(Log.size() > LogTail ? Log.size() - LogTail : 0);
+    }
+    return Text;
+  }
+
   std::string anyProxy() {
     auto Chosen = Fleet.Proxies.begin();
     std::advance(Chosen, Random() % Fleet.Proxies.size());
@@ -158,7 +170,7 @@
     // Connections that went silent are found out by now.
     std::this_thread::sleep_for(std::chrono::seconds(5));
     if (!Fleet.waitReady())
-      broken("hosts are not ready after the faults ended");
+      broken("hosts are not ready after the faults ended" + logs());
   }
 
   soak_answer ask(const std::string &Id, soak_kind Kind, std::size_t Host) {
--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -139,7 +139,7 @@
   Processes[Host] = std::make_unique<child_process>(
       JASMINECROFT_BINARY_DIR "/packages/entry/jasminecroftd",
       std::vector<std::string>{"--serve", file(Host, ".json")},
-      file(Host, ".log"));
+      file(Host, ".err"), file(Host, ".log"));
 }
 
 std::string users_fleet::logOf(std::size_t Host) const {
