--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -228,6 +228,8 @@
   void takeInputsFetched(piece_job_id Job, const entry_host_id &From);
   void takeJobFailure(piece_job_id Job, const entry_host_id &From,
                       piece_failure Failure);
+
+  // Results: serving_results.cc.
   void releaseStage(stage_state &Stage);
   void releaseUsed(request_state &State);
   void releaseAll(request_state &State);
