--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -178,6 +178,7 @@
   core_duration Call =
       expectedCallTime(Rules, std::max<std::size_t>(PerCall, 1));
   std::vector<queue_speed::server> Speeds;
+  Speeds.reserve(Servers.size());
   for (const planned_server &Server : Servers)
     Speeds.push_back({Server.FreeIn, scaled(Call, Server.Slowness)});
   return {std::move(Speeds), PerCall, Call};
--- a/packages/core/test/queue-order-test.cc
+++ b/packages/core/test/queue-order-test.cc
@@ -67,6 +67,7 @@
 
 TEST_CASE("if not all can be on time the least urgent wait") {
   std::vector<waiting_job> Jobs;
+  Jobs.reserve(10);
   for (int I = 0; I < 10; ++I)
     Jobs.push_back(job(400, I % 2 == 0 ? 2 : 0));
   queue_order Order = orderIn(oneServer(), Jobs);
@@ -83,9 +84,7 @@
 }
 
 TEST_CASE("among equals the workspace with most work before it waits") {
-  std::vector<waiting_job> Jobs;
-  for (int I = 0; I < 8; ++I)
-    Jobs.push_back(job(300, 0, "large"));
+  std::vector<waiting_job> Jobs(8, job(300, 0, "large"));
   Jobs.push_back(job(300, 0, "small"));
   Jobs.push_back(job(300, 0, "small"));
   queue_order Order = orderIn(oneServer(), Jobs);
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -70,7 +70,8 @@
         3, [](serving_world &World) { World.replaceServer(anyServer(World)); }},
     weighted{2, [](serving_world &World) {
                network_quality Quality;
-               std::uint64_t Loss = World.random().below(2 * MostLossPermille);
+               std::uint64_t Loss =
+                   World.random().below(std::uint64_t{2} * MostLossPermille);
                if (Loss < MostLossPermille)
                  Quality.DropPermille = static_cast<std::uint32_t>(Loss);
                World.setQuality(Quality);
