--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -33,6 +33,7 @@
 /// time that results are kept.
 constexpr core_duration InputPatience = milliseconds(1'200);
 constexpr double FullCallGain = 0.2;
+/// Weight of the newest call in the smoothed time of calls.
 constexpr double CallTimeGain = 0.1;
 /// What a host said of its plans holds this long: about the time that the
 /// earlier stages of its requests take.
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -28,8 +28,8 @@
 constexpr double PromptFactor = 1.3;
 constexpr double MinSlowness = 0.5;
 constexpr double MaxSlowness = 8;
-/// A server that this host has had work for another host's call is left alone
-/// for about half of a call.
+/// A server that works on another host's call is left alone for the time of a
+/// full call divided by this: half of it is over in the mean.
 constexpr int BusyPart = 2;
 /// What is known of a server's room holds this long without a call: about the
 /// time that unused results are kept.
