--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -60,6 +60,7 @@
   StoreCallBegun = 703,
   StoreCallFailed = 704,
   StoreViewBehind = 705,
+  StoreSourceChanged = 706,
   PeerMessageRefused = 801,
 };
 
--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -243,6 +243,41 @@
   std::string Text;
   bool operator==(const operator_config_push &) const = default;
 };
+/// Asks a watcher of the store for the changes that the sender does not have.
+/// The watcher also pushes later changes for a while.
+struct store_poll {
+  config_version Config;
+  /// All changes of backend servers up to this revision are known.
+  object_version Backends;
+  bool operator==(const store_poll &) const = default;
+};
+/// An entry of a backend server, or its removal.
+struct backend_news {
+  backend_id Id;
+  object_version Revision;
+  bool Listed = false;
+  /// Absent of a removal.
+  pool_id Pool;
+  endpoint Address;
+  zone_id Zone;
+  bool Draining = false;
+  incarnation Run;
+  bool operator==(const backend_news &) const = default;
+};
+/// What a watcher has read of the platform's store.
+struct store_news {
+  /// The sender watches the store itself, and the store answers it. If false,
+  /// the other fields do not count.
+  bool Current = false;
+  config_version Config;
+  /// The news lead from revision From to revision To; Complete: they are the
+  /// whole list.
+  bool Complete = false;
+  object_version From;
+  object_version To;
+  std::vector<backend_news> Backends;
+  bool operator==(const store_news &) const = default;
+};
 /// Submits a job to the owner of a queue.
 struct piece_request {
   piece_job Job;
@@ -290,12 +325,14 @@
   bool operator==(const results_released &) const = default;
 };
 
-using peer_body = std::variant<
-    probe, probe_ack, indirect_probe, indirect_ack, config_pull, config_push,
-    host_list_pull, host_list_push, claim_query, claim_query_reply, rumor,
-    config_changes, host_heartbeat, operator_config_pull, operator_config_push,
-    piece_request, pieces_accepted, pieces_completed, pieces_failed,
-    pieces_cancelled, results_released, inputs_fetched, demand_forecast>;
+using peer_body =
+    std::variant<probe, probe_ack, indirect_probe, indirect_ack, config_pull,
+                 config_push, host_list_pull, host_list_push, claim_query,
+                 claim_query_reply, rumor, config_changes, host_heartbeat,
+                 operator_config_pull, operator_config_push, piece_request,
+                 pieces_accepted, pieces_completed, pieces_failed,
+                 pieces_cancelled, results_released, inputs_fetched,
+                 demand_forecast, store_poll, store_news>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminecroft {
@@ -22,6 +23,7 @@
   /// Wall-clock start time of the server; distinguishes runs with the same id.
   incarnation Run;
   object_version Revision;
+  bool operator==(const backend_entry &) const = default;
 };
 
 /// Load report that a backend server sends with a response.
@@ -37,6 +39,8 @@
   backend_entry Entry;
   /// Set when the entry was removed from the platform's list.
   std::optional<core_time> UnlistedSince;
+  /// Revision of the entry, or of its removal.
+  object_version ChangedAt;
   /// This host's calls in flight.
   std::uint32_t InFlight = 0;
   std::optional<backend_load> Load;
@@ -49,16 +53,31 @@
   double CallMicros = 0;
 };
 
+/// Changes of the platform's list since a revision.
+struct backend_changes {
+  /// Listed has all servers; those missing from it are not listed.
+  bool Complete = false;
+  std::vector<backend_entry> Listed;
+  std::vector<std::pair<backend_id, object_version>> Unlisted;
+  bool operator==(const backend_changes &) const = default;
+};
+
 class backend_directory {
 public:
   /// Applies an entry that is not older than the stored one. A run that was
   /// seen draining never becomes ready again.
   void update(const backend_entry &Entry);
-  /// Marks a server as no longer listed.
+  /// Marks a server as no longer listed. Revision: of the removed entry or of
+  /// its removal.
   void remove(const backend_id &Id, object_version Revision, core_time Now);
+  /// Sets the revision by which a server was removed, if it still is.
+  void setRemovedBy(const backend_id &Id, object_version Revision);
   /// Applies a complete list: servers missing from it are marked as unlisted.
   void replaceAll(const std::vector<backend_entry> &Entries,
                   object_version Revision, core_time Now);
+  /// Returns the changes after Since; the complete list if removals since then
+  /// may have been erased.
+  backend_changes changesSince(object_version Since) const;
   /// The server itself reported that it is shutting down or is another run.
   void markLeaving(const backend_id &Id);
   /// Erases servers that have been unlisted for a long time.
@@ -87,6 +106,8 @@
   std::map<backend_id, backend_state> Servers;
   /// Runs that were seen draining or that reported their shutdown.
   std::set<std::pair<backend_id, incarnation>> LeavingRuns;
+  /// Removals up to this revision may have been erased.
+  object_version ErasedUpTo;
 };
 
 } // namespace jasminecroft
--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -4,8 +4,11 @@
 #include "jasminecroft/core/peer_messages.h"
 #include "jasminecroft/core/types.h"
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -26,7 +29,7 @@
   void markAlive(const entry_host_id &Host);
   void setLeaving(const entry_host_id &Host, bool Leaving);
   /// Gives up ownership of all queues, unless this host is the only live one.
-  void setSelfLeaving() { SelfLeaving = true; }
+  void setSelfLeaving();
   /// Records a message from the host; returns true if this ends a suspicion.
   bool onPeerMessage(const entry_host_id &Host, core_time Now);
   /// Returns true if a message arrived from the host at or after Time.
@@ -44,6 +47,10 @@
   /// Returns up to Count live hosts in descending rank for a key.
   std::vector<batching_host> ranked(std::string_view Key,
                                     std::size_t Count) const;
+  /// The same among the hosts of a zone.
+  std::vector<batching_host> rankedInZone(std::string_view Key,
+                                          const zone_id &Zone,
+                                          std::size_t Count) const;
   /// Returns the number of live hosts that rank before this one; the maximum of
   /// the type while this host is leaving.
   std::size_t rankOfSelf(std::string_view Key) const;
@@ -55,6 +62,8 @@
   /// Returns the number of live hosts, including this one.
   std::uint32_t liveCount() const;
   const batching_host &self() const { return Self; }
+  /// Increases whenever an owner or a rank may have changed.
+  std::uint64_t generation() const { return Generation; }
   bool suspected(const entry_host_id &Host) const;
   /// Returns true if the host is known, not suspected and not leaving.
   bool live(const entry_host_id &Host) const;
@@ -69,9 +78,17 @@
     core_duration HeartbeatInterval{0};
   };
 
+  std::vector<batching_host> highest(std::string_view Key, const zone_id *Zone,
+                                     std::size_t Count) const;
+  void setChanged();
+
   batching_host Self;
   bool SelfLeaving = false;
   std::map<entry_host_id, host_state> Hosts;
+  std::uint64_t Generation = 0;
+  /// Owners of this generation. A hash over all hosts for each job would cost
+  /// more processor time the larger the fleet is.
+  mutable std::map<std::string, entry_host_id, std::less<>> Owners;
 };
 
 } // namespace jasminecroft
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -9,6 +9,7 @@
 #include "jasminecroft/core/serving/placement.h"
 #include "jasminecroft/core/serving/retry_budget.h"
 #include "jasminecroft/core/serving/route_config.h"
+#include "jasminecroft/core/serving/store_following.h"
 #include "jasminecroft/core/serving/store_gossip.h"
 
 #include <cstdint>
@@ -180,6 +181,11 @@
   /// Sets whether this host is one of the few watchers of the store, which
   /// announce changes to the other hosts.
   virtual void setStoreWatcher(bool IsWatcher) = 0;
+  /// Sets whether this host watches the store itself or reads it only when
+  /// resyncStore() is called.
+  virtual void setStoreSource(store_source Source) = 0;
+  /// A watcher has told all changes of backend servers up to Revision.
+  virtual void onBackendsTold(object_version Revision) = 0;
   virtual void onRequestFinished(const finished_request &Answered) = 0;
   virtual void log(const event_record &Record) = 0;
 };
@@ -256,6 +262,11 @@
   /// All changes of backend servers in the store up to Revision have been
   /// reported.
   void onBackendsRead(object_version Revision, core_time Now);
+  /// A call of the store for objects of this kind was answered, and what it
+  /// told has been reported.
+  void onStoreRead(store_kind Kind, core_time Now);
+  /// Calls of the store for objects of this kind fail.
+  void onStoreLost(store_kind Kind, core_time Now);
   void onHost(const batching_host &Host, core_time Now);
   void onHostRemoved(const entry_host_id &Host, core_time Now);
   void onPeer(const host_run &Sender, const peer_body &Body, core_time Now);
--- a/packages/core/include/jasminecroft/core/serving/store_gossip.h
+++ b/packages/core/include/jasminecroft/core/serving/store_gossip.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace jasminecroft {
@@ -53,14 +54,22 @@
   std::optional<core_time> nextWakeup() const;
 
   const store_progress &progress() const { return Progress; }
+  /// All changes of backend servers up to this revision are known.
+  object_version backendsReadTo() const { return BackendsReadTo; }
   /// Returns true if this host is one of the watchers of the store.
   bool isWatcher() const;
+  /// Changes reach a host that follows a watcher of its zone later.
+  void setFollowing(bool Follows);
 
   /// Interval between two periodic messages of this host.
   static constexpr core_duration GossipInterval = std::chrono::seconds(1);
   /// Time in which a change that a peer has read reaches all other hosts.
   static constexpr core_duration PropagationTime =
       std::chrono::milliseconds(150);
+  /// The same for hosts that follow a watcher: watchers gather changes of
+  /// backend servers for 300 ms.
+  static constexpr core_duration FollowerPropagationTime =
+      std::chrono::milliseconds(600);
 
 private:
   struct newer_version {
@@ -69,6 +78,7 @@
   };
 
   std::size_t rank() const;
+  core_duration propagationTime() const;
   void scheduleAnnouncement(core_time Now);
   void addWatcherProbes(due_actions &Due, core_time Now);
 
@@ -84,6 +94,9 @@
   bool BackendsStale = false;
   core_time NextGossipAt;
   std::size_t Round = 0;
+  bool Following = false;
+  /// Rank of this host, and the hosts' generation that it holds for.
+  mutable std::optional<std::pair<std::uint64_t, std::size_t>> Rank;
   /// Set while the announcement of a change is pending.
   std::optional<core_time> AnnounceAt;
   core_time LastAnnouncement;
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -27,11 +27,15 @@
   if (Entry.Draining)
     LeavingRuns.insert({Entry.Id, Entry.Run});
   if (Found == Servers.end()) {
-    Servers[Entry.Id].Entry = Entry;
+    backend_state &Added = Servers[Entry.Id];
+    Added.Entry = Entry;
+    Added.ChangedAt = Entry.Revision;
     return;
   }
   backend_state &State = Found->second;
-  if (Entry.Run < State.Entry.Run || Entry.Revision < State.Entry.Revision)
+  bool Removed = State.UnlistedSince && Entry.Revision < State.ChangedAt;
+  if (Entry.Run < State.Entry.Run || Entry.Revision < State.Entry.Revision ||
+      Removed)
     return;
   bool NewRun = State.Entry.Run < Entry.Run;
   if (NewRun) {
@@ -40,6 +44,7 @@
     State.InFlight = InFlight;
   }
   State.Entry = Entry;
+  State.ChangedAt = std::max(State.ChangedAt, Entry.Revision);
   State.UnlistedSince.reset();
 }
 
@@ -48,8 +53,17 @@
   auto Found = Servers.find(Id);
   if (Found == Servers.end() || Revision < Found->second.Entry.Revision)
     return;
-  if (!Found->second.UnlistedSince)
-    Found->second.UnlistedSince = Now;
+  if (Found->second.UnlistedSince)
+    return;
+  Found->second.UnlistedSince = Now;
+  Found->second.ChangedAt = Revision;
+}
+
+void backend_directory::setRemovedBy(const backend_id &Id,
+                                     object_version Revision) {
+  backend_state *State = find(Id);
+  if (State && State->UnlistedSince)
+    State->ChangedAt = std::max(State->ChangedAt, Revision);
 }
 
 void backend_directory::replaceAll(const std::vector<backend_entry> &Entries,
@@ -64,6 +78,21 @@
       remove(Server.first, Revision, Now);
 }
 
+backend_changes backend_directory::changesSince(object_version Since) const {
+  backend_changes Changes;
+  Changes.Complete = Since < ErasedUpTo || Since == object_version();
+  for (const std::pair<const backend_id, backend_state> &Server : Servers) {
+    const backend_state &State = Server.second;
+    if (!Changes.Complete && State.ChangedAt <= Since)
+      continue;
+    if (!State.UnlistedSince)
+      Changes.Listed.push_back(State.Entry);
+    else if (!Changes.Complete)
+      Changes.Unlisted.emplace_back(Server.first, State.ChangedAt);
+  }
+  return Changes;
+}
+
 void backend_directory::markLeaving(const backend_id &Id) {
   if (const backend_state *State = find(Id))
     LeavingRuns.insert({Id, State->Entry.Run});
@@ -74,7 +103,12 @@
     const backend_state &State = It->second;
     bool Old =
         State.UnlistedSince && Now - *State.UnlistedSince > UnlistedRetention;
-    It = Old && State.InFlight == 0 ? Servers.erase(It) : std::next(It);
+    if (!Old || State.InFlight != 0) {
+      ++It;
+      continue;
+    }
+    ErasedUpTo = std::max(ErasedUpTo, State.ChangedAt);
+    It = Servers.erase(It);
   }
 }
 
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -36,10 +36,22 @@
 
 } // namespace
 
+void fleet_hosts::setChanged() {
+  ++Generation;
+  Owners.clear();
+}
+
+void fleet_hosts::setSelfLeaving() {
+  SelfLeaving = true;
+  setChanged();
+}
+
 void fleet_hosts::add(const batching_host &Host, core_time Now) {
   if (Host.Host == Self.Host)
     return;
   host_state &State = Hosts[Host.Host];
+  if (State.Host != Host)
+    setChanged();
   bool Moved = State.Host.Address != Host.Address;
   State.Host = Host;
   if (Moved && State.SuspectedSince) {
@@ -52,14 +64,18 @@
   auto Found = Hosts.find(Host);
   if (Found == Hosts.end())
     return;
+  if (Found->second.SuspectedSince || Found->second.Leaving)
+    setChanged();
   Found->second.SuspectedSince.reset();
   Found->second.Leaving = false;
 }
 
 void fleet_hosts::setLeaving(const entry_host_id &Host, bool Leaving) {
   auto Found = Hosts.find(Host);
-  if (Found != Hosts.end())
-    Found->second.Leaving = Leaving;
+  if (Found == Hosts.end() || Found->second.Leaving == Leaving)
+    return;
+  Found->second.Leaving = Leaving;
+  setChanged();
 }
 
 bool fleet_hosts::receivedSince(const entry_host_id &Host,
@@ -76,6 +92,7 @@
   if (!Found->second.SuspectedSince)
     return false;
   Found->second.SuspectedSince.reset();
+  setChanged();
   return true;
 }
 
@@ -84,6 +101,7 @@
   if (Found == Hosts.end() || Found->second.SuspectedSince)
     return false;
   Found->second.SuspectedSince = Now;
+  setChanged();
   Found->second.NextHeartbeatAt = Now + FirstHeartbeatDelay;
   Found->second.HeartbeatInterval = FirstHeartbeatDelay;
   return true;
@@ -120,6 +138,9 @@
 }
 
 entry_host_id fleet_hosts::owner(std::string_view Queue) const {
+  auto Known = Owners.find(Queue);
+  if (Known != Owners.end())
+    return Known->second;
   const batching_host *Best = &Self;
   double BestScore = SelfLeaving ? 0 : score(Queue, Self);
   for (const std::pair<const entry_host_id, host_state> &Entry : Hosts) {
@@ -131,16 +152,29 @@
       BestScore = Score;
     }
   }
-  return Best->Host;
+  return Owners.emplace(Queue, Best->Host).first->second;
 }
 
 std::vector<batching_host> fleet_hosts::ranked(std::string_view Key,
                                                std::size_t Count) const {
+  return highest(Key, nullptr, Count);
+}
+
+std::vector<batching_host> fleet_hosts::rankedInZone(std::string_view Key,
+                                                     const zone_id &Zone,
+                                                     std::size_t Count) const {
+  return highest(Key, &Zone, Count);
+}
+
+std::vector<batching_host> fleet_hosts::highest(std::string_view Key,
+                                                const zone_id *Zone,
+                                                std::size_t Count) const {
   std::vector<std::pair<double, const batching_host *>> Live;
-  if (!SelfLeaving)
+  if (!SelfLeaving && (!Zone || Self.Zone == *Zone))
     Live.emplace_back(score(Key, Self), &Self);
   for (const std::pair<const entry_host_id, host_state> &Entry : Hosts)
-    if (!Entry.second.SuspectedSince && !Entry.second.Leaving)
+    if (!Entry.second.SuspectedSince && !Entry.second.Leaving &&
+        (!Zone || Entry.second.Host.Zone == *Zone))
       Live.emplace_back(score(Key, Entry.second.Host), &Entry.second.Host);
   Count = std::min(Count, Live.size());
   std::partial_sort(Live.begin(),
--- /dev/null
+++ b/packages/core/src/serving/serving_following.cc
@@ -0,0 +1,197 @@
+// Changes of the store between its watchers and the hosts that follow them.
+#include "serving_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Changes in quick succession are pushed together.
+constexpr core_duration PushDelay = milliseconds(20);
+/// A follower that has not polled for this time gets no further pushes.
+constexpr core_duration FollowerLifetime = seconds(3);
+/// A gap between two wake-ups after which what was read may be out of date:
+/// the process was paused. Wake-ups are at most a gossip interval apart.
+constexpr core_duration StallTime = seconds(2);
+
+} // namespace
+
+using namespace detail;
+
+void serving_impl::onStoreRead(store_kind Kind) {
+  (Kind == store_kind::Config ? ConfigCurrent : BackendsCurrent) = true;
+}
+
+void serving_impl::onStoreLost(store_kind Kind) {
+  (Kind == store_kind::Config ? ConfigCurrent : BackendsCurrent) = false;
+}
+
+// Returns whether this host may tell others that what it knows is current.
+bool serving_impl::storeCurrent() const {
+  return Source == store_source::Watch && ConfigCurrent && BackendsCurrent &&
+         !Leaving;
+}
+
+void serving_impl::onBackendRemoved(const backend_id &Id,
+                                    object_version Revision) {
+  Servers.remove(Id, Revision, Now);
+  Removals.push_back(Id);
+  onBackendsRead(Revision, Revision);
+}
+
+void serving_impl::onBackendsRead(object_version Revision,
+                                  object_version Newest) {
+  bool Further = Revision > Gossip.backendsReadTo();
+  Gossip.onBackendsRead(Revision, Newest, Now);
+  // The store may report a removal under the revision of the removed entry,
+  // which followers already have.
+  bool AllRead = Newest == object_version();
+  if (AllRead)
+    for (const backend_id &Removed : std::exchange(Removals, {}))
+      Servers.setRemovedBy(Removed, Revision);
+  if (Further)
+    pushNews();
+}
+
+void serving_impl::pushNews() {
+  if (!PushAt && !Followers.empty())
+    PushAt = Now + PushDelay;
+}
+
+store_news serving_impl::newsSince(object_version Since) const {
+  store_news News;
+  News.Current = true;
+  News.Config = Gossip.progress().Config;
+  News.From = Since;
+  News.To = Gossip.backendsReadTo();
+  if (Since >= News.To)
+    return News;
+  backend_changes Changes = Servers.changesSince(Since);
+  News.Complete = Changes.Complete;
+  for (const backend_entry &Entry : Changes.Listed)
+    News.Backends.push_back({Entry.Id, Entry.Revision, true, Entry.Pool,
+                             Entry.Address, Entry.Zone, Entry.Draining,
+                             Entry.Run});
+  for (const std::pair<backend_id, object_version> &Removed :
+       Changes.Unlisted) {
+    backend_news Entry;
+    Entry.Id = Removed.first;
+    Entry.Revision = Removed.second;
+    News.Backends.push_back(std::move(Entry));
+  }
+  return News;
+}
+
+void serving_impl::on(const host_run &Sender, const store_poll &Body) {
+  if (!storeCurrent()) {
+    Followers.erase(Sender.Host);
+    sendToHost(Sender.Host, store_news{});
+    return;
+  }
+  Followers[Sender.Host] = {Now, Body.Config, Body.Backends};
+  sendToHost(Sender.Host, newsSince(Body.Backends));
+}
+
+void serving_impl::on(const host_run &Sender, const store_news &Body) {
+  Following.onNews(Sender.Host, Body.Current, Now);
+  if (!Body.Current)
+    return;
+  if (Body.Config > Gossip.progress().Config)
+    sendToHost(Sender.Host, operator_config_pull{Gossip.progress().Config});
+  if (Body.To <= Gossip.backendsReadTo())
+    return;
+  if (!Body.Complete && Body.From > Gossip.backendsReadTo()) {
+    // News between have not arrived.
+    Following.pollNow(Now);
+    return;
+  }
+  applyNews(Body);
+}
+
+void serving_impl::applyNews(const store_news &News) {
+  object_version Known = Gossip.backendsReadTo();
+  object_version Newest;
+  std::vector<backend_entry> Listed;
+  for (const backend_news &Entry : News.Backends) {
+    bool New = Entry.Revision > Known;
+    if (New)
+      Newest = std::max(Newest, Entry.Revision);
+    if (Entry.Listed && (New || News.Complete))
+      Listed.push_back({Entry.Id, Entry.Pool, Entry.Address, Entry.Zone,
+                        Entry.Draining, Entry.Run, Entry.Revision});
+    if (New && Entry.Listed)
+      log(event_number::BackendListed, event_severity::Info,
+          "backend server listed, told by a watcher of the store",
+          {{"server", Entry.Id.Value},
+           {"pool", Entry.Pool.Value},
+           {"state", Entry.Draining ? "draining" : "ready"},
+           {"revision", std::to_string(Entry.Revision.Value)}});
+    if (New && !Entry.Listed) {
+      log(event_number::BackendUnlisted, event_severity::Info,
+          "backend server left the list, told by a watcher of the store",
+          {{"server", Entry.Id.Value},
+           {"revision", std::to_string(Entry.Revision.Value)}});
+      Servers.remove(Entry.Id, Entry.Revision, Now);
+    }
+  }
+  if (News.Complete)
+    Servers.replaceAll(Listed, News.To, Now);
+  else
+    for (const backend_entry &Entry : Listed)
+      Servers.update(Entry);
+  onBackendsRead(News.To, Newest);
+  Actions.onBackendsTold(News.To);
+}
+
+// A process that was paused does not know what it has missed.
+void serving_impl::checkStall() {
+  bool Stalled = Now - LastWakeup > StallTime;
+  LastWakeup = Now;
+  if (!Stalled)
+    return;
+  ConfigCurrent = false;
+  BackendsCurrent = false;
+  Actions.resyncStore(store_kind::Config);
+  Actions.resyncStore(store_kind::Backends);
+}
+
+void serving_impl::processFollowing() {
+  store_following::due_actions Due = Following.takeDueActions(Now);
+  if (Following.source() != Source) {
+    Source = Following.source();
+    Gossip.setFollowing(Source == store_source::Watcher);
+    log(event_number::StoreSourceChanged, event_severity::Info,
+        Source == store_source::Watcher
+            ? "a watcher tells the changes of the platform's store"
+            : "this host watches the platform's store itself",
+        {{"source", Source == store_source::Watcher ? "watcher" : "store"},
+         {"watcher", Following.isWatcher() ? "yes" : "no"}});
+    Actions.setStoreSource(Source);
+  }
+  if (Due.Poll)
+    sendToHost(Due.Poll->Host,
+               store_poll{Gossip.progress().Config, Gossip.backendsReadTo()});
+  if (Due.ReadStore) {
+    Actions.resyncStore(store_kind::Config);
+    Actions.resyncStore(store_kind::Backends);
+  }
+  if (!PushAt || *PushAt > Now)
+    return;
+  PushAt.reset();
+  for (auto It = Followers.begin(); It != Followers.end();) {
+    if (Now - It->second.PolledAt > FollowerLifetime) {
+      It = Followers.erase(It);
+      continue;
+    }
+    if (storeCurrent())
+      sendToHost(It->first, newsSince(It->second.Backends));
+    ++It;
+  }
+}
+
+} // namespace jasminecroft
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -23,7 +23,9 @@
 
 void serving_impl::start(core_time) {
   NextSeedHeartbeat = Now;
+  LastWakeup = Now;
   Gossip.start(Now);
+  Following.start(Now);
 }
 
 host_heartbeat serving_impl::makeHeartbeat(bool WantsReply) const {
@@ -64,6 +66,7 @@
     sendToHost(*Due.PullConfigFrom,
                operator_config_pull{Gossip.progress().Config});
   for (store_kind Kind : Due.Resync) {
+    Following.pollNow(Now);
     log(event_number::StoreViewBehind, event_severity::Warning,
         "view of the platform store is behind that of a peer",
         {{"kind", Kind == store_kind::Config ? "config" : "backends"},
@@ -300,13 +303,12 @@
 void serving_core::onBackend(const backend_entry &Entry, core_time Now) {
   event_scope Event(*Impl, Now);
   Impl->Servers.update(Entry);
-  Impl->Gossip.onBackendsRead(Entry.Revision, Entry.Revision, Now);
+  Impl->onBackendsRead(Entry.Revision, Entry.Revision);
 }
 void serving_core::onBackendRemoved(const backend_id &Id,
                                     object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
-  Impl->Servers.remove(Id, Revision, Now);
-  Impl->Gossip.onBackendsRead(Revision, Revision, Now);
+  Impl->onBackendRemoved(Id, Revision);
 }
 void serving_core::onBackendList(const std::vector<backend_entry> &Entries,
                                  object_version Revision, core_time Now) {
@@ -315,11 +317,19 @@
   object_version Newest;
   for (const backend_entry &Entry : Entries)
     Newest = std::max(Newest, Entry.Revision);
-  Impl->Gossip.onBackendsRead(Revision, Newest, Now);
+  Impl->onBackendsRead(Revision, Newest);
 }
 void serving_core::onBackendsRead(object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
-  Impl->Gossip.onBackendsRead(Revision, object_version(), Now);
+  Impl->onBackendsRead(Revision, object_version());
+}
+void serving_core::onStoreRead(store_kind Kind, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onStoreRead(Kind);
+}
+void serving_core::onStoreLost(store_kind Kind, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onStoreLost(Kind);
 }
 void serving_core::onHost(const batching_host &Host, core_time Now) {
   event_scope Event(*Impl, Now);
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -72,7 +72,8 @@
     : Settings(Settings), Actions(Actions),
       Hosts({Settings.Self.Host, Settings.Zone, Settings.PeerAddress,
              Settings.Capacity}),
-      Gossip(Hosts), Budget(Settings.Retries), Owner(*this, Servers, Budget) {}
+      Gossip(Hosts), Following(Hosts), Budget(Settings.Retries),
+      Owner(*this, Servers, Budget) {}
 
 request_state *serving_impl::find(request_id Request) {
   auto Found = Requests.find(Request);
@@ -101,6 +102,7 @@
   View = std::make_shared<const config_view>(std::move(Config));
   ConfigText = std::move(Text);
   Gossip.onConfig(View->Config->Version, Now);
+  pushNews();
 }
 
 pool_id serving_impl::selectPool(const serving_route &Route,
@@ -365,7 +367,9 @@
     Actions.sendToPeer(Host, makeHeartbeat(true));
   if (Now >= NextSeedHeartbeat)
     sendSeedHeartbeats();
+  checkStall();
   processStoreGossip();
+  processFollowing();
   Servers.evictUnlisted(Now);
 }
 
@@ -381,6 +385,10 @@
     Consider(*Heartbeat);
   if (std::optional<core_time> NextGossip = Gossip.nextWakeup())
     Consider(*NextGossip);
+  if (std::optional<core_time> NextPoll = Following.nextWakeup())
+    Consider(*NextPoll);
+  if (PushAt)
+    Consider(*PushAt);
   Consider(std::min(NextSeedHeartbeat, Time + DirectoryCleanup));
   return Next;
 }
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -5,6 +5,7 @@
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
+#include "jasminecroft/core/serving/store_following.h"
 
 #include <map>
 #include <set>
@@ -148,6 +149,10 @@
   void onHostRemoved(const entry_host_id &Host);
   void onPeer(const host_run &Sender, const peer_body &Body, core_time Now);
   void beginDraining(core_time End, core_time Now);
+  void onStoreRead(store_kind Kind);
+  void onStoreLost(store_kind Kind);
+  void onBackendRemoved(const backend_id &Id, object_version Revision);
+  void onBackendsRead(object_version Revision, object_version Newest);
   void onPeerUnreachable(const entry_host_id &Host);
 
   // batch_actions
@@ -170,6 +175,7 @@
   backend_directory Servers;
   fleet_hosts Hosts;
   store_gossip Gossip;
+  store_following Following;
   retry_budget Budget;
   batch_owner Owner;
   serving_counters Counters;
@@ -296,8 +302,17 @@
   void on(const host_run &Sender, const results_released &Body);
   /// Ignores all other messages, which belong to the request pipeline.
   template <typename Body> void on(const host_run &, const Body &) {}
+  void on(const host_run &Sender, const store_poll &Body);
+  void on(const host_run &Sender, const store_news &Body);
   void sendSeedHeartbeats();
   void processStoreGossip();
+  // Following: serving_following.cc.
+  void processFollowing();
+  void checkStall();
+  void pushNews();
+  bool storeCurrent() const;
+  store_news newsSince(object_version Since) const;
+  void applyNews(const store_news &News);
   void log(event_number Number, event_severity Severity,
            std::string_view Message, std::vector<event_field> Fields);
 
@@ -320,6 +335,22 @@
   /// Exponentially smoothed time to the first byte of a pool's streams, in
   /// microseconds.
   std::map<pool_id, double> FirstByteMicros;
+  /// Hosts that follow this one, and what they said to know.
+  struct follower {
+    core_time PolledAt;
+    config_version Config;
+    object_version Backends;
+  };
+  std::map<entry_host_id, follower> Followers;
+  /// Servers removed since all changes up to a revision were last known.
+  std::vector<backend_id> Removals;
+  /// Time at which changes are pushed to them; absent without changes.
+  std::optional<core_time> PushAt;
+  store_source Source = store_source::Watch;
+  /// The last call of this kind was answered.
+  bool ConfigCurrent = false;
+  bool BackendsCurrent = false;
+  core_time LastWakeup;
   /// Exponentially smoothed time from the first byte of a route's streams to
   /// their end, in microseconds.
   std::map<route_id, double> StreamMicros;
--- a/packages/core/src/serving/store_gossip.cc
+++ b/packages/core/src/serving/store_gossip.cc
@@ -24,7 +24,17 @@
 
 } // namespace
 
-std::size_t store_gossip::rank() const { return Hosts.rankOfSelf(WatchersKey); }
+std::size_t store_gossip::rank() const {
+  if (!Rank || Rank->first != Hosts.generation())
+    Rank = {Hosts.generation(), Hosts.rankOfSelf(WatchersKey)};
+  return Rank->second;
+}
+
+core_duration store_gossip::propagationTime() const {
+  return Following ? FollowerPropagationTime : PropagationTime;
+}
+
+void store_gossip::setFollowing(bool Follows) { Following = Follows; }
 
 bool store_gossip::isWatcher() const { return rank() < Watchers; }
 
@@ -59,11 +69,11 @@
                                  const store_progress &Theirs, core_time Now) {
   if (Theirs.Config > Progress.Config && !NewerConfig) {
     ConfigStale = true;
-    NewerConfig = newer_version{Now + PropagationTime, From};
+    NewerConfig = newer_version{Now + propagationTime(), From};
   }
   if (Theirs.Backends > BackendsReadTo && !NewerBackends) {
     BackendsStale = true;
-    NewerBackends = newer_version{Now + PropagationTime, From};
+    NewerBackends = newer_version{Now + propagationTime(), From};
   }
 }
 
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -69,6 +69,8 @@
   void onOperatorConfig(const operator_config_push &) override {}
   void resyncStore(store_kind Kind) override { Resync.push_back(Kind); }
   void setStoreWatcher(bool IsWatcher) override { StoreWatcher = IsWatcher; }
+  void setStoreSource(store_source Wanted) override { Source = Wanted; }
+  void onBackendsTold(object_version Revision) override { ToldTo = Revision; }
   void onRequestFinished(const finished_request &) override {}
   void log(const event_record &Record) override { Log.push_back(Record); }
 
@@ -85,6 +87,8 @@
   std::vector<event_record> Log;
   std::vector<store_kind> Resync;
   bool StoreWatcher = false;
+  store_source Source = store_source::Watch;
+  object_version ToldTo;
 };
 
 enum class route_kind { Idempotent, AtMostOnce, Stream, ResumableStream };
--- /dev/null
+++ b/packages/core/test/store-following-test.cc
@@ -0,0 +1,300 @@
+// Watchers of the store, the hosts that follow them, and what they are told.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "serving-fixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace jasminecroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+batching_host host(const std::string &Name, const std::string &Zone = "z0",
+                   std::uint32_t Capacity = 1'000) {
+  return {entry_host_id(Name), zone_id(Zone), endpoint(Name + ":1"), Capacity};
+}
+
+/// A zone of eight hosts, seen by a weak one that is no watcher, or by a strong
+/// one that is.
+class following_test {
+public:
+  explicit following_test(std::uint32_t Capacity)
+      : Hosts(host("self", "z0", Capacity)), Following(Hosts) {
+    for (int I = 0; I < 8; ++I)
+      Hosts.add(host("h" + std::to_string(I)), Now);
+    Following.start(Now);
+  }
+
+  /// Lets Time pass and returns what was due.
+  std::vector<store_following::due_actions> advance(core_duration Time) {
+    std::vector<store_following::due_actions> Result;
+    core_time End = Now + Time;
+    for (;;) {
+      std::optional<core_time> Next = Following.nextWakeup();
+      if (!Next || *Next > End)
+        break;
+      Now = std::max(Now, *Next);
+      Result.push_back(Following.takeDueActions(Now));
+    }
+    Now = End;
+    return Result;
+  }
+  entry_host_id poll() {
+    for (const store_following::due_actions &Due : advance(seconds(1)))
+      if (Due.Poll)
+        return Due.Poll->Host;
+    return entry_host_id();
+  }
+  /// Polls until a current watcher has answered.
+  entry_host_id follow() {
+    entry_host_id Watcher = poll();
+    REQUIRE(Watcher != entry_host_id());
+    Following.onNews(Watcher, true, Now);
+    Following.takeDueActions(Now);
+    REQUIRE(Following.source() == store_source::Watcher);
+    return Watcher;
+  }
+
+  core_time Now{seconds(100)};
+  fleet_hosts Hosts;
+  store_following Following;
+};
+
+constexpr std::uint32_t Weak = 1;
+constexpr std::uint32_t Strong = 1'000'000;
+
+/// A core with seven peers in its zone.
+class followed_core : public serving_fixture {
+public:
+  followed_core() {
+    for (int I = 1; I < 8; ++I)
+      Core.onHost(host("p" + std::to_string(I)), Now);
+    addAllPools();
+  }
+  void receive(const std::string &From, peer_body Body) {
+    Core.onPeer({entry_host_id(From), incarnation(1)}, Body, Now);
+  }
+  void readStore() {
+    Core.onStoreRead(store_kind::Config, Now);
+    Core.onStoreRead(store_kind::Backends, Now);
+  }
+  std::optional<store_news> newsTo(const std::string &Host) const {
+    std::optional<store_news> Last;
+    for (const std::pair<entry_host_id, peer_body> &Message : Actions.Sent)
+      if (const store_news *News = std::get_if<store_news>(&Message.second))
+        if (Message.first.Value == Host)
+          Last = *News;
+    return Last;
+  }
+  static backend_entry entry(const std::string &Id, std::uint64_t Revision) {
+    backend_entry Entry;
+    Entry.Id = backend_id(Id);
+    Entry.Pool = pool_id("plain");
+    Entry.Address = endpoint("10.0.1.1:80");
+    Entry.Zone = zone_id("z0");
+    Entry.Run = incarnation(1);
+    Entry.Revision = object_version(Revision);
+    return Entry;
+  }
+  static backend_news listed(const std::string &Id, std::uint64_t Revision,
+                             bool Draining = false) {
+    backend_entry Entry = entry(Id, Revision);
+    return {Entry.Id,      Entry.Revision, true,     Entry.Pool,
+            Entry.Address, Entry.Zone,     Draining, Entry.Run};
+  }
+  static backend_news removed(const std::string &Id, std::uint64_t Revision) {
+    backend_news Entry;
+    Entry.Id = backend_id(Id);
+    Entry.Revision = object_version(Revision);
+    return Entry;
+  }
+  static store_news news(std::uint64_t From, std::uint64_t To,
+                         std::vector<backend_news> Backends) {
+    return {true,
+            config_version(1),
+            false,
+            object_version(From),
+            object_version(To),
+            std::move(Backends)};
+  }
+  bool isListed(const std::string &Id) const {
+    const backend_state *State = Core.backends().find(backend_id(Id));
+    return State && !State->UnlistedSince;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a watcher polls nobody and watches the store") {
+  following_test Test(Strong);
+  CHECK(Test.Following.isWatcher());
+  CHECK(Test.poll() == entry_host_id());
+  CHECK(Test.Following.source() == store_source::Watch);
+}
+
+TEST_CASE("a host follows a watcher of its own zone once it is current") {
+  following_test Test(Weak);
+  Test.Hosts.add(host("other", "z1", Strong), Test.Now);
+  entry_host_id Watcher = Test.poll();
+  REQUIRE(Watcher != entry_host_id());
+  CHECK(Watcher != entry_host_id("other"));
+  CHECK(Test.Following.source() == store_source::Watch);
+  SUBCASE("current") {
+    Test.Following.onNews(Watcher, true, Test.Now);
+    CHECK(Test.Following.source() == store_source::Watcher);
+  }
+  SUBCASE("not current") {
+    Test.Following.onNews(Watcher, false, Test.Now);
+    CHECK(Test.Following.source() == store_source::Watch);
+    CHECK(Test.poll() != Watcher);
+  }
+}
+
+TEST_CASE("the only host of a zone watches the store") {
+  fleet_hosts Hosts(host("self", "z9", Weak));
+  Hosts.add(host("other", "z1", Strong), core_time());
+  store_following Following(Hosts);
+  CHECK(Following.isWatcher());
+}
+
+TEST_CASE("a silent watcher is replaced, and the store is read meanwhile") {
+  following_test Test(Weak);
+  entry_host_id First = Test.follow();
+  std::vector<entry_host_id> Polled;
+  bool Read = false;
+  for (const store_following::due_actions &Due :
+       Test.advance(milliseconds(1'500))) {
+    if (Due.Poll)
+      Polled.push_back(Due.Poll->Host);
+    Read = Read || Due.ReadStore;
+  }
+  REQUIRE(Polled.size() >= 2);
+  CHECK(Polled[0] == First);
+  CHECK(Polled[1] != First);
+  CHECK(Read);
+}
+
+TEST_CASE("without news for the bound a host watches the store itself") {
+  following_test Test(Weak);
+  Test.follow();
+  Test.advance(store_following::MaxAge + milliseconds(10));
+  CHECK(Test.Following.source() == store_source::Watch);
+}
+
+TEST_CASE("a watcher pushes changes to those who polled it") {
+  followed_core Test;
+  Test.readStore();
+  Test.Core.onBackendList({followed_core::entry("a", 5)}, object_version(10),
+                          Test.Now);
+  Test.receive("p1", store_poll{config_version(1), object_version(10)});
+  REQUIRE(Test.newsTo("p1"));
+  CHECK(Test.newsTo("p1")->Current);
+  CHECK(Test.newsTo("p1")->Backends.empty());
+  Test.Core.onBackend(followed_core::entry("b", 12), Test.Now);
+  Test.Core.onBackendsRead(object_version(12), Test.Now);
+  Test.advance(milliseconds(100));
+  CHECK(Test.newsTo("p1")->To == object_version(12));
+  REQUIRE(Test.newsTo("p1")->Backends.size() == 1);
+  CHECK(Test.newsTo("p1")->Backends[0].Id == backend_id("b"));
+  CHECK_FALSE(Test.newsTo("p2"));
+}
+
+TEST_CASE("a removal that the store reports under an old revision is told") {
+  followed_core Test;
+  Test.readStore();
+  Test.Core.onBackendList({followed_core::entry("a", 5)}, object_version(10),
+                          Test.Now);
+  Test.receive("p1", store_poll{config_version(1), object_version(15)});
+  Test.Core.onBackendRemoved(backend_id("a"), object_version(5), Test.Now);
+  Test.Core.onBackendsRead(object_version(20), Test.Now);
+  Test.advance(milliseconds(100));
+  REQUIRE(Test.newsTo("p1"));
+  CHECK(Test.newsTo("p1")->To == object_version(20));
+  REQUIRE(Test.newsTo("p1")->Backends.size() == 1);
+  CHECK_FALSE(Test.newsTo("p1")->Backends[0].Listed);
+}
+
+TEST_CASE("a host whose store is away does not claim to be current") {
+  followed_core Test;
+  Test.readStore();
+  Test.Core.onStoreLost(store_kind::Backends, Test.Now);
+  Test.receive("p1", store_poll{config_version(1), object_version(1)});
+  REQUIRE(Test.newsTo("p1"));
+  CHECK_FALSE(Test.newsTo("p1")->Current);
+}
+
+TEST_CASE("a process that was paused does not hand on what it knew before it "
+          "has read the store again") {
+  followed_core Test;
+  Test.readStore();
+  Test.advance(milliseconds(500));
+  Test.Now += seconds(5);
+  Test.Core.onWakeup(Test.Now);
+  CHECK(Test.Actions.Resync.size() == 2);
+  Test.receive("p1", store_poll{config_version(1), object_version(1)});
+  CHECK_FALSE(Test.newsTo("p1")->Current);
+  Test.readStore();
+  Test.receive("p1", store_poll{config_version(1), object_version(1)});
+  CHECK(Test.newsTo("p1")->Current);
+}
+
+TEST_CASE("a follower applies what it is told") {
+  followed_core Test;
+  Test.Core.onBackendList({followed_core::entry("a", 5)}, object_version(10),
+                          Test.Now);
+  Test.receive("p1", followed_core::news(10, 14,
+                                         {followed_core::listed("b", 12),
+                                          followed_core::removed("a", 14)}));
+  CHECK(Test.isListed("b"));
+  CHECK_FALSE(Test.isListed("a"));
+  CHECK(Test.Actions.ToldTo == object_version(14));
+}
+
+TEST_CASE("news older than what a host has read bring no server back") {
+  followed_core Test;
+  Test.Core.onBackendList({followed_core::entry("a", 5)}, object_version(10),
+                          Test.Now);
+  Test.Core.onBackendRemoved(backend_id("a"), object_version(20), Test.Now);
+  Test.Core.onBackendsRead(object_version(20), Test.Now);
+  SUBCASE("as a whole") {
+    Test.receive("p1",
+                 followed_core::news(4, 19, {followed_core::listed("a", 18)}));
+  }
+  SUBCASE("as one entry") {
+    Test.receive("p1",
+                 followed_core::news(15, 25, {followed_core::listed("a", 18)}));
+  }
+  CHECK_FALSE(Test.isListed("a"));
+}
+
+TEST_CASE("news that do not join what is known are asked for again") {
+  followed_core Test;
+  Test.Core.onBackendList({followed_core::entry("a", 5)}, object_version(10),
+                          Test.Now);
+  Test.receive("p1",
+               followed_core::news(15, 25, {followed_core::listed("b", 20)}));
+  CHECK_FALSE(Test.isListed("b"));
+  CHECK(Test.Core.backends().find(backend_id("b")) == nullptr);
+}
+
+TEST_CASE("a newer configuration that a watcher names is asked for at once") {
+  followed_core Test;
+  store_news News = followed_core::news(0, 0, {});
+  News.Config = config_version(9);
+  Test.receive("p1", News);
+  CHECK(Test.sentTo<operator_config_pull>(entry_host_id("p1")) == 1);
+}
+
+TEST_CASE("a host that knows nothing is told the whole list") {
+  followed_core Test;
+  Test.readStore();
+  Test.Core.onBackendList(
+      {followed_core::entry("a", 5), followed_core::entry("b", 6)},
+      object_version(10), Test.Now);
+  Test.receive("p1", store_poll{});
+  REQUIRE(Test.newsTo("p1"));
+  CHECK(Test.newsTo("p1")->Complete);
+  CHECK(Test.newsTo("p1")->Backends.size() == 2);
+}
--- a/packages/entry/src/serving/host_registration.cc
+++ b/packages/entry/src/serving/host_registration.cc
@@ -83,6 +83,7 @@
   }
   CalledAt = std::chrono::steady_clock::now();
   CallLimit = Request.Timeout;
+  ++Calls;
   Call = Client.start(std::move(Request),
                       std::make_shared<answer>(weak_from_this()));
 }
--- a/packages/entry/src/serving/host_registration.h
+++ b/packages/entry/src/serving/host_registration.h
@@ -23,6 +23,8 @@
   /// Removes the object; Done is called when that has succeeded or failed.
   void leave(std::function<void()> Done);
   void stop();
+  /// Calls since the start.
+  std::uint64_t calls() const { return Calls; }
 
 private:
   class answer;
@@ -48,6 +50,7 @@
   std::optional<object_version> Found;
   std::function<void()> Left;
   bool Stopped = false;
+  std::uint64_t Calls = 0;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -162,6 +162,7 @@
     Gauges.LogLinesDropped = Log.dropped();
     Gauges.StoreCallsFailed = Store.failedCalls();
     Gauges.StoreSilences = Store.silences();
+    Gauges.StoreCalls = Store.calls();
     return Metrics.render(Core.counters(), Gauges);
   }
 
@@ -237,12 +238,21 @@
           Clean ? event_severity::Info : event_severity::Warning,
           Clean ? "graceful shutdown finished"
                 : "grace is over with requests in progress",
-          {{"in_progress", std::to_string(Core.counters().InProgress)}});
+          {{"in_progress", std::to_string(Core.counters().InProgress)},
+           {"store_calls", storeCalls()}});
     Log.flush();
     Store.stop();
     Context.stop();
   }
 
+  std::string storeCalls() const {
+    std::string Text;
+    for (const std::pair<std::string, std::uint64_t> &Calls : Store.calls())
+      Text += (Text.empty() ? "" : " ") + Calls.first + "=" +
+              std::to_string(Calls.second);
+    return Text;
+  }
+
   // Wake-ups of the core.
 
   void arm() {
@@ -352,6 +362,12 @@
   void setStoreWatcher(bool Closely) override {
     asio::post(Context, [this, Closely] { Store.watchClosely(Closely); });
   }
+  void setStoreSource(store_source Source) override {
+    asio::post(Context, [this, Source] { Store.setSource(Source); });
+  }
+  void onBackendsTold(object_version Revision) override {
+    asio::post(Context, [this, Revision] { Store.onBackendsTold(Revision); });
+  }
   void onRequestFinished(const finished_request &Answered) override {
     Metrics.observe(Answered);
   }
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -117,6 +117,8 @@
        Gauges.StoreSilences)
     Impl->set("store_silent_ms_" + std::string(Silence.first),
               static_cast<double>(Silence.second.count()));
+  for (const std::pair<std::string, std::uint64_t> &Calls : Gauges.StoreCalls)
+    Impl->set("store_calls_" + Calls.first, static_cast<double>(Calls.second));
   return prometheus::TextSerializer().Serialize(Impl->Registry.Collect());
 }
 
--- a/packages/entry/src/serving/serving_metrics.h
+++ b/packages/entry/src/serving/serving_metrics.h
@@ -26,6 +26,8 @@
   /// Time since the store last answered, by kind of objects.
   std::vector<std::pair<std::string_view, std::chrono::milliseconds>>
       StoreSilences;
+  /// Calls of the store since the start, by kind of objects and purpose.
+  std::vector<std::pair<std::string, std::uint64_t>> StoreCalls;
 };
 
 class serving_metrics {
--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -59,6 +59,39 @@
     Watch->setClose(Closely);
 }
 
+void serving_store::setSource(store_source Source) {
+  for (const std::shared_ptr<store_watch> &Watch : Watches)
+    if (coreKind(Watch->kind()))
+      Watch->setOnDemand(Source == store_source::Watcher);
+}
+
+void serving_store::onBackendsTold(object_version Revision) {
+  for (const std::shared_ptr<store_watch> &Watch : Watches)
+    if (Watch->kind() == platform::BackendKind)
+      Watch->onTold(Revision);
+}
+
+std::optional<store_kind> serving_store::coreKind(std::string_view Kind) {
+  if (Kind == platform::ConfigKind)
+    return store_kind::Config;
+  if (Kind == platform::BackendKind)
+    return store_kind::Backends;
+  return std::nullopt;
+}
+
+std::vector<std::pair<std::string, std::uint64_t>>
+serving_store::calls() const {
+  std::vector<std::pair<std::string, std::uint64_t>> Result;
+  for (const std::shared_ptr<store_watch> &Watch : Watches) {
+    std::string Kind(Watch->kind());
+    Result.emplace_back(Kind + "_list", Watch->counts().Lists);
+    Result.emplace_back(Kind + "_watch", Watch->counts().Watches);
+    Result.emplace_back(Kind + "_check", Watch->counts().Checks);
+  }
+  Result.emplace_back("registration", Registration->calls());
+  return Result;
+}
+
 void serving_store::leave() {
   Registration->leave([] {});
 }
@@ -84,11 +117,14 @@
       if (std::optional<backend_entry> Entry = decodeBackend(Object))
         Entries.push_back(*Entry);
     Core.onBackendList(Entries, Current, now());
+    Core.onStoreRead(store_kind::Backends, now());
     Changed();
     return;
   }
   for (const platform::store_object &Object : Objects)
     onChange(Kind, Object);
+  if (std::optional<store_kind> Of = coreKind(Kind))
+    Core.onStoreRead(*Of, now());
 }
 void serving_store::onChange(std::string_view Kind,
                              const platform::store_object &Object) {
@@ -103,12 +139,15 @@
   Changed();
 }
 void serving_store::onReadTo(std::string_view Kind, object_version Revision) {
-  if (Kind != platform::BackendKind)
-    return;
-  Core.onBackendsRead(Revision, now());
+  if (Kind == platform::BackendKind)
+    Core.onBackendsRead(Revision, now());
+  if (std::optional<store_kind> Of = coreKind(Kind))
+    Core.onStoreRead(*Of, now());
   Changed();
 }
 void serving_store::onStoreLost(std::string_view Kind, std::string_view Why) {
+  if (std::optional<store_kind> Of = coreKind(Kind))
+    Core.onStoreLost(*Of, now());
   write(event_number::PlatformAway, event_severity::Warning,
         "platform's store cannot be read",
         {{"kind", std::string(Kind)}, {"why", std::string(Why)}});
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -25,12 +25,18 @@
   /// Peers know of changes of this kind that were not read here.
   void readAgain(store_kind Kind);
   void watchClosely(bool Closely);
+  /// Of the configuration and the backend servers.
+  void setSource(store_source Source);
+  /// A watcher has told all changes of backend servers up to Revision.
+  void onBackendsTold(object_version Revision);
   /// Takes this host off the list of entry hosts.
   void leave();
   void stop();
   /// Time since the store last answered, by kind of objects.
   std::vector<std::pair<std::string_view, std::chrono::milliseconds>>
   silences() const;
+  /// Calls by kind of objects and purpose, since the start.
+  std::vector<std::pair<std::string, std::uint64_t>> calls() const;
   /// Calls that failed since the start.
   std::uint64_t failedCalls() const { return FailedCalls; }
   /// Decodes a configuration and hands it to the core if it can be read.
@@ -53,6 +59,7 @@
   decodeBackend(const platform::store_object &Object);
   void takeBackend(const platform::store_object &Object);
   void takeEntryHost(const platform::store_object &Object);
+  static std::optional<store_kind> coreKind(std::string_view Kind);
   void write(event_number Number, event_severity Severity,
              std::string_view Message, std::vector<event_field> Fields);
 
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -116,15 +116,44 @@
 void store_watch::resume() {
   bool JustAsked = Checking && !Calls.empty() &&
                    clock::now() - Calls.back().Begun < FirstPause;
-  if (Stopped || JustAsked)
+  bool Wanted = !OnDemand || Checking || Listing;
+  if (Stopped || JustAsked || !Wanted)
     return;
   Checking = true;
   call();
 }
 
 void store_watch::check() {
-  if (!Checking)
+  if (Stopped || Checking)
+    return;
+  Checking = true;
+  call();
+}
+
+void store_watch::setOnDemand(bool Wanted) {
+  if (OnDemand == Wanted)
+    return;
+  OnDemand = Wanted;
+  if (!OnDemand) {
     resume();
+  } else if (!Listing && !Checking) {
+    cancelCalls();
+    Timer.cancel();
+  }
+}
+
+void store_watch::onTold(object_version Revision) {
+  if (!OnDemand || Listing)
+    return;
+  Since = std::max(Since, Revision);
+  HeardAt = clock::now();
+  if (!Checking)
+    return;
+  // What the check was to find out is known.
+  cancelCalls();
+  Timer.cancel();
+  Checking = false;
+  Reach.giveUpTrying(*this);
 }
 
 void store_watch::setClose(bool Closely) {
@@ -138,6 +167,9 @@
   if (Stopped)
     return;
   bool AtOnce = Listing || Checking;
+  if (OnDemand && !AtOnce)
+    return;
+  ++(Listing ? Counts.Lists : Checking ? Counts.Checks : Counts.Watches);
   exchange_request Request;
   Request.Address = Store;
   Request.ConnectTimeout = StoreConnectTime;
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -83,6 +83,15 @@
   bool MayBeOld = false;
 };
 
+/// Calls of one watch since the start, by purpose.
+struct store_call_counts {
+  std::uint64_t Lists = 0;
+  /// Calls that wait for changes.
+  std::uint64_t Watches = 0;
+  /// Calls that ask for changes without waiting.
+  std::uint64_t Checks = 0;
+};
+
 class store_watch;
 
 /// Whether the store answers this host, shared by its watches: while it does
@@ -120,10 +129,16 @@
   /// There may be changes of which a waiting call does not tell.
   void check();
   void setClose(bool Closely);
+  /// On demand: the store is asked only when check() is called, and for the
+  /// first list.
+  void setOnDemand(bool OnDemand);
+  /// A peer has told all changes up to Revision.
+  void onTold(object_version Revision);
 
   std::string_view kind() const { return Kind; }
   /// Time since the store last answered a call of this watch, or since start.
   std::chrono::milliseconds silence() const;
+  const store_call_counts &counts() const { return Counts; }
 
 private:
   class answer;
@@ -167,6 +182,8 @@
   bool Stopped = false;
   bool Lost = false;
   bool Close = false;
+  bool OnDemand = false;
+  store_call_counts Counts;
   /// Objects of the pages read so far.
   std::vector<platform::store_object> Pages;
   object_version FirstPage;
--- a/packages/entry/test/store-watch-test.cc
+++ b/packages/entry/test/store-watch-test.cc
@@ -268,3 +268,50 @@
   Pause.reset();
   CHECK(Pause.next() < std::chrono::milliseconds(200));
 }
+
+TEST_CASE("a watch on demand asks only when it is told to") {
+  watch_test Test;
+  Test.answer(200, OneObject);
+  REQUIRE(Test.Client.Requests.size() == 2);
+  Test.Watch->setOnDemand(true);
+  CHECK(Test.Client.Cancelled == 1);
+  Test.runFor(std::chrono::milliseconds(200));
+  CHECK(Test.Client.Requests.size() == 2);
+  Test.Watch->onTold(object_version(9));
+  Test.Watch->check();
+  REQUIRE(Test.Client.Requests.size() == 3);
+  CHECK(Test.target() == platform::watchTarget(platform::BackendKind,
+                                               object_version(9),
+                                               std::chrono::milliseconds(1)));
+  Test.answer(200, R"({"events":[],"current_rev":11})");
+  CHECK(Test.Client.Requests.size() == 3);
+  Test.Watch->setOnDemand(false);
+  CHECK(Test.target().find("watch=11") != std::string::npos);
+  CHECK(Test.Watch->counts().Lists == 1);
+  CHECK(Test.Watch->counts().Watches == 1);
+  CHECK(Test.Watch->counts().Checks == 2);
+}
+
+TEST_CASE(
+    "a failed check on demand is given up once a peer tells the changes") {
+  watch_test Test;
+  Test.answer(200, OneObject);
+  Test.Watch->setOnDemand(true);
+  Test.Watch->check();
+  Test.fail();
+  std::size_t Tries = Test.Client.Requests.size();
+  CHECK(Tries > 3);
+  Test.Watch->onTold(object_version(9));
+  Test.runFor(std::chrono::milliseconds(2'500));
+  CHECK(Test.Client.Requests.size() == Tries);
+}
+
+TEST_CASE("a first list goes on although the watch is on demand") {
+  watch_test Test;
+  Test.Watch->setOnDemand(true);
+  Test.fail();
+  CHECK(Test.Client.Requests.size() == 2);
+  Test.answer(200, OneObject);
+  CHECK(Test.Heard.Lists == 1);
+  CHECK(Test.Client.Requests.size() == 2);
+}
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -16,6 +16,7 @@
 constexpr core_duration CalmTime = seconds(12);
 constexpr core_duration StartTime = seconds(2);
 constexpr std::size_t CalmRequests = 24;
+constexpr std::size_t FollowedHostsPerZone = 5;
 constexpr core_duration CalmPause = milliseconds(120);
 /// All requests have ended, and what nobody fetched was freed.
 constexpr core_duration QuietTime = milliseconds(9'000);
@@ -167,6 +168,9 @@
 
 serving_fuzz_report runServingCase(std::uint64_t Seed, std::size_t Commands) {
   world_options Options;
+  // More hosts than watchers of the store.
+  if (Seed % 3 == 0)
+    Options.HostsPerZone = FollowedHostsPerZone;
   serving_world World(Options, Seed);
   serving_fuzz_report Report;
   for (std::size_t I = 0; I < Commands; ++I) {
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -15,6 +15,8 @@
 constexpr core_duration StoreLag = milliseconds(100);
 /// Work that was on its way when a server was known to leave may still come.
 constexpr core_duration LeavingSlack = milliseconds(100);
+/// Bound of the users' rules: leaving servers get no new work after it.
+constexpr core_duration DrainTime = seconds(2);
 /// A leaving server goes on serving this long.
 constexpr core_duration LeavingTime = seconds(3);
 /// A server that crashed is off the list, and another one there, after these.
@@ -176,14 +178,10 @@
 }
 
 void serving_world::tellHosts(const backend_entry &Entry, bool Gone) {
-  after(StoreLag, [this, Entry, Gone] {
+  object_version Revision(Gone ? ++LastRevision : LastRevision);
+  after(StoreLag, [this, Entry, Gone, Revision] {
     for (const std::unique_ptr<world_host> &Host : Hosts)
-      Host->handle([&](serving_core &Core, core_time Now) {
-        if (Gone)
-          Core.onBackendRemoved(Entry.Id, Entry.Revision, Now);
-        else
-          Core.onBackend(Entry, Now);
-      });
+      Host->hearBackend(Entry, Gone, Revision);
   });
 }
 
@@ -275,7 +273,9 @@
   backend_entry Entry = Slot.Server->Entry;
   Entry.Draining = true;
   Entry.Revision = object_version(++LastRevision);
+  Slot.Server->Entry = Entry;
   Slot.Server->LeavingKnownAt = now() + StoreLag + LeavingSlack;
+  Slot.Server->LeavingToldAt = now() + DrainTime;
   tellHosts(Entry, false);
   Leaving.push_back(std::move(Slot.Server));
   Slot.Server = makeServer(Slot.Pool, Slot.Zone);
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -42,6 +42,7 @@
   ++Run.Value;
   Stopping = false;
   Used = config_version();
+  Source = store_source::Watch;
   serving_settings Settings;
   Settings.Self = {Id, Run};
   Settings.Zone = Zone;
@@ -58,12 +59,9 @@
       if (View != store_view::TurnedAway)
         Core.onConfig(World.config(World.NewestConfig),
                       std::to_string(World.NewestConfig.Value), Now);
-      std::vector<backend_entry> Entries;
-      for (const serving_world::server_slot &Slot : World.Servers)
-        if (Slot.Server->Up)
-          Entries.push_back(Slot.Server->Entry);
-      Core.onBackendList(Entries, object_version(World.LastRevision), Now);
+      Core.onStoreRead(store_kind::Config, Now);
     });
+    readBackends();
     for (const std::unique_ptr<world_host> &Other : World.Hosts) {
       if (Other.get() == this || !Other->up() || Other->Stopping)
         continue;
@@ -169,8 +167,45 @@
   });
 }
 
+// Lists the servers that the store has at this time.
+void world_host::readBackends() {
+  std::vector<backend_entry> Entries;
+  for (const serving_world::server_slot &Slot : World.Servers)
+    if (Slot.Server->Up)
+      Entries.push_back(Slot.Server->Entry);
+  for (const std::unique_ptr<world_server> &Server : World.Leaving)
+    if (Server->Up)
+      Entries.push_back(Server->Entry);
+  handle([&](serving_core &Core, core_time Now) {
+    Core.onBackendList(Entries, object_version(World.LastRevision), Now);
+    Core.onStoreRead(store_kind::Backends, Now);
+  });
+}
+
+void world_host::hearBackend(const backend_entry &Entry, bool Gone,
+                             object_version Revision) {
+  if (Source != store_source::Watch)
+    return;
+  handle([&](serving_core &Core, core_time Now) {
+    if (Gone)
+      Core.onBackendRemoved(Entry.Id, Entry.Revision, Now);
+    else
+      Core.onBackend(Entry, Now);
+    Core.onBackendsRead(Revision, Now);
+  });
+}
+
+void world_host::setStoreSource(store_source Wanted) {
+  bool Reads = Wanted == store_source::Watch && Source != Wanted;
+  Source = Wanted;
+  if (!Reads)
+    return;
+  resyncStore(store_kind::Config);
+  resyncStore(store_kind::Backends);
+}
+
 void world_host::hearConfig(config_version Version) {
-  if (Core && View == store_view::Live)
+  if (Core && View == store_view::Live && Source == store_source::Watch)
     takeConfig(Version,
                World.Random.between(milliseconds(5), LongestConfigLag));
 }
@@ -180,11 +215,33 @@
   View = Wanted;
   if (Reads)
     hearConfig(World.NewestConfig);
+  if (Wanted == store_view::TurnedAway)
+    handle([](serving_core &Core, core_time Now) {
+      Core.onStoreLost(store_kind::Config, Now);
+    });
+  else if (Wanted == store_view::Live)
+    handle([](serving_core &Core, core_time Now) {
+      Core.onStoreRead(store_kind::Config, Now);
+    });
 }
 
 void world_host::resyncStore(store_kind Kind) {
-  if (Kind == store_kind::Config && View == store_view::Deaf)
-    setStoreView(store_view::Live);
+  incarnation Current = Run;
+  World.Queue.after(StoreLag, [this, Current, Kind] {
+    if (!isRun(Current))
+      return;
+    if (Kind == store_kind::Backends) {
+      readBackends();
+      return;
+    }
+    if (View == store_view::TurnedAway)
+      return;
+    View = store_view::Live;
+    takeConfig(World.NewestConfig, LeastSleep);
+    handle([](serving_core &Core, core_time Now) {
+      Core.onStoreRead(store_kind::Config, Now);
+    });
+  });
 }
 
 void world_host::onOperatorConfig(const operator_config_push &Config) {
@@ -301,9 +358,11 @@
       return;
     world_server *Server = World.server(Wanted);
     if (World.linked(Zone, There) && Server && Server->Up) {
-      if (Server->LeavingKnownAt && World.now() > *Server->LeavingKnownAt)
-        World.Book.onLeavingUsed(Wanted, World.now() - *Server->LeavingKnownAt,
-                                 World.now());
+      const std::optional<core_time> &Known = Source == store_source::Watch
+                                                  ? Server->LeavingKnownAt
+                                                  : Server->LeavingToldAt;
+      if (Known && World.now() > *Known)
+        World.Book.onLeavingUsed(Wanted, World.now() - *Known, World.now());
       Begin(*Server, Link);
       return;
     }
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -42,6 +42,10 @@
   void leave(request_id Request);
   /// A configuration was written: tells the core of it if its watch lives.
   void hearConfig(config_version Version);
+  /// A change of a backend server's entry was written: tells the core of it if
+  /// this host watches.
+  void hearBackend(const backend_entry &Entry, bool Gone,
+                   object_version Revision);
   /// A host whose view is live again reads the newest configuration.
   void setStoreView(store_view View);
   const zone_id &zone() const { return Zone; }
@@ -68,12 +72,15 @@
   void onOperatorConfig(const operator_config_push &Config) override;
   void resyncStore(store_kind Kind) override;
   void setStoreWatcher(bool) override {}
+  void setStoreSource(store_source Wanted) override;
+  void onBackendsTold(object_version) override {}
   void onRequestFinished(const finished_request &) override {}
   void log(const event_record &) override {}
 
 private:
   void arm();
   void takeConfig(config_version Version, core_duration Lag);
+  void readBackends();
   void checkConfig();
   void openCall(
       call_id Call, const backend_entry &Server, core_duration Timeout,
@@ -91,6 +98,7 @@
   std::unique_ptr<serving_core> Core;
   bool Stopping = false;
   store_view View = store_view::Live;
+  store_source Source = store_source::Watch;
   /// The highest version that this run has used.
   config_version Used;
   core_time StopBy;
@@ -121,8 +129,10 @@
   bool Up = true;
   core_time SilentUntil;
   double Slow = 1;
-  /// Since when every host knows that it leaves.
+  /// Since when every host that watches the store knows that it leaves, and
+  /// since when every other host does.
   std::optional<core_time> LeavingKnownAt;
+  std::optional<core_time> LeavingToldAt;
 
 protected:
   void answer(const world_link &Link, bool Last,
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -44,6 +44,8 @@
   ResultsReleased = 21,
   InputsFetched = 22,
   DemandForecast = 23,
+  StorePoll = 24,
+  StoreNews = 25,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -280,6 +282,10 @@
 template <>
 struct number_of<demand_forecast>
     : number_constant<body_number::DemandForecast> {};
+template <>
+struct number_of<store_poll> : number_constant<body_number::StorePoll> {};
+template <>
+struct number_of<store_news> : number_constant<body_number::StoreNews> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
@@ -366,6 +372,7 @@
          std::holds_alternative<host_list_push>(Body) ||
          std::holds_alternative<operator_config_push>(Body) ||
          std::holds_alternative<host_heartbeat>(Body) ||
+         std::holds_alternative<store_news>(Body) ||
          std::holds_alternative<claim_query_reply>(Body);
 }
 
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -10,6 +10,7 @@
 constexpr std::size_t MaxPiecesPerJob = 256;
 constexpr std::size_t MaxInputsPerJob = 512;
 constexpr std::size_t MaxResults = 1'024;
+constexpr std::size_t MaxBackends = 4'096;
 
 cbor_value writeHost(const batching_host &Host) {
   return writeRecord(Host.Host.Value, Host.Zone.Value, Host.Address.Value,
@@ -89,6 +90,23 @@
   Reader.id("queue_zone", Job.QueueZone);
 }
 
+cbor_value writeNews(const backend_news &Entry) {
+  return writeRecord(Entry.Id.Value, Entry.Revision.Value, Entry.Listed,
+                     Entry.Pool.Value, Entry.Address.Value, Entry.Zone.Value,
+                     Entry.Draining, Entry.Run.Value);
+}
+
+void readNews(field_reader &Reader, backend_news &Entry) {
+  Reader.id("id", Entry.Id);
+  Reader.version("revision", Entry.Revision);
+  Entry.Listed = Reader.flag("listed");
+  Reader.id("pool", Entry.Pool);
+  Reader.id("address", Entry.Address);
+  Reader.id("zone", Entry.Zone);
+  Entry.Draining = Reader.flag("draining");
+  Reader.version("run", Entry.Run);
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -120,6 +138,28 @@
   Body.Text = Reader.text("text", MaxConfigTextBytes);
 }
 
+cbor_value writeBody(const store_poll &Body) {
+  return writeRecord(Body.Config.Value, Body.Backends.Value);
+}
+void readBody(field_reader &Reader, store_poll &Body) {
+  Reader.version("config", Body.Config);
+  Reader.version("backends", Body.Backends);
+}
+
+cbor_value writeBody(const store_news &Body) {
+  return writeRecord(Body.Current, Body.Config.Value, Body.Complete,
+                     Body.From.Value, Body.To.Value,
+                     writeList(Body.Backends, writeNews));
+}
+void readBody(field_reader &Reader, store_news &Body) {
+  Body.Current = Reader.flag("current");
+  Reader.version("config", Body.Config);
+  Body.Complete = Reader.flag("complete");
+  Reader.version("from", Body.From);
+  Reader.version("to", Body.To);
+  Reader.list("backends", Body.Backends, MaxBackends, readNews);
+}
+
 cbor_value writeBody(const piece_request &Body) {
   return writeRecord(writeJob(Body.Job));
 }
--- a/packages/wire/src/peer_codec_pieces.h
+++ b/packages/wire/src/peer_codec_pieces.h
@@ -9,6 +9,8 @@
 cbor_value writeBody(const host_heartbeat &Body);
 cbor_value writeBody(const operator_config_pull &Body);
 cbor_value writeBody(const operator_config_push &Body);
+cbor_value writeBody(const store_poll &Body);
+cbor_value writeBody(const store_news &Body);
 cbor_value writeBody(const piece_request &Body);
 cbor_value writeBody(const pieces_accepted &Body);
 cbor_value writeBody(const pieces_completed &Body);
@@ -21,6 +23,8 @@
 void readBody(field_reader &Reader, host_heartbeat &Body);
 void readBody(field_reader &Reader, operator_config_pull &Body);
 void readBody(field_reader &Reader, operator_config_push &Body);
+void readBody(field_reader &Reader, store_poll &Body);
+void readBody(field_reader &Reader, store_news &Body);
 void readBody(field_reader &Reader, piece_request &Body);
 void readBody(field_reader &Reader, pieces_accepted &Body);
 void readBody(field_reader &Reader, pieces_completed &Body);
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -213,7 +213,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(23)) {
+  switch (below(25)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -276,6 +276,21 @@
   case 21:
     return demand_forecast{
         anyId<pool_id>(), anyId<zone_id>(), {any32(), any32(), any32()}};
+  case 22:
+    return store_poll{anyNumber<config_version>(), anyNumber<object_version>()};
+  case 23:
+    return store_news{below(2) == 0,
+                      anyNumber<config_version>(),
+                      below(2) == 0,
+                      anyNumber<object_version>(),
+                      anyNumber<object_version>(),
+                      some<backend_news>(3, [] {
+                        return backend_news{
+                            anyId<backend_id>(), anyNumber<object_version>(),
+                            below(2) == 0,       anyId<pool_id>(),
+                            anyId<endpoint>(),   anyId<zone_id>(),
+                            below(2) == 0,       anyNumber<incarnation>()};
+                      })};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
