Order long batching queues less often

The owner of a zone's queue scanned all backend servers and ordered its whole queue up to three times for each job that arrived or was asked about again. Its processor, an eighth of a core at some hosts, was used up (0.0993 of 0.12 cores), it answered later than 300 ms, and hundreds of hosts suspected it and sent its queue elsewhere, where the same happened: 1,722 lines 503 in second 23, 119,732 new connections. Ruled out: the watchers of the store (the untouched code does the same).

Change: the usable servers of a pool are kept until an entry changes; a queue of 24 jobs or more is ordered when a server is idle or when it is scanned, each 50 ms, and its expected wait is told again for 20 ms.

--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -108,6 +108,9 @@
   std::set<std::pair<backend_id, incarnation>> LeavingRuns;
   /// Removals up to this revision may have been erased.
   object_version ErasedUpTo;
+  /// Listed servers of a pool that are not leaving. Emptied by each change of
+  /// an entry: a scan of all servers for each job would grow with the fleet.
+  std::map<pool_id, std::vector<backend_state *>> UsableByPool;
 };
 
 } // namespace jasminecroft
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -169,6 +169,9 @@
       core_time At;
     };
     std::map<entry_host_id, forecast> Forecasts;
+    /// Expected wait as last computed.
+    queue_wait Wait;
+    core_time WaitAt;
   };
   struct queue_key {
     pool_id Pool;
@@ -235,7 +238,7 @@
 
   static queue_key queueOf(const piece_job &Job);
   std::vector<job_key> &queue(const queue_key &Key) { return Queues[Key].Jobs; }
-  void dispatchQueue(const queue_key &Key, core_time Now);
+  void dispatchQueue(const queue_key &Key, bool Scans, core_time Now);
   void failUnservedJobs(const queue_key &Key, core_time Now);
   wait_estimator makeWaitEstimator(const queue_key &Key,
                                    const std::vector<planned_server> &Servers);
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -23,6 +23,7 @@
 } // namespace
 
 void backend_directory::update(const backend_entry &Entry) {
+  UsableByPool.clear();
   auto Found = Servers.find(Entry.Id);
   if (Entry.Draining)
     LeavingRuns.insert({Entry.Id, Entry.Run});
@@ -55,6 +56,7 @@
     return;
   if (Found->second.UnlistedSince)
     return;
+  UsableByPool.clear();
   Found->second.UnlistedSince = Now;
   Found->second.ChangedAt = Revision;
 }
@@ -94,6 +96,7 @@
 }
 
 void backend_directory::markLeaving(const backend_id &Id) {
+  UsableByPool.clear();
   if (const backend_state *State = find(Id))
     LeavingRuns.insert({Id, State->Entry.Run});
 }
@@ -107,6 +110,7 @@
       ++It;
       continue;
     }
+    UsableByPool.clear();
     ErasedUpTo = std::max(ErasedUpTo, State.ChangedAt);
     It = Servers.erase(It);
   }
@@ -143,6 +147,9 @@
 
 std::vector<backend_state *> backend_directory::usable(const pool_id &Pool,
                                                        core_time Now) {
+  auto Known = UsableByPool.find(Pool);
+  if (Known != UsableByPool.end())
+    return Known->second;
   std::vector<backend_state *> Listed;
   std::vector<backend_state *> RecentlyUnlisted;
   for (std::pair<const backend_id, backend_state> &Server : Servers) {
@@ -154,7 +161,10 @@
     else if (Now - *State.UnlistedSince < UnlistedGrace)
       RecentlyUnlisted.push_back(&State);
   }
-  return Listed.empty() ? RecentlyUnlisted : Listed;
+  if (Listed.empty())
+    return RecentlyUnlisted;
+  UsableByPool.emplace(Pool, Listed);
+  return Listed;
 }
 
 void backend_directory::onCallStarted(const backend_id &Id) {
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -31,6 +31,11 @@
 /// Interval of queue scans while pieces wait: free capacity, backoffs and
 /// deadlines change without an event.
 constexpr core_duration ScanInterval = milliseconds(50);
+/// Queues of at least this many jobs are ordered less often.
+constexpr std::size_t LongQueue = 24;
+/// Age up to which the expected wait of a long queue is told again: one job
+/// more changes it little.
+constexpr core_duration WaitLifetime = milliseconds(20);
 /// Jobs whose inputs have waited longer go before all others: about a third of
 /// the lifetime of results.
 constexpr core_duration MaxInputWait = milliseconds(1'200);
@@ -162,12 +167,14 @@
     if (Tracked.second.LoadQueriedAt &&
         Now >= *Tracked.second.LoadQueriedAt + LoadQueryTimeout)
       onServerLoad(Tracked.first, std::nullopt, Now);
-  if (Changed || Now >= NextScan) {
+  bool Scans = Now >= NextScan;
+  if (Changed || Scans) {
     Changed = false;
-    NextScan = Now + ScanInterval;
+    if (Scans)
+      NextScan = Now + ScanInterval;
     for (const std::pair<const queue_key, queue_state> &Queue : Queues)
       if (!Queue.second.Jobs.empty())
-        dispatchQueue(Queue.first, Now);
+        dispatchQueue(Queue.first, Scans, Now);
   }
   for (std::pair<const backend_id, tracked_server> &Tracked : TrackedServers)
     if (!Tracked.second.PendingFrees.empty() && Now >= Tracked.second.FlushAt)
@@ -291,13 +298,22 @@
       failJob(Id, piece_failure::NotMade, Now);
 }
 
-void batch_owner::dispatchQueue(const queue_key &Key, core_time Now) {
+// Starts calls on idle servers. Without one, a long queue is only ordered when
+// it is scanned: ordering it for each job would take more processor time the
+// longer it is.
+void batch_owner::dispatchQueue(const queue_key &Key, bool Scans,
+                                core_time Now) {
   queryLoads(Key, Now);
   std::vector<planned_server> Planned = planServers(Key, Now);
   if (Planned.empty()) {
     failUnservedJobs(Key, Now);
     return;
   }
+  bool AnyIdle =
+      std::any_of(Planned.begin(), Planned.end(),
+                  [](const planned_server &Server) { return Server.Idle; });
+  if (!AnyIdle && !Scans && queue(Key).size() >= LongQueue)
+    return;
   wait_estimator Estimator = makeWaitEstimator(Key, Planned);
   const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
   queue_order Order = orderQueue(Waiting, Estimator);
@@ -307,9 +323,6 @@
     All += Job.Pieces;
   shedLateJobs(Key, Waiting, Order,
                Estimator.waitBehind(All) > MaxLateQueueWait, Now);
-  bool AnyIdle =
-      std::any_of(Planned.begin(), Planned.end(),
-                  [](const planned_server &Server) { return Server.Idle; });
   if (!AnyIdle)
     return;
   std::vector<job_key> Chosen;
@@ -382,6 +395,9 @@
   if (!Pools.contains(Pool))
     return {};
   queue_key Key{Pool, Zone};
+  queue_state &Queue = Queues[Key];
+  if (Queue.Jobs.size() >= LongQueue && Now - Queue.WaitAt < WaitLifetime)
+    return Queue.Wait;
   queue_wait Result;
   std::vector<planned_server> Planned = planServers(Key, Now);
   if (Planned.empty()) {
@@ -415,6 +431,8 @@
   Result.Late = Estimator.waitBehind(All);
   Result.Call =
       core_duration(static_cast<std::int64_t>(Queues[Key].CallMicros));
+  Queue.Wait = Result;
+  Queue.WaitAt = Now;
   return Result;
 }
 
