Leave accepted jobs with an owner that is silent for a short time

Change: the time for accepting a job follows the time that this owner took lately, three times it, between 300 ms and 1.2 s. An accepted job stays until its owner has been silent for 700 ms.

--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -14,6 +14,14 @@
 /// this time is suspected. Many times the round trip between zones, and long
 /// enough for a host whose processor is throttled.
 constexpr core_duration JobAcceptTimeout = milliseconds(300);
+/// Owners that have been slow to accept get this multiple of their usual time,
+/// up to the longest one: their queue is not lost, only long.
+constexpr double AcceptTimeoutFactor = 3;
+constexpr core_duration MaxJobAcceptTimeout = milliseconds(1'200);
+constexpr double AcceptTimeGain = 0.2;
+/// An accepted job stays with a silent owner for this long, about the time of
+/// a call, which may be running.
+constexpr core_duration AcceptedJobPatience = milliseconds(700);
 /// Interval at which an accepted job is submitted again to its remote owner,
 /// which may have crashed since it accepted the job.
 constexpr core_duration JobCheckInterval = milliseconds(700);
@@ -192,6 +200,7 @@
   const pool_id &Pool = State.Route->Stages[Pending.Stage].Pool;
   Pending.QueueZone = queueZone(State, Pending.Stage);
   State.Stages[Pending.Stage].QueueZone = Pending.QueueZone;
+  Pending.EverAccepted = false;
   Pending.Owner = Settings.BatchAlone ? Settings.Self.Host
                                       : queueOwner(Pool, Pending.QueueZone);
   submitJob(Id, State);
@@ -230,7 +239,8 @@
   Pending.Accepted = false;
   Pending.RequestedAt = Now;
   if (Pending.Owner != Settings.Self.Host) {
-    addTimer(Now + JobAcceptTimeout, timer_kind::AcceptTimeout, Id.Value);
+    addTimer(Now + acceptTimeout(Pending.Owner), timer_kind::AcceptTimeout,
+             Id.Value);
     sendToHost(Pending.Owner, piece_request{std::move(Job)});
     return;
   }
@@ -245,7 +255,10 @@
   if (Found == PendingJobs.end())
     return;
   job_state &Job = Found->second;
+  if (Job.Owner != Settings.Self.Host && !Job.Accepted)
+    observeAcceptance(Job.Owner, Now - Job.RequestedAt);
   Job.Accepted = true;
+  Job.EverAccepted = true;
   request_state *State = find(Job.Request);
   if (!State)
     return;
@@ -286,12 +299,34 @@
     HeartbeatSentTo.erase(Unresponsive);
   }
   reassignJobs(Unresponsive);
+  Found = PendingJobs.find(Id);
+  if (Found != PendingJobs.end() && Found->second.Owner == Unresponsive)
+    addTimer(Now + JobAcceptTimeout, timer_kind::JobCheck, Id.Value);
+}
+
+core_duration serving_impl::acceptTimeout(const entry_host_id &Owner) const {
+  auto Found = AcceptMicros.find(Owner);
+  if (Found == AcceptMicros.end())
+    return JobAcceptTimeout;
+  core_duration Usual(
+      static_cast<std::int64_t>(Found->second * AcceptTimeoutFactor));
+  return std::clamp(Usual, JobAcceptTimeout, MaxJobAcceptTimeout);
+}
+
+void serving_impl::observeAcceptance(const entry_host_id &Owner,
+                                     core_duration Time) {
+  double Micros = static_cast<double>(Time.count());
+  double &Known = AcceptMicros[Owner];
+  // Rises at once, as a queue of messages does, and falls slowly.
+  Known = Micros > Known ? Micros : Known + AcceptTimeGain * (Micros - Known);
 }
 
 // Reassigns the pending jobs of a lost owner to the owners that follow in rank.
-// The jobs are cancelled at the lost owner, which may still be alive.
+// The jobs are cancelled at the lost owner, which may still be alive. Accepted
+// ones stay with an owner that has been silent for a short time only.
 void serving_impl::reassignJobs(const entry_host_id &Lost) {
   std::vector<piece_job_id> Open;
+  bool Patient = Hosts.receivedSince(Lost, Now - AcceptedJobPatience);
   for (const std::pair<const piece_job_id, job_state> &Job : PendingJobs)
     if (Job.second.Owner == Lost)
       Open.push_back(Job.first);
@@ -299,6 +334,9 @@
     auto Found = PendingJobs.find(Id);
     if (Found == PendingJobs.end())
       continue;
+    // It is checked again by a timer of its own.
+    if (Patient && Found->second.EverAccepted)
+      continue;
     cancelJobAt(Lost, Id);
     if (request_state *State = find(Found->second.Request))
       assignJob(Id, *State);
@@ -315,11 +353,16 @@
   request_state *State = find(Found->second.Request);
   if (!State)
     return;
-  const entry_host_id &Owner = Found->second.Owner;
-  if (Hosts.find(Owner) && !Hosts.suspected(Owner))
+  const entry_host_id Owner = Found->second.Owner;
+  if (Hosts.find(Owner) && !Hosts.suspected(Owner)) {
     submitJob(Id, *State);
-  else
+  } else if (Found->second.EverAccepted &&
+             Hosts.receivedSince(Owner, Now - AcceptedJobPatience)) {
+    addTimer(Now + JobAcceptTimeout, timer_kind::JobCheck, Id.Value);
+  } else {
+    cancelJobAt(Owner, Id);
     assignJob(Id, *State);
+  }
 }
 
 void serving_impl::onPiecesCompleted(const entry_host_id &Host,
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -94,6 +94,8 @@
   entry_host_id Owner;
   zone_id QueueZone;
   bool Accepted = false;
+  /// The owner accepted it at some time, so that a call may be running.
+  bool EverAccepted = false;
   core_time RequestedAt;
 };
 
@@ -247,6 +249,8 @@
   forecast forecastStages(const request_state &State) const;
   bool shedIfLate(request_state &State);
   void onAcceptTimeout(piece_job_id Job);
+  core_duration acceptTimeout(const entry_host_id &Owner) const;
+  void observeAcceptance(const entry_host_id &Owner, core_duration Time);
   void onJobCheck(piece_job_id Job);
   void suspect(const entry_host_id &Host, std::string_view Reason);
   void reassignJobs(const entry_host_id &Lost);
@@ -351,6 +355,8 @@
   bool ConfigCurrent = false;
   bool BackendsCurrent = false;
   core_time LastWakeup;
+  /// Exponentially smoothed time in which owners accept jobs, in microseconds.
+  std::map<entry_host_id, double> AcceptMicros;
   /// Exponentially smoothed time from the first byte of a route's streams to
   /// their end, in microseconds.
   std::map<route_id, double> StreamMicros;
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -184,6 +184,73 @@
   }
 }
 
+TEST_CASE("an accepted job is not started elsewhere while its owner is silent "
+          "for a short time") {
+  serving_fixture Test;
+  Test.addAllPools();
+  for (int I = 1; I < 12; ++I)
+    Test.Core.onHost({entry_host_id("h" + std::to_string(I)), zone_id("z0"),
+                      endpoint("h:1"), 1'000'000},
+                     Test.Now);
+  Test.sendRequest("staged", {1, 0});
+  REQUIRE(Test.requestedJobs().size() == 1);
+  const std::pair<entry_host_id, piece_job> Job = Test.requestedJobs()[0];
+  host_run Owner{Job.first, incarnation(1)};
+  Test.advance(milliseconds(20));
+  Test.Core.onPeer(Owner, pieces_accepted{Job.second.Job, {}}, Test.Now);
+  auto Elsewhere = [&Test, &Job] {
+    for (const std::pair<entry_host_id, piece_job> &Sent : Test.requestedJobs())
+      if (Sent.first != Job.first)
+        return true;
+    return false;
+  };
+  // Silent since it accepted the job; asked again after 700 ms.
+  SUBCASE("short") {
+    Test.advance(milliseconds(500));
+    Test.Core.onPeerUnreachable(Job.first, Test.Now);
+    CHECK_FALSE(Elsewhere());
+    CHECK(Test.sentTo<pieces_cancelled>(Job.first) == 0);
+    Test.Core.onPeer(
+        Owner,
+        pieces_completed{Job.second.Job,
+                         Job.second.Request,
+                         {completed_piece{0, result_handle("x"), zone_id()}}},
+        Test.Now);
+    CHECK(Test.Actions.Forwards.size() == 1);
+  }
+  SUBCASE("long") {
+    Test.advance(milliseconds(1'700));
+    CHECK(Elsewhere());
+  }
+}
+
+TEST_CASE("an owner that has become slow to accept jobs gets more time") {
+  serving_fixture Test;
+  Test.addAllPools();
+  for (int I = 1; I < 12; ++I)
+    Test.Core.onHost({entry_host_id("h" + std::to_string(I)), zone_id("z0"),
+                      endpoint("h:1"), 1'000'000},
+                     Test.Now);
+  Test.sendRequest("staged", {1, 0});
+  REQUIRE(Test.requestedJobs().size() == 1);
+  const std::pair<entry_host_id, piece_job> First = Test.requestedJobs()[0];
+  Test.advance(milliseconds(250));
+  Test.Core.onPeer({First.first, incarnation(1)},
+                   pieces_accepted{First.second.Job, {}}, Test.Now);
+  Test.advance(milliseconds(1));
+  Test.sendRequest("staged", {1, 0});
+  auto Suspects = [&Test] {
+    return std::any_of(Test.Actions.Log.begin(), Test.Actions.Log.end(),
+                       [](const event_record &Record) {
+                         return Record.Number == event_number::HostSuspected;
+                       });
+  };
+  Test.advance(milliseconds(400));
+  CHECK_FALSE(Suspects());
+  Test.advance(milliseconds(1'000));
+  CHECK(Suspects());
+}
+
 TEST_CASE("a restarted host does not get the pieces of its earlier run") {
   serving_fixture Test;
   Test.addAllPools();
