--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -99,6 +99,8 @@
   bool Stopping = false;
   store_view View = store_view::Live;
   store_source Source = store_source::Watch;
+  /// Since when this run watches the store itself.
+  core_time WatchesSince;
   /// The highest version that this run has used.
   config_version Used;
   core_time StopBy;
