--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -23,15 +23,20 @@
 } // namespace
 
 void backend_directory::update(const backend_entry &Entry) {
+  UsableByPool.clear();
   auto Found = Servers.find(Entry.Id);
   if (Entry.Draining)
     LeavingRuns.insert({Entry.Id, Entry.Run});
   if (Found == Servers.end()) {
-    Servers[Entry.Id].Entry = Entry;
+    backend_state &Added = Servers[Entry.Id];
+    Added.Entry = Entry;
+    Added.ChangedAt = Entry.Revision;
     return;
   }
   backend_state &State = Found->second;
-  if (Entry.Run < State.Entry.Run || Entry.Revision < State.Entry.Revision)
+  bool Removed = State.UnlistedSince && Entry.Revision < State.ChangedAt;
+  if (Entry.Run < State.Entry.Run || Entry.Revision < State.Entry.Revision ||
+      Removed)
     return;
   bool NewRun = State.Entry.Run < Entry.Run;
   if (NewRun) {
@@ -40,6 +45,7 @@
     State.InFlight = InFlight;
   }
   State.Entry = Entry;
+  State.ChangedAt = std::max(State.ChangedAt, Entry.Revision);
   State.UnlistedSince.reset();
 }
 
@@ -48,8 +54,18 @@
   auto Found = Servers.find(Id);
   if (Found == Servers.end() || Revision < Found->second.Entry.Revision)
     return;
-  if (!Found->second.UnlistedSince)
-    Found->second.UnlistedSince = Now;
+  if (Found->second.UnlistedSince)
+    return;
+  UsableByPool.clear();
+  Found->second.UnlistedSince = Now;
+  Found->second.ChangedAt = Revision;
+}
+
+void backend_directory::setRemovedBy(const backend_id &Id,
+                                     object_version Revision) {
+  backend_state *State = find(Id);
+  if (State && State->UnlistedSince)
+    State->ChangedAt = std::max(State->ChangedAt, Revision);
 }
 
 void backend_directory::replaceAll(const std::vector<backend_entry> &Entries,
@@ -64,7 +80,23 @@
       remove(Server.first, Revision, Now);
 }
 
+backend_changes backend_directory::changesSince(object_version Since) const {
+  backend_changes Changes;
+  Changes.Complete = Since < ErasedUpTo || Since == object_version();
+  for (const std::pair<const backend_id, backend_state> &Server : Servers) {
+    const backend_state &State = Server.second;
+    if (!Changes.Complete && State.ChangedAt <= Since)
+      continue;
+    if (!State.UnlistedSince)
+      Changes.Listed.push_back(State.Entry);
+    else if (!Changes.Complete)
+      Changes.Unlisted.emplace_back(Server.first, State.ChangedAt);
+  }
+  return Changes;
+}
+
 void backend_directory::markLeaving(const backend_id &Id) {
+  UsableByPool.clear();
   if (const backend_state *State = find(Id))
     LeavingRuns.insert({Id, State->Entry.Run});
 }
@@ -74,7 +106,13 @@
     const backend_state &State = It->second;
     bool Old =
         State.UnlistedSince && Now - *State.UnlistedSince > UnlistedRetention;
-    It = Old && State.InFlight == 0 ? Servers.erase(It) : std::next(It);
+    if (!Old || State.InFlight != 0) {
+      ++It;
+      continue;
+    }
+    UsableByPool.clear();
+    ErasedUpTo = std::max(ErasedUpTo, State.ChangedAt);
+    It = Servers.erase(It);
   }
 }
 
@@ -109,6 +147,9 @@
 
 std::vector<backend_state *> backend_directory::usable(const pool_id &Pool,
                                                        core_time Now) {
+  auto Known = UsableByPool.find(Pool);
+  if (Known != UsableByPool.end())
+    return Known->second;
   std::vector<backend_state *> Listed;
   std::vector<backend_state *> RecentlyUnlisted;
   for (std::pair<const backend_id, backend_state> &Server : Servers) {
@@ -120,7 +161,10 @@
     else if (Now - *State.UnlistedSince < UnlistedGrace)
       RecentlyUnlisted.push_back(&State);
   }
-  return Listed.empty() ? RecentlyUnlisted : Listed;
+  if (Listed.empty())
+    return RecentlyUnlisted;
+  UsableByPool.emplace(Pool, Listed);
+  return Listed;
 }
 
 void backend_directory::onCallStarted(const backend_id &Id) {
