Use the connections of calls for pieces once

What could happen: a server's late second copy of an answer for pieces, on a connection in use again, was taken as the answer of the next call if it had as many entries: requests got handles of another request's results (MIXED). Answers for pieces name no call, so nothing tells them apart.

Ruled out: other answers, which carry the request's id and are skipped. Change: a connection that has carried a call for pieces is closed; such a call may use one that carried reports and releases only, whose answers it does not take for its own.

--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -236,7 +236,8 @@
       return;
     }
     std::string Body = std::move(Parser->get().body());
-    if (Parser->get().keep_alive() && Buffer.size() == 0 && !WriteFailed)
+    if (Wanted.KeepConnection && Parser->get().keep_alive() &&
+        Buffer.size() == 0 && !WriteFailed)
       keepConnection();
     std::shared_ptr<backend_call_listener> Last = Listener;
     bool WasStream = Streaming;
--- a/packages/entry/src/serving/backend_call.h
+++ b/packages/entry/src/serving/backend_call.h
@@ -19,6 +19,9 @@
   caller_request_id CallerId;
   std::chrono::microseconds Timeout{0};
   bool MayReuseConnection = true;
+  /// False if a late copy of the answer could be taken for that of a later
+  /// call.
+  bool KeepConnection = true;
   /// A successful event stream is handed on as it arrives.
   bool Streamed = false;
   /// The answer has no body.
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -196,6 +196,8 @@
   Request.Address = Server.Address;
   Request.Text = platform::encodePieces(Server, Items);
   Request.Timeout = Timeout;
+  // Answers for pieces do not name their call.
+  Request.KeepConnection = false;
   Calls[Call] = startBackendCall(
       Context, Pool, std::move(Request),
       std::make_shared<pieces_listener>(*this, Results, Call, Items.size()));
--- a/packages/testing/processes/test/zone-watchers-test.cc
+++ b/packages/testing/processes/test/zone-watchers-test.cc
@@ -152,3 +152,29 @@
       exchange(Fleet.call("added", "t", "key-1", Follower), CallBound).Status ==
       200);
 }
+
+TEST_CASE("a host that starts again uses neither a withdrawn key nor a server "
+          "that left") {
+  users_fleet Fleet(2);
+  REQUIRE(Fleet.waitReady());
+  Fleet.on([&Fleet] {
+    json::value Config = json::parse(usersConfig());
+    Config.as_object()["version"] = 4;
+    Config.at("tenants").as_array()[1].as_object()["api_keys"] = json::array{};
+    Fleet.Store->put("config", "main", Config);
+    Fleet.list("plain", "plain-0", "draining");
+    Fleet.Store->remove("servers", "plain-0");
+  });
+  std::this_thread::sleep_for(std::max(DrainTime, ConfigTime));
+  Fleet.Processes[1]->signal(SIGKILL);
+  Fleet.startHost(1);
+  // From the first answer on, whoever told the host what it knows.
+  CHECK(waitUntil([&Fleet] {
+    unsigned Status =
+        exchange(Fleet.call("read", "k", "key-2", 1), CallBound).Status;
+    CHECK(Status != 200);
+    return Status == 401;
+  }));
+  REQUIRE(Fleet.waitReady());
+  CHECK(avoids(Fleet, 1, "r"));
+}
