--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -178,9 +178,8 @@
   /// Reads the store again: peers have seen changes that it has not reported to
   /// this host.
   virtual void resyncStore(store_kind Kind) = 0;
-  /// Sets whether this host is one of the few watchers of the store, which
-  /// announce changes to the other hosts.
-  virtual void setStoreWatcher(bool IsWatcher) = 0;
+  /// Sets whether this host watches the store closely: one of each zone does.
+  virtual void setStoreWatcher(bool Closely) = 0;
   /// Sets whether this host watches the store itself or reads it only when
   /// resyncStore() is called.
   virtual void setStoreSource(store_source Source) = 0;
--- a/packages/core/include/jasminecroft/core/serving/store_following.h
+++ b/packages/core/include/jasminecroft/core/serving/store_following.h
@@ -43,6 +43,8 @@
 
   store_source source() const { return Source; }
   bool isWatcher() const;
+  /// Returns true if this host ranks first among the watchers of its zone.
+  bool isFirstWatcher() const;
 
   static constexpr std::size_t WatchersPerZone = 3;
   static constexpr core_duration PollInterval = std::chrono::seconds(1);
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -73,10 +73,11 @@
          {"config", std::to_string(Gossip.progress().Config.Value)}});
     Actions.resyncStore(Kind);
   }
-  bool IsWatcher = Gossip.isWatcher();
-  if (IsWatcher != StoreWatcher) {
-    StoreWatcher = IsWatcher;
-    Actions.setStoreWatcher(IsWatcher);
+  // The hosts that announce changes first may follow a watcher of their zone.
+  bool IsClose = Following.isFirstWatcher();
+  if (IsClose != CloseWatcher) {
+    CloseWatcher = IsClose;
+    Actions.setStoreWatcher(IsClose);
   }
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -185,7 +185,7 @@
   /// Time by which all requests have their final reply; absent until this host
   /// drains.
   std::optional<core_time> DrainEnd;
-  bool StoreWatcher = false;
+  bool CloseWatcher = false;
   /// Time of the event being handled.
   core_time Now;
 
--- a/packages/core/src/serving/store_following.cc
+++ b/packages/core/src/serving/store_following.cc
@@ -29,6 +29,11 @@
   });
 }
 
+bool store_following::isFirstWatcher() const {
+  const std::vector<batching_host> &All = watchers();
+  return !All.empty() && All.front().Host == Hosts.self().Host;
+}
+
 void store_following::setSource(core_time Now) {
   bool Told = CurrentAt && Now - *CurrentAt <= MaxAge;
   bool Follows = Told && !isWatcher() && !watchers().empty();
--- a/packages/core/test/store-following-test.cc
+++ b/packages/core/test/store-following-test.cc
@@ -159,6 +159,24 @@
   CHECK(Following.isWatcher());
 }
 
+TEST_CASE("each zone has a host that watches the store closely") {
+  serving_fixture Test;
+  std::uint32_t PeerCapacity = Weak;
+  bool Closely = true;
+  SUBCASE("first of its zone, though others of the fleet rank before it") {}
+  SUBCASE("not first of its zone") {
+    PeerCapacity = Strong;
+    Closely = false;
+  }
+  for (int I = 0; I < 4; ++I) {
+    std::string Name = std::to_string(I);
+    Test.Core.onHost(host("p" + Name, "z0", PeerCapacity), Test.Now);
+    Test.Core.onHost(host("q" + Name, "z1", Strong), Test.Now);
+  }
+  Test.advance(seconds(2));
+  CHECK(Test.Actions.StoreWatcher == Closely);
+}
+
 TEST_CASE("a silent watcher is replaced, and the store is read meanwhile") {
   following_test Test(Weak);
   entry_host_id First = Test.follow();
