Log the shared parts of prompts and the progress of broken calls

The logs could not tell whether the requests at the crashes have a part of their prompts in common. 210 and 211 now name the shared parts (8 at most) and what had arrived of the reply.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -2,11 +2,14 @@
 #include "serving_state.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace jasminecroft {
 
 namespace {
 
+using detail::call_progress;
 using std::chrono::milliseconds;
 
 /// A retryable call is retried on another server after this multiple of the
@@ -21,6 +24,27 @@
 /// Retry-After if the servers are overloaded: about the time of a few calls.
 constexpr core_duration OverloadRetryAfter = milliseconds(250);
 constexpr unsigned FirstFailureStatus = 500;
+/// Bound of the prompt parts in one log line.
+constexpr std::size_t MaxLoggedParts = 8;
+
+std::string_view toText(call_progress Progress) {
+  switch (Progress) {
+  case call_progress::Sent:
+    return "sent";
+  case call_progress::Head:
+    return "head";
+  case call_progress::Events:
+    return "events";
+  }
+  return "sent";
+}
+
+std::string inHex(std::uint64_t Number) {
+  std::array<char, 16> Text{};
+  std::to_chars_result Result =
+      std::to_chars(Text.data(), Text.data() + Text.size(), Number, 16);
+  return std::string(Text.data(), Result.ptr);
+}
 
 } // namespace
 
@@ -61,6 +85,7 @@
   State.CurrentCall = Id;
   State.Server = Server->Entry;
   State.SentAt = Now;
+  State.Progress = call_progress::Sent;
   State.TriedServers.insert(Server->Entry.Id);
   ++State.Attempts;
   Servers.onCallStarted(Server->Entry.Id);
@@ -170,6 +195,20 @@
   sendCall(State);
 }
 
+// Adds what had arrived of the call's reply, and the shared parts of the
+// prompt.
+void serving_impl::addPartFields(const request_state &State,
+                                 std::vector<event_field> &Fields) const {
+  Fields.push_back({"progress", std::string(toText(State.Progress))});
+  const std::vector<prompt_block> &Prefix = State.Request.Prefix;
+  std::string Parts;
+  for (std::size_t I = 0; I + 1 < std::min(Prefix.size(), MaxLoggedParts + 1);
+       ++I)
+    Parts += (I == 0 ? "" : ",") + inHex(Prefix[I].Id);
+  if (!Parts.empty())
+    Fields.push_back({"parts", std::move(Parts)});
+}
+
 // Handles a call that broke or timed out: the request may have run.
 void serving_impl::handleBrokenCall(request_state &State, bool Timed) {
   State.MayHaveRun = true;
@@ -179,12 +218,14 @@
   }
   bool Repeatable = State.Route->Repeatable || State.Route->Resumable;
   bool WillRetry = Repeatable && reserveRetry(State);
+  std::vector<event_field> Fields = {
+      {"request", State.Request.CallerId.Value},
+      {"server", State.Server.Id.Value},
+      {"why", Timed ? "no answer in time" : "connection or answer broken"},
+      {"again", WillRetry ? "yes" : "no"}};
+  addPartFields(State, Fields);
   log(event_number::CallFailed, event_severity::Warning,
-      "call to a backend server failed",
-      {{"request", State.Request.CallerId.Value},
-       {"server", State.Server.Id.Value},
-       {"why", Timed ? "no answer in time" : "connection or answer broken"},
-       {"again", WillRetry ? "yes" : "no"}});
+      "call to a backend server failed", std::move(Fields));
   if (WillRetry)
     sendCall(State);
   else
@@ -197,12 +238,14 @@
 void serving_impl::resumeStream(request_state &State) {
   bool WillRetry =
       State.Route->Resumable && State.LastEvent && reserveRetry(State);
+  std::vector<event_field> Fields = {
+      {"request", State.Request.CallerId.Value},
+      {"server", State.Server.Id.Value},
+      {"last_event", std::to_string(State.LastEvent.value_or(0))},
+      {"resumed", WillRetry ? "yes" : "no"}};
+  addPartFields(State, Fields);
   log(event_number::StreamBroken, event_severity::Warning,
-      "stream ended before its last event",
-      {{"request", State.Request.CallerId.Value},
-       {"server", State.Server.Id.Value},
-       {"last_event", std::to_string(State.LastEvent.value_or(0))},
-       {"resumed", WillRetry ? "yes" : "no"}});
+      "stream ended before its last event", std::move(Fields));
   if (!WillRetry) {
     failRequest(State, refusal_kind::Failed, core_duration{0});
     return;
@@ -281,6 +324,7 @@
     handleBrokenCall(*State, false);
     return;
   }
+  State->Progress = call_progress::Head;
   observeFirstByte(*State);
   releaseAll(*State);
   Servers.onCallSucceeded(State->Server.Id, 0);
@@ -310,6 +354,7 @@
     return;
   }
   State->LastEvent = Last;
+  State->Progress = call_progress::Events;
   Actions.relayStreamEvents(State->Request.Number, std::move(Text));
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -52,6 +52,9 @@
   core_duration Duration{0};
 };
 
+/// What has arrived of a call's reply.
+enum class call_progress { Sent, Head, Events };
+
 struct request_state {
   serving_request Request;
   std::shared_ptr<const config_view> View;
@@ -83,6 +86,7 @@
   /// True once a call was sent that a server may have run.
   bool MayHaveRun = false;
   bool HeadRelayed = false;
+  call_progress Progress = call_progress::Sent;
   std::optional<core_time> FirstByteAt;
   std::optional<std::uint64_t> LastEvent;
 };
@@ -286,6 +290,8 @@
   bool reserveRetry(const request_state &State);
   void handleNotRun(request_state &State, const backend_reply_head &Head);
   void handleBrokenCall(request_state &State, bool Timed);
+  void addPartFields(const request_state &State,
+                     std::vector<event_field> &Fields) const;
   void resumeStream(request_state &State);
   void observeFirstByte(const request_state &State);
   void observeStream(const request_state &State);
