--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -17,6 +17,8 @@
   caller_request_id Id;
   serving_route Route;
   std::vector<std::uint32_t> Pieces;
+  /// Parts of the prompt, the last one the request's own.
+  std::vector<std::uint64_t> Parts;
   core_time Sent;
   core_time Deadline;
   /// The host ended, or the caller left; nothing is owed.
@@ -63,6 +65,9 @@
   /// Stage: the one that is made; absent for the request itself.
   void onInputs(const caller_request_id &Id, std::optional<std::uint32_t> Stage,
                 const std::vector<input> &Inputs, core_time Now);
+  /// A request with a part that crashes engines reached one.
+  void onCrashingSent(core_time Now) { CrashingSent.push_back(Now); }
+  void onPartCrash(core_time Now) { PartCrashes.push_back(Now); }
   void onLeavingUsed(const backend_id &Server, core_duration After,
                      core_time Now);
 
@@ -74,6 +79,10 @@
     return Requests;
   }
   const violation_list &violations() const { return Violations; }
+  /// Times at which requests with a crashing part reached engines, and at which
+  /// these crashed.
+  const std::vector<core_time> &crashingSent() const { return CrashingSent; }
+  const std::vector<core_time> &partCrashes() const { return PartCrashes; }
 
 private:
   booked_request *find(const caller_request_id &Id);
@@ -81,6 +90,8 @@
 
   std::map<caller_request_id, booked_request> Requests;
   violation_list Violations;
+  std::vector<core_time> CrashingSent;
+  std::vector<core_time> PartCrashes;
 };
 
 } // namespace jasminecroft::testing
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -56,6 +56,9 @@
   // Callers.
   /// Nothing happens if the host is down.
   void ask(std::size_t Host, const std::string &Route);
+  /// Shared: the parts of the prompt before the request's own.
+  void ask(std::size_t Host, const std::string &Route,
+           const std::vector<std::uint64_t> &Shared);
   /// The caller of one of the requests in progress leaves.
   void leaveOne();
 
@@ -77,6 +80,9 @@
   void setQuality(const network_quality &Quality) { Net.setQuality(Quality); }
   /// Its connections break; its results are gone.
   void crashServer(std::size_t Server);
+  /// Engines crash once they begin a reply to a prompt with this part.
+  void addCrashingPart(std::uint64_t Part) { CrashingParts.insert(Part); }
+  void removeCrashingPart(std::uint64_t Part) { CrashingParts.erase(Part); }
   /// It answers nothing for a while.
   void silenceServer(std::size_t Server, core_duration Time);
   void slowServer(std::size_t Server, double Factor);
@@ -103,6 +109,8 @@
                                        const zone_id &Zone);
   std::uint64_t resultBytes(const caller_request_id &Request,
                             std::uint32_t Stage) const;
+  bool crashesEngines(const caller_request_id &Request) const;
+  void crashServer(const backend_id &Id);
   std::string nextResult() { return std::to_string(++LastResult); }
   bool reaches(const zone_id &Zone, std::size_t Host) const;
   void answerHost(std::size_t Host, incarnation Run, call_id Call, bool Last,
@@ -145,6 +153,7 @@
   /// Servers that were replaced and go on for a while.
   std::vector<std::unique_ptr<world_server>> Leaving;
   config_version NewestConfig{1};
+  std::set<std::uint64_t> CrashingParts;
   std::uint64_t LastRequest = 0;
   std::uint64_t LastServer = 0;
   std::uint64_t LastRevision = 0;
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -23,6 +23,8 @@
 constexpr core_duration LapseTime = milliseconds(1'500);
 constexpr core_duration RestartTime = milliseconds(2'000);
 constexpr std::uint64_t BesideBytes = 100'000;
+/// Parts that belong to one request are numbered from here.
+constexpr std::uint64_t OwnParts = 1'000'000;
 
 } // namespace
 
@@ -185,7 +187,21 @@
   });
 }
 
+bool serving_world::crashesEngines(const caller_request_id &Request) const {
+  auto Found = Book.requests().find(Request);
+  if (Found == Book.requests().end())
+    return false;
+  return std::any_of(
+      Found->second.Parts.begin(), Found->second.Parts.end(),
+      [this](std::uint64_t Part) { return CrashingParts.contains(Part); });
+}
+
 void serving_world::ask(std::size_t Host, const std::string &Name) {
+  ask(Host, Name, {Random.below(8) + 1});
+}
+
+void serving_world::ask(std::size_t Host, const std::string &Name,
+                        const std::vector<std::uint64_t> &Shared) {
   world_host &Target = *Hosts[Host % Hosts.size()];
   if (!Target.takesCallers())
     return;
@@ -209,7 +225,10 @@
   Request.Message = std::move(Message);
   Request.Pieces = Booked.Pieces;
   Request.PieceKey = "key";
-  Request.Prefix = {{Random.below(8) + 1, 500}, {1'000 + LastRequest, 100}};
+  Booked.Parts = Shared;
+  Booked.Parts.push_back(OwnParts + LastRequest);
+  for (std::uint64_t Part : Booked.Parts)
+    Request.Prefix.push_back({Part, 500});
   Book.onAsked(std::move(Booked));
   Target.ask(std::move(Request));
 }
@@ -258,6 +277,12 @@
   });
 }
 
+void serving_world::crashServer(const backend_id &Id) {
+  for (std::size_t I = 0; I < Servers.size(); ++I)
+    if (Servers[I].Server->Entry.Id == Id)
+      crashServer(I);
+}
+
 void serving_world::silenceServer(std::size_t Server, core_duration Time) {
   Servers[Server % Servers.size()].Server->SilentUntil = now() + Time;
 }
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -58,13 +58,19 @@
     World.book().onInputs(Call.CallerId, std::nullopt, Inputs, World.now());
     World.book().onRun(Call.CallerId, Entry.Id, World.now());
     Streams.insert(Link);
+    bool Crashes = World.crashesEngines(Call.CallerId);
+    if (Crashes)
+      World.book().onCrashingSent(World.now());
     after(slowed(HeadTime), [this, Link] {
       if (Streams.contains(Link))
         answer(Link, false, [Link](serving_core &Core, core_time Now) {
           Core.onStreamHead(Link.Call, signedHead(), Now);
         });
     });
-    send(Link, Call.ResumeAfter.value_or(0) + 1, HeadTime + EventTime);
+    if (Crashes)
+      crash(Link);
+    else
+      send(Link, Call.ResumeAfter.value_or(0) + 1, HeadTime + EventTime);
   }
 
   void cancel(const world_link &Link) override { Streams.erase(Link); }
@@ -80,6 +86,15 @@
     });
   }
 
+  void crash(const world_link &Link) {
+    after(slowed(HeadTime) + EventTime, [this, Link] {
+      if (!Streams.contains(Link))
+        return;
+      World.book().onPartCrash(World.now());
+      World.crashServer(Entry.Id);
+    });
+  }
+
   void send(const world_link &Link, std::uint64_t Event, core_duration In) {
     after(slowed(In), [this, Link, Event] {
       if (!Streams.contains(Link))
