Quarantine parts of prompts that crash backend servers

Cause: what a call did to its server was forgotten with the call, at each host by itself. No host could know that the next request with the part would do the same. Ruled out by the parts and the progress of the broken calls: retries (the requests at fault were sent once) and load (one part in common, none elsewhere).

Hosts report calls that broke before their first event to two hosts, which find the part that the crashes have in common; all hosts refuse requests with it, on arrival and before each call, until a trial gets a reply. A reply to any request with a suspected part clears it.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -2,6 +2,7 @@
 // below limit the length of the lists.
 #pragma once
 
+#include "jasminecroft/core/serving/crash_attribution.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/stored_objects.h"
 #include "jasminecroft/core/types.h"
@@ -23,6 +24,8 @@
 inline constexpr std::size_t MaxZoneReportsPerMessage = 16;
 inline constexpr std::size_t MaxChangesPerMessage = 32;
 inline constexpr std::size_t MaxHostsInList = 20'000;
+inline constexpr std::size_t MaxPartsPerReport = 32;
+inline constexpr std::size_t MaxRulingsPerMessage = 1'024;
 
 enum class member_state { Alive, Suspect, Dead, Left };
 std::string_view toText(member_state State);
@@ -278,6 +281,11 @@
   std::vector<backend_news> Backends;
   bool operator==(const store_news &) const = default;
 };
+/// Rulings on parts of prompts that may crash backend servers.
+struct part_rulings {
+  std::vector<part_ruling> Rulings;
+  bool operator==(const part_rulings &) const = default;
+};
 /// Submits a job to the owner of a queue.
 struct piece_request {
   piece_job Job;
@@ -325,14 +333,13 @@
   bool operator==(const results_released &) const = default;
 };
 
-using peer_body =
-    std::variant<probe, probe_ack, indirect_probe, indirect_ack, config_pull,
-                 config_push, host_list_pull, host_list_push, claim_query,
-                 claim_query_reply, rumor, config_changes, host_heartbeat,
-                 operator_config_pull, operator_config_push, piece_request,
-                 pieces_accepted, pieces_completed, pieces_failed,
-                 pieces_cancelled, results_released, inputs_fetched,
-                 demand_forecast, store_poll, store_news>;
+using peer_body = std::variant<
+    probe, probe_ack, indirect_probe, indirect_ack, config_pull, config_push,
+    host_list_pull, host_list_push, claim_query, claim_query_reply, rumor,
+    config_changes, host_heartbeat, operator_config_pull, operator_config_push,
+    piece_request, pieces_accepted, pieces_completed, pieces_failed,
+    pieces_cancelled, results_released, inputs_fetched, demand_forecast,
+    store_poll, store_news, crash_report, part_rulings>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -74,6 +74,8 @@
   NoBackend,
   /// This host stops before it could be completed; another host may take it.
   ShuttingDown,
+  /// A part of its prompt crashes the backend servers that begin a reply.
+  Quarantined,
   /// Its deadline expired before it was sent to a backend server that runs it.
   TimedOutNotRun,
   /// Its deadline expired and it may have run.
@@ -212,9 +214,13 @@
   std::uint64_t BrokenOff = 0;
   std::uint64_t CallerLeft = 0;
   std::uint64_t Repeats = 0;
+  /// Requests that a quarantined part of their prompt ended.
+  std::uint64_t Quarantined = 0;
   std::uint64_t Batches = 0;
   std::uint64_t BatchedPieces = 0;
   std::uint64_t InProgress = 0;
+  /// Parts of prompts in quarantine; a gauge.
+  std::uint64_t QuarantinedParts = 0;
 };
 
 /// Routes, schedules and retries the requests of one entry host. Deterministic:
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -2,8 +2,6 @@
 #include "serving_state.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace jasminecroft {
 
@@ -39,13 +37,6 @@
   return "sent";
 }
 
-std::string inHex(std::uint64_t Number) {
-  std::array<char, 16> Text{};
-  std::to_chars_result Result =
-      std::to_chars(Text.data(), Text.data() + Text.size(), Number, 16);
-  return std::string(Text.data(), Result.ptr);
-}
-
 } // namespace
 
 using namespace detail;
@@ -67,6 +58,8 @@
 }
 
 void serving_impl::sendCall(request_state &State) {
+  if (refuseQuarantined(State))
+    return;
   backend_state *Server = chooseServer(State);
   core_duration TimeLeft = State.Deadline - Now;
   if (!Server) {
@@ -204,7 +197,7 @@
   std::string Parts;
   for (std::size_t I = 0; I + 1 < std::min(Prefix.size(), MaxLoggedParts + 1);
        ++I)
-    Parts += (I == 0 ? "" : ",") + inHex(Prefix[I].Id);
+    Parts += (I == 0 ? "" : ",") + partName(prompt_part_id(Prefix[I].Id));
   if (!Parts.empty())
     Fields.push_back({"parts", std::move(Parts)});
 }
@@ -301,6 +294,8 @@
     failRequest(*State, refusal_kind::Failed, core_duration{0});
     return;
   }
+  if (Succeeded)
+    onPartsServed(*State);
   ++Counters.Complete;
   State->FirstByteAt = Now;
   logOutcome(*State, Succeeded ? "complete" : "server_error", Head.Status);
@@ -354,6 +349,8 @@
     return;
   }
   State->LastEvent = Last;
+  if (State->Progress != call_progress::Events)
+    onPartsServed(*State);
   State->Progress = call_progress::Events;
   Actions.relayStreamEvents(State->Request.Number, std::move(Text));
 }
@@ -391,6 +388,8 @@
   Servers.onCallFailed(Server, Now);
   if (!State)
     return;
+  if (Failure == call_failure::Broken)
+    reportCrash(*State);
   if (Failure == call_failure::NotConnected && !State->HeadRelayed) {
     --State->Attempts;
     bool HasUntriedServer = false;
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -56,8 +56,14 @@
 
 void serving_impl::processStoreGossip() {
   store_gossip::due_actions Due = Gossip.takeDueActions(Now);
-  for (const batching_host &Host : Due.AnnounceTo)
+  std::vector<part_ruling> Decided;
+  if (!Due.AnnounceTo.empty())
+    Decided = Quarantine.decided(Now);
+  for (const batching_host &Host : Due.AnnounceTo) {
     Actions.sendToPeer(Host, makeHeartbeat(false));
+    if (!Decided.empty())
+      Actions.sendToPeer(Host, part_rulings{Decided});
+  }
   for (const batching_host &Host : Due.Probe)
     Actions.sendToPeer(Host, makeHeartbeat(true));
   for (const entry_host_id &Host : Due.Unresponsive)
@@ -84,6 +90,7 @@
 void serving_impl::onHost(const batching_host &Host, core_time) {
   Hosts.add(Host, Now);
   Hosts.markAlive(Host.Host);
+  askAtStart(Host);
   transferQueues();
 }
 
@@ -145,6 +152,9 @@
       Reply.Others = Hosts.others();
     HeartbeatSentTo.insert(Sender.Host);
     Actions.sendToPeer(Body.Self, std::move(Reply));
+    std::vector<part_ruling> Decided = Quarantine.decided(Now);
+    if (!Decided.empty())
+      Actions.sendToPeer(Body.Self, part_rulings{std::move(Decided)});
   }
   if (!View && Body.Config > config_version()) {
     sendToHost(Sender.Host, operator_config_pull{});
@@ -380,6 +390,7 @@
   serving_counters Result = Impl->Counters;
   Result.Batches = Impl->Owner.batchesStarted();
   Result.BatchedPieces = Impl->Owner.piecesStarted();
+  Result.QuarantinedParts = Impl->quarantinedParts();
   return Result;
 }
 
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -32,6 +32,7 @@
   case refusal_kind::Overloaded:
   case refusal_kind::NoBackend:
   case refusal_kind::ShuttingDown:
+  case refusal_kind::Quarantined:
   case refusal_kind::TimedOutNotRun:
     return true;
   case refusal_kind::TimedOut:
@@ -55,6 +56,8 @@
     return "no_backend";
   case refusal_kind::ShuttingDown:
     return "shutting_down";
+  case refusal_kind::Quarantined:
+    return "quarantined";
   case refusal_kind::TimedOutNotRun:
     return "timed_out_not_run";
   case refusal_kind::TimedOut:
@@ -177,6 +180,8 @@
   Counters.InProgress = Requests.size();
   Budget.onRequest(State.Pool, Now);
   addTimer(State.Deadline, timer_kind::Deadline, Number.Value);
+  if (refuseQuarantined(State))
+    return;
   limitToDrain(State);
   State.PlannedZone = Settings.Zone;
   if (!State.Stages.empty())
@@ -232,7 +237,10 @@
   core_duration Retry = core_duration{0};
   if (guaranteesNotRun(Kind)) {
     ++Counters.Refused;
-    Retry = std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter);
+    // The end of a quarantine is known; of other causes it is a guess.
+    Retry = Kind == refusal_kind::Quarantined
+                ? std::max(RetryAfter, MinRetryAfter)
+                : std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter);
   } else {
     ++Counters.Failed;
   }
@@ -261,6 +269,8 @@
       {"deadline_ms", inMs(State.Deadline - State.Arrived)},
       {"server", State.Server.Id.Value},
       {"sends", std::to_string(State.Attempts)}};
+  if (State.QuarantinedPart)
+    Fields.push_back({"part", partName(*State.QuarantinedPart)});
   if (FirstByte)
     Fields.push_back({"first_byte_ms", inMs(*FirstByte)});
   if (!State.Stages.empty()) {
@@ -370,6 +380,7 @@
   checkStall();
   processStoreGossip();
   processFollowing();
+  processCrashes();
   Servers.evictUnlisted(Now);
 }
 
@@ -387,6 +398,8 @@
     Consider(*NextGossip);
   if (std::optional<core_time> NextPoll = Following.nextWakeup())
     Consider(*NextPoll);
+  if (std::optional<core_time> NextCrash = Crashes.nextWakeup())
+    Consider(*NextCrash);
   if (PushAt)
     Consider(*PushAt);
   Consider(std::min(NextSeedHeartbeat, Time + DirectoryCleanup));
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -18,6 +18,9 @@
 inline constexpr core_duration NoBackendRetryAfter =
     std::chrono::milliseconds(700);
 
+/// Name of a part of a prompt in logs: as callers send it.
+std::string partName(prompt_part_id Part);
+
 /// A configuration with its route index. A request keeps the configuration that
 /// was in force when it arrived.
 struct config_view {
@@ -89,6 +92,10 @@
   call_progress Progress = call_progress::Sent;
   std::optional<core_time> FirstByteAt;
   std::optional<std::uint64_t> LastEvent;
+  /// The quarantined part because of which it ends.
+  std::optional<prompt_part_id> QuarantinedPart;
+  /// Allowed to run despite quarantined parts.
+  bool Trial = false;
 };
 
 struct job_state {
@@ -134,6 +141,7 @@
   void onWakeup(core_time Now);
   std::optional<core_time> nextWakeup(core_time Now) const;
   bool ready() const;
+  std::size_t quarantinedParts() const { return Quarantine.quarantinedCount(); }
 
   // Calls: serving_calls.cc.
   void onCompleteReply(call_id Call, const backend_reply_head &Head,
@@ -279,6 +287,21 @@
   std::vector<std::uint32_t> finalStages(const request_state &State) const;
   bool hasSmallResults(const request_state &State, std::size_t Stage) const;
 
+  // Parts that crash servers: serving_quarantine.cc.
+  void askAtStart(const batching_host &Host);
+  void reportCrash(const request_state &State);
+  void onPartsServed(const request_state &State);
+  bool refuseQuarantined(request_state &State);
+  std::optional<prompt_part_id> blockingPart(const request_state &State) const;
+  bool tryBeginTrial(request_state &State);
+  void endQuarantined(prompt_part_id Part);
+  void processCrashes();
+  void applyVerdicts(const crash_attribution::verdicts &Verdicts);
+  void sendRulings(const std::vector<part_ruling> &Rulings);
+  void logRuling(const part_ruling &Ruling, std::string_view Source);
+  void on(const host_run &Sender, const crash_report &Body);
+  void on(const host_run &Sender, const part_rulings &Body);
+
   // Calls.
   void sendCall(request_state &State);
   backend_state *chooseServer(const request_state &State);
@@ -326,6 +349,12 @@
   void log(event_number Number, event_severity Severity,
            std::string_view Message, std::vector<event_field> Fields);
 
+  part_quarantine Quarantine;
+  served_parts ServedParts;
+  /// Hosts that this run has asked for what it missed.
+  std::size_t AskedAtStart = 0;
+  /// Reports of all hosts, if this host is one of those that judge them.
+  crash_attribution Crashes;
   request_map Requests;
   std::map<piece_job_id, job_state> PendingJobs;
   std::map<call_id, call_state> Calls;
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -183,7 +183,8 @@
 
   request_id sendRequest(const std::string &Path,
                          std::vector<std::uint32_t> Pieces = {},
-                         const std::string &Key = "key") {
+                         const std::string &Key = "key",
+                         std::vector<prompt_block> Prefix = {}) {
     serving_request Request;
     Request.Number = request_id(++LastRequest);
     Request.CallerId = caller_request_id("r" + std::to_string(LastRequest));
@@ -196,6 +197,7 @@
     Request.Key = workspace_key(Key);
     Request.Pieces = std::move(Pieces);
     Request.PieceKey = "piece-key";
+    Request.Prefix = std::move(Prefix);
     request_id Number = Request.Number;
     Core.onRequest(std::move(Request), Now);
     reportLoads();
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -101,6 +101,9 @@
   Impl->set("broken_off", static_cast<double>(Counters.BrokenOff));
   Impl->set("caller_left", static_cast<double>(Counters.CallerLeft));
   Impl->set("repeats", static_cast<double>(Counters.Repeats));
+  Impl->set("quarantined", static_cast<double>(Counters.Quarantined));
+  Impl->set("quarantined_parts",
+            static_cast<double>(Counters.QuarantinedParts));
   Impl->set("batches", static_cast<double>(Counters.Batches));
   Impl->set("batched_pieces", static_cast<double>(Counters.BatchedPieces));
   Impl->set("in_progress", static_cast<double>(Counters.InProgress));
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -83,6 +83,11 @@
   /// these crashed.
   const std::vector<core_time> &crashingSent() const { return CrashingSent; }
   const std::vector<core_time> &partCrashes() const { return PartCrashes; }
+  /// Number of requests with a crashing part that reached engines later than
+  /// the users' rule allows for any; 0 if there were too few crashes.
+  std::size_t crashingSentLate() const;
+  /// Number of these that the rule allows.
+  static constexpr std::size_t MaxCrashingSentLate = 3;
 
 private:
   booked_request *find(const caller_request_id &Id);
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -27,8 +27,10 @@
   ConfigInForce,
   /// After faults end, everything is served again.
   Recovery,
+  /// Requests with a part of a prompt that crashes servers stop reaching them.
+  CrashesEnd,
 };
-inline constexpr std::size_t PromiseCount = 8;
+inline constexpr std::size_t PromiseCount = 9;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -12,6 +12,10 @@
 /// A final answer may come this much after the deadline.
 constexpr core_duration AnswerSlack = std::chrono::milliseconds(500);
 
+/// Requests with a crashing part count after this many crashes and this time.
+constexpr std::size_t CrashesBeforeBound = 5;
+constexpr core_duration TimeAfterCrashes = std::chrono::seconds(3);
+
 } // namespace
 
 booked_request *serving_book::find(const caller_request_id &Id) {
@@ -23,6 +27,15 @@
   Violations.push_back({Promise, Now, std::move(What)});
 }
 
+std::size_t serving_book::crashingSentLate() const {
+  if (PartCrashes.size() < CrashesBeforeBound)
+    return 0;
+  core_time Bound = PartCrashes[CrashesBeforeBound - 1] + TimeAfterCrashes;
+  return static_cast<std::size_t>(
+      std::count_if(CrashingSent.begin(), CrashingSent.end(),
+                    [Bound](core_time Sent) { return Sent > Bound; }));
+}
+
 void serving_book::onAsked(booked_request Request) {
   caller_request_id Id = Request.Id;
   Requests.emplace(Id, std::move(Request));
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -26,6 +26,10 @@
 constexpr core_duration OuterTime = seconds(5);
 /// One of so many commands comes with a change or a fault of configurations.
 constexpr std::uint64_t ConfigShare = 12;
+/// Requests with a part that crashes engines, after the other faults.
+constexpr std::uint64_t CrashingPart = 900;
+constexpr std::size_t CrashingRequests = 40;
+constexpr core_duration CrashingPause = milliseconds(300);
 constexpr std::uint32_t MostLossPermille = 100;
 
 struct weighted {
@@ -120,6 +124,24 @@
   World.calm();
 }
 
+// Among sound requests that share the other part.
+void playCrashingPart(serving_world &World) {
+  World.addCrashingPart(CrashingPart);
+  std::uint64_t Common = 1 + World.random().below(8);
+  for (std::size_t I = 0; I < CrashingRequests; ++I) {
+    World.ask(anyHost(World), world_route::Label, {Common, CrashingPart});
+    World.ask(anyHost(World), world_route::Draft, {Common});
+    World.run(CrashingPause);
+  }
+  World.removeCrashingPart(CrashingPart);
+  std::size_t Late = World.book().crashingSentLate();
+  if (Late > serving_book::MaxCrashingSentLate)
+    World.book().add(promise::CrashesEnd, World.now(),
+                     std::to_string(Late) +
+                         " requests with a part that crashes servers reached "
+                         "them too late");
+}
+
 void playCalm(serving_world &World) {
   World.calm();
   World.run(CalmTime);
@@ -153,6 +175,7 @@
                      std::to_string(World.bytesKept()) +
                          " bytes of results were never freed");
   playConfigs(World);
+  playCrashingPart(World);
 }
 
 } // namespace
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -21,6 +21,8 @@
     return "line 7, accepted configuration in force";
   case promise::Recovery:
     return "recovery after faults";
+  case promise::CrashesEnd:
+    return "line 9, parts that crash servers stop reaching them";
   }
   return "";
 }
--- a/packages/testing/test/crashing-part-test.cc
+++ b/packages/testing/test/crashing-part-test.cc
@@ -12,12 +12,9 @@
 
 namespace {
 
-/// Bounds of the users' rule: requests after the fifth crash and this time.
-constexpr std::size_t CrashesBeforeBound = 5;
+/// Bounds of the users' rules: the time after the crashes from which sound
+/// requests count, and their share against that before.
 constexpr core_duration BoundAfterCrashes = seconds(3);
-constexpr std::size_t MaxSentAfterBound = 3;
-
-/// The same for sound requests, against those before the crashes.
 constexpr double MinSoundShare = 0.5;
 
 constexpr std::uint64_t CommonPart = 1;
@@ -59,16 +56,6 @@
   }
 }
 
-std::size_t sentAfterBound(const serving_book &Book) {
-  if (Book.partCrashes().size() < CrashesBeforeBound)
-    return 0;
-  core_time Bound =
-      Book.partCrashes()[CrashesBeforeBound - 1] + BoundAfterCrashes;
-  return static_cast<std::size_t>(
-      std::count_if(Book.crashingSent().begin(), Book.crashingSent().end(),
-                    [Bound](core_time Sent) { return Sent > Bound; }));
-}
-
 bool isSound(const booked_request &Request) {
   return std::none_of(
       Request.Parts.begin(), Request.Parts.end(), [](std::uint64_t Part) {
@@ -92,6 +79,18 @@
   return static_cast<double>(Served) / static_cast<double>(Asked);
 }
 
+/// Requests since From that were refused because of a quarantined part.
+std::size_t quarantined(const serving_book &Book, core_time From, bool Sound) {
+  std::size_t Count = 0;
+  for (const std::pair<const caller_request_id, booked_request> &Entry :
+       Book.requests())
+    Count += Entry.second.Sent >= From && isSound(Entry.second) == Sound &&
+                     Entry.second.Refused == refusal_kind::Quarantined
+                 ? 1
+                 : 0;
+  return Count;
+}
+
 } // namespace
 
 TEST_CASE("requests with a part that crashes engines stop reaching them") {
@@ -106,7 +105,8 @@
             milliseconds(600),
             Route},
            seconds(20));
-      CHECK(sentAfterBound(World.book()) <= MaxSentAfterBound);
+      CHECK(World.book().crashingSentLate() <=
+            serving_book::MaxCrashingSentLate);
     }
   }
 }
@@ -121,7 +121,7 @@
          {{{CommonPart, FirstSession, CrashingPart},
            {CommonPart, OtherCrashingPart, FirstSession + 1}}},
          seconds(20));
-    CHECK(sentAfterBound(World.book()) <= MaxSentAfterBound);
+    CHECK(World.book().crashingSentLate() <= serving_book::MaxCrashingSentLate);
   }
 }
 
@@ -138,5 +138,68 @@
     double Before = servedShare(World.book(), Start, Crashing - seconds(1));
     double During = servedShare(World.book(), Bound, World.now() - seconds(4));
     CHECK(During >= MinSoundShare * Before);
+    CHECK(quarantined(World.book(), Start, true) == 0);
+    CHECK(quarantined(World.book(), Start, false) > 0);
+  }
+}
+
+TEST_CASE("servers that end for other reasons quarantine no part") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    serving_world World(manyEngines(), Seed);
+    core_time Start = World.now();
+    for (int I = 0; I < 20; ++I) {
+      for (std::size_t Lost = World.random().below(4); Lost > 0; --Lost)
+        World.crashServer(World.random().below(World.serverCount()));
+      play(World, {}, seconds(1));
+    }
+    CHECK(quarantined(World.book(), Start, true) == 0);
+  }
+}
+
+TEST_CASE("a part that no longer crashes engines is served again") {
+  serving_world World(manyEngines(), 1);
+  World.addCrashingPart(CrashingPart);
+  const crash_load Load{{{CommonPart, FirstSession, CrashingPart}}};
+  play(World, Load, seconds(10));
+  World.removeCrashingPart(CrashingPart);
+  play(World, Load, seconds(80));
+  core_time Late = World.now();
+  play(World, Load, seconds(10));
+  CHECK(quarantined(World.book(), Late, false) == 0);
+}
+
+TEST_CASE("hosts that start again learn of quarantined parts before a crash") {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    CAPTURE(Seed);
+    serving_world World(manyEngines(), Seed);
+    World.addCrashingPart(CrashingPart);
+    const crash_load Load{{{CommonPart, FirstSession, CrashingPart}}};
+    play(World, Load, seconds(8));
+    std::size_t Crashes = World.book().partCrashes().size();
+    for (std::size_t Host = 0; Host < World.hostCount(); ++Host) {
+      World.killHost(Host);
+      play(World, Load, seconds(1));
+      World.startHost(Host);
+      play(World, Load, seconds(1));
+    }
+    CHECK(World.book().partCrashes().size() == Crashes);
+  }
+}
+
+TEST_CASE(
+    "the loss of the hosts that judge crashes does not stop the judging") {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    CAPTURE(Seed);
+    serving_world World(manyEngines(), Seed);
+    World.addCrashingPart(CrashingPart);
+    const crash_load Load{{{CommonPart, FirstSession, CrashingPart}}};
+    for (std::size_t Host = 0; Host < World.hostCount(); ++Host) {
+      play(World, Load, milliseconds(700));
+      World.killHost(Host);
+      World.startHost(Host);
+    }
+    play(World, Load, seconds(12));
+    CHECK(World.book().crashingSentLate() <= serving_book::MaxCrashingSentLate);
   }
 }
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -46,6 +46,8 @@
   DemandForecast = 23,
   StorePoll = 24,
   StoreNews = 25,
+  CrashReport = 26,
+  PartRulings = 27,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -286,6 +288,10 @@
 struct number_of<store_poll> : number_constant<body_number::StorePoll> {};
 template <>
 struct number_of<store_news> : number_constant<body_number::StoreNews> {};
+template <>
+struct number_of<crash_report> : number_constant<body_number::CrashReport> {};
+template <>
+struct number_of<part_rulings> : number_constant<body_number::PartRulings> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
@@ -373,6 +379,7 @@
          std::holds_alternative<operator_config_push>(Body) ||
          std::holds_alternative<host_heartbeat>(Body) ||
          std::holds_alternative<store_news>(Body) ||
+         std::holds_alternative<part_rulings>(Body) ||
          std::holds_alternative<claim_query_reply>(Body);
 }
 
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -107,6 +107,29 @@
   Reader.version("run", Entry.Run);
 }
 
+cbor_value writeCandidate(const crash_candidate &Candidate) {
+  return writeRecord(Candidate.Part.Value, Candidate.ServedBefore);
+}
+
+void readCandidate(field_reader &Reader, crash_candidate &Candidate) {
+  Reader.version("part", Candidate.Part);
+  Candidate.ServedBefore = Reader.flag("served_before");
+}
+
+cbor_value writeRuling(const part_ruling &Ruling) {
+  return writeRecord(Ruling.Part.Value, Ruling.Round,
+                     static_cast<unsigned>(Ruling.Standing), Ruling.Trials,
+                     Ruling.Remaining.count());
+}
+
+void readRuling(field_reader &Reader, part_ruling &Ruling) {
+  Reader.version("part", Ruling.Part);
+  Ruling.Round = Reader.number32("round");
+  Ruling.Standing = Reader.choice("standing", part_standing::Cleared);
+  Ruling.Trials = Reader.number32("trials");
+  Ruling.Remaining = core_duration(Reader.signedNumber("remaining"));
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -160,6 +183,24 @@
   Reader.list("backends", Body.Backends, MaxBackends, readNews);
 }
 
+cbor_value writeBody(const crash_report &Body) {
+  return writeRecord(Body.Server.Value, Body.Run.Value, Body.HeadArrived,
+                     writeList(Body.Parts, writeCandidate));
+}
+void readBody(field_reader &Reader, crash_report &Body) {
+  Reader.id("server", Body.Server);
+  Reader.version("run", Body.Run);
+  Body.HeadArrived = Reader.flag("head_arrived");
+  Reader.list("parts", Body.Parts, MaxPartsPerReport, readCandidate);
+}
+
+cbor_value writeBody(const part_rulings &Body) {
+  return writeRecord(writeList(Body.Rulings, writeRuling));
+}
+void readBody(field_reader &Reader, part_rulings &Body) {
+  Reader.list("rulings", Body.Rulings, MaxRulingsPerMessage, readRuling);
+}
+
 cbor_value writeBody(const piece_request &Body) {
   return writeRecord(writeJob(Body.Job));
 }
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -213,7 +213,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(25)) {
+  switch (below(27)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -291,6 +291,18 @@
                             anyId<endpoint>(),   anyId<zone_id>(),
                             below(2) == 0,       anyNumber<incarnation>()};
                       })};
+  case 24:
+    return crash_report{
+        anyId<backend_id>(), anyNumber<incarnation>(), below(2) == 0,
+        some<crash_candidate>(3, [] {
+          return crash_candidate{anyNumber<prompt_part_id>(), below(2) == 0};
+        })};
+  case 25:
+    return part_rulings{some<part_ruling>(3, [] {
+      return part_ruling{anyNumber<prompt_part_id>(), any32(),
+                         static_cast<part_standing>(below(3)), any32(),
+                         anyDuration()};
+    })};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
@@ -386,7 +398,7 @@
   Bytes[1] = PeerFormatVersion + 1;
   CHECK(problemOf(Bytes) == codec_problem::UnknownVersion);
   Bytes = encodePeer(pullMessage());
-  // No body has the number 0; 1 to 23 are all taken.
+  // No body has the number 0; 1 to 27 are all taken.
   Bytes[Bytes.size() - 3] = 0x00;
   CHECK(problemOf(Bytes) == codec_problem::OutOfRange);
   Bytes = encodePeer(pullMessage());
