Read and log the limits that backend servers name

No source read the header, so the hosts' lines could not tell when which host learned of a limit. The adapter decodes it (a decimal number, not negative; anything else says nothing), the core keeps the limits by run of a server and logs their beginning, change and end (611, 612; gauge `limited_servers`). A reply without a limit ends it only if its call was sent after the limit began. Nothing acts on it yet.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -59,6 +59,8 @@
   PartQuarantined = 608,
   PartTrial = 609,
   PartCleared = 610,
+  ServerLimited = 611,
+  ServerLimitEnded = 612,
   PlatformAway = 701,
   PlatformBack = 702,
   StoreCallBegun = 703,
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -9,6 +9,7 @@
 #include "jasminecroft/core/serving/placement.h"
 #include "jasminecroft/core/serving/retry_budget.h"
 #include "jasminecroft/core/serving/route_config.h"
+#include "jasminecroft/core/serving/server_limits.h"
 #include "jasminecroft/core/serving/store_following.h"
 #include "jasminecroft/core/serving/store_gossip.h"
 
@@ -219,6 +220,8 @@
   std::uint64_t Batches = 0;
   std::uint64_t BatchedPieces = 0;
   std::uint64_t InProgress = 0;
+  /// Servers that name a limit; a gauge.
+  std::uint64_t LimitedServers = 0;
   /// Parts of prompts in quarantine; a gauge.
   std::uint64_t QuarantinedParts = 0;
 };
@@ -246,6 +249,9 @@
   void onStreamEvents(call_id Call, std::string Text, std::uint64_t FirstEvent,
                       std::uint64_t LastEvent, core_time Now);
   void onStreamEnd(call_id Call, core_time Now);
+  /// What the head of a reply says of its server's limit. Precedes the event of
+  /// the reply itself.
+  void onStatedLimit(call_id Call, const stated_limit &Stated, core_time Now);
   void onCallFailed(call_id Call, call_failure Failure, core_time Now);
   void onPiecesAnswered(call_id Call,
                         const std::vector<batch_item_result> &Results,
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -281,6 +281,11 @@
   event_scope Event(*Impl, Now);
   Impl->onStreamEnd(Call, Now);
 }
+void serving_core::onStatedLimit(call_id Call, const stated_limit &Stated,
+                                 core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onStatedLimit(Call, Stated);
+}
 void serving_core::onCallFailed(call_id Call, call_failure Failure,
                                 core_time Now) {
   event_scope Event(*Impl, Now);
@@ -390,6 +395,7 @@
   serving_counters Result = Impl->Counters;
   Result.Batches = Impl->Owner.batchesStarted();
   Result.BatchedPieces = Impl->Owner.piecesStarted();
+  Result.LimitedServers = Impl->limitedServers();
   Result.QuarantinedParts = Impl->quarantinedParts();
   return Result;
 }
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -141,6 +141,7 @@
   void onWakeup(core_time Now);
   std::optional<core_time> nextWakeup(core_time Now) const;
   bool ready() const;
+  std::size_t limitedServers() const { return Limits.count(); }
   std::size_t quarantinedParts() const { return Quarantine.quarantinedCount(); }
 
   // Calls: serving_calls.cc.
@@ -157,6 +158,9 @@
                         const std::optional<backend_load> &Load, core_time Now);
   void onPiecesRefused(call_id Call, bool WrongServer, core_time Now);
 
+  // Limits that servers name: serving_limits.cc.
+  void onStatedLimit(call_id Call, const stated_limit &Stated);
+
   // Peers: serving_peers.cc.
   void start(core_time Now);
   void onHost(const batching_host &Host, core_time Now);
@@ -349,6 +353,7 @@
   void log(event_number Number, event_severity Severity,
            std::string_view Message, std::vector<event_field> Fields);
 
+  server_limits Limits;
   part_quarantine Quarantine;
   served_parts ServedParts;
   /// Hosts that this run has asked for what it missed.
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -16,6 +16,12 @@
 /// Longest event of a stream.
 constexpr std::size_t MaxEventBytes = 262'144;
 
+void tellLimit(backend_results &Results, call_id Call,
+               const platform::http_head &Head) {
+  if (std::optional<stated_limit> Stated = platform::decodeStatedLimit(Head))
+    Results.onStatedLimit(Call, *Stated);
+}
+
 /// A caller's request. Streams are handed on by whole events.
 class forward_listener final : public backend_call_listener {
 public:
@@ -26,11 +32,13 @@
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
     Backends.forget(Call);
+    tellLimit(Results, Call, Head);
     Results.onCompleteReply(Call, platform::decodeReply(Head, CallerId),
                             std::move(Body));
   }
 
   void onStreamHead(const platform::http_head &Head) override {
+    tellLimit(Results, Call, Head);
     Results.onStreamHead(Call, platform::decodeReply(Head, CallerId));
   }
 
@@ -117,6 +125,7 @@
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
     Backends.forget(Call);
+    tellLimit(Results, Call, Head);
     platform::decoded_pieces Decoded =
         platform::decodePieces(Head, Body, Expected);
     if (platform::pieces_reply *Reply =
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -392,6 +392,9 @@
     Core.onStreamEnd(Call, now());
     arm();
   }
+  void onStatedLimit(call_id Call, const stated_limit &Stated) override {
+    Core.onStatedLimit(Call, Stated, now());
+  }
   void onCallFailed(call_id Call, call_failure Failure) override {
     Core.onCallFailed(Call, Failure, now());
     arm();
