Test that servers get no more requests than the limit they name: fails

The emulator's servers name a limit in the heads of their replies; its book judges the users' rule (line 10): in no 4 s more than one and a half times the limit and 5, from hosts that were told half a second before.

--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminecroft::testing {
@@ -65,6 +66,16 @@
   /// Stage: the one that is made; absent for the request itself.
   void onInputs(const caller_request_id &Id, std::optional<std::uint32_t> Stage,
                 const std::vector<input> &Inputs, core_time Now);
+  /// A server names a limit from now on; absent: none.
+  void onLimit(const backend_id &Server, std::optional<double> PerSecond,
+               core_time Now);
+  /// A host relayed a reply that names the limit.
+  void onLimitTold(const backend_id &Server, std::size_t Host, core_time Now);
+  /// A host is excused as if it had not been told.
+  void onHostLost(std::size_t Host);
+  /// A request of a host reached the server, whatever became of it.
+  void onArrival(const backend_id &Server, std::size_t Host, core_time Now);
+  std::size_t arrivalsSince(const backend_id &Server, core_time From) const;
   /// A request with a part that crashes engines reached one.
   void onCrashingSent(core_time Now) { CrashingSent.push_back(Now); }
   void onPartCrash(core_time Now) { PartCrashes.push_back(Now); }
@@ -90,11 +101,20 @@
   static constexpr std::size_t MaxCrashingSentLate = 3;
 
 private:
+  struct limited_server {
+    std::optional<double> PerSecond;
+    core_time Since;
+    std::map<std::size_t, core_time> ToldAt;
+  };
+  void judgeLimit(const backend_id &Server, core_time Now);
+
   booked_request *find(const caller_request_id &Id);
   void answerOnce(const booked_request &Request, core_time Now);
 
   std::map<caller_request_id, booked_request> Requests;
   violation_list Violations;
+  std::map<backend_id, limited_server> Limits;
+  std::map<backend_id, std::vector<std::pair<core_time, std::size_t>>> Arrivals;
   std::vector<core_time> CrashingSent;
   std::vector<core_time> PartCrashes;
 };
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -84,6 +84,11 @@
   void addCrashingPart(std::uint64_t Part) { CrashingParts.insert(Part); }
   void removeCrashingPart(std::uint64_t Part) { CrashingParts.erase(Part); }
   /// It answers nothing for a while.
+  /// Its replies name a limit of requests a second; absent: none any more.
+  void limitServer(std::size_t Server, std::optional<double> PerSecond);
+  /// Servers of a pool, by number.
+  std::vector<std::size_t> serversOf(const char *Pool) const;
+  const backend_id &serverId(std::size_t Server) const;
   void silenceServer(std::size_t Server, core_duration Time);
   void slowServer(std::size_t Server, double Factor);
   /// It reports that it leaves; another one takes its place.
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -29,8 +29,10 @@
   Recovery,
   /// Requests with a part of a prompt that crashes servers stop reaching them.
   CrashesEnd,
+  /// A server gets no more requests a second than it says that it takes.
+  LimitsKept,
 };
-inline constexpr std::size_t PromiseCount = 9;
+inline constexpr std::size_t PromiseCount = 10;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -15,6 +15,13 @@
 /// Requests with a crashing part count after this many crashes and this time.
 constexpr std::size_t CrashesBeforeBound = 5;
 constexpr core_duration TimeAfterCrashes = std::chrono::seconds(3);
+/// Bounds of the users' rule on limits: from when they count, at which hosts,
+/// and what may arrive in any window.
+constexpr core_duration LimitCountsAfter = std::chrono::seconds(3);
+constexpr core_duration ToldBefore = std::chrono::milliseconds(500);
+constexpr core_duration LimitWindow = std::chrono::seconds(4);
+constexpr double LimitFactor = 1.5;
+constexpr double LimitSlack = 5;
 
 } // namespace
 
@@ -36,6 +43,61 @@
                     [Bound](core_time Sent) { return Sent > Bound; }));
 }
 
+void serving_book::onLimit(const backend_id &Server,
+                           std::optional<double> PerSecond, core_time Now) {
+  Limits[Server] = {PerSecond, Now, {}};
+}
+
+void serving_book::onLimitTold(const backend_id &Server, std::size_t Host,
+                               core_time Now) {
+  Limits[Server].ToldAt.emplace(Host, Now);
+}
+
+void serving_book::onHostLost(std::size_t Host) {
+  for (std::pair<const backend_id, limited_server> &Limit : Limits)
+    Limit.second.ToldAt.erase(Host);
+}
+
+void serving_book::onArrival(const backend_id &Server, std::size_t Host,
+                             core_time Now) {
+  Arrivals[Server].emplace_back(Now, Host);
+  judgeLimit(Server, Now);
+}
+
+void serving_book::judgeLimit(const backend_id &Server, core_time Now) {
+  auto Limit = Limits.find(Server);
+  if (Limit == Limits.end() || !Limit->second.PerSecond ||
+      Now < Limit->second.Since + LimitCountsAfter)
+    return;
+  std::size_t Counted = 0;
+  for (const std::pair<core_time, std::size_t> &Arrival : Arrivals[Server]) {
+    auto Told = Limit->second.ToldAt.find(Arrival.second);
+    if (Arrival.first > Now - LimitWindow &&
+        Told != Limit->second.ToldAt.end() &&
+        Told->second + ToldBefore <= Arrival.first)
+      ++Counted;
+  }
+  double Window = std::chrono::duration<double>(LimitWindow).count();
+  double Allowed = LimitFactor * Window * *Limit->second.PerSecond + LimitSlack;
+  if (static_cast<double>(Counted) > Allowed)
+    add(promise::LimitsKept, Now,
+        Server.Value + " got " + std::to_string(Counted) +
+            " requests in 4 s with a limit of " +
+            std::to_string(*Limit->second.PerSecond) + " a second");
+}
+
+std::size_t serving_book::arrivalsSince(const backend_id &Server,
+                                        core_time From) const {
+  auto Found = Arrivals.find(Server);
+  if (Found == Arrivals.end())
+    return 0;
+  return static_cast<std::size_t>(
+      std::count_if(Found->second.begin(), Found->second.end(),
+                    [From](const std::pair<core_time, std::size_t> &Arrival) {
+                      return Arrival.first >= From;
+                    }));
+}
+
 void serving_book::onAsked(booked_request Request) {
   caller_request_id Id = Request.Id;
   Requests.emplace(Id, std::move(Request));
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -283,6 +283,25 @@
       crashServer(I);
 }
 
+void serving_world::limitServer(std::size_t Number,
+                                std::optional<double> PerSecond) {
+  world_server &Server = *Servers[Number % Servers.size()].Server;
+  Server.Limit = PerSecond;
+  Book.onLimit(Server.Entry.Id, PerSecond, now());
+}
+
+std::vector<std::size_t> serving_world::serversOf(const char *Pool) const {
+  std::vector<std::size_t> Result;
+  for (std::size_t I = 0; I < Servers.size(); ++I)
+    if (Servers[I].Pool == pool_id(Pool))
+      Result.push_back(I);
+  return Result;
+}
+
+const backend_id &serving_world::serverId(std::size_t Number) const {
+  return Servers[Number % Servers.size()].Server->Entry.Id;
+}
+
 void serving_world::silenceServer(std::size_t Server, core_duration Time) {
   Servers[Server % Servers.size()].Server->SilentUntil = now() + Time;
 }
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -86,6 +86,7 @@
   for (const std::pair<const request_id, caller_request_id> &Caller : Callers)
     World.Book.onExcused(Caller.second);
   Callers.clear();
+  World.Book.onHostLost(Index);
   std::map<call_id, backend_id> Ended = std::move(Open);
   Open.clear();
   for (const std::pair<const call_id, backend_id> &Call : Ended)
@@ -369,6 +370,7 @@
           HasRead ? Server->LeavingKnownAt : Server->LeavingToldAt;
       if (Known && World.now() > *Known)
         World.Book.onLeavingUsed(Wanted, World.now() - *Known, World.now());
+      World.Book.onArrival(Wanted, Link.Host, World.now());
       Begin(*Server, Link);
       return;
     }
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -131,6 +131,8 @@
   bool Up = true;
   core_time SilentUntil;
   double Slow = 1;
+  /// Requests a second that it says it takes.
+  std::optional<double> Limit;
   /// Since when every host that watches the store knows that it leaves, and
   /// since when every other host does.
   std::optional<core_time> LeavingKnownAt;
@@ -139,6 +141,9 @@
 protected:
   void answer(const world_link &Link, bool Last,
               std::function<void(serving_core &, core_time)> Event);
+  /// The same for what begins with the head of a reply, which names the limit.
+  void answerHead(const world_link &Link, bool Last,
+                  std::function<void(serving_core &, core_time)> Event);
   void after(core_duration Time, std::function<void()> Action);
   core_duration slowed(core_duration Time) const;
 
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -34,7 +34,7 @@
     World.book().onRun(Call.CallerId, Entry.Id, World.now());
     std::string Body = Call.CallerId.Value + "@" + Entry.Id.Value;
     after(slowed(PlainTime), [this, Link, Body] {
-      answer(Link, true, [Link, Body](serving_core &Core, core_time Now) {
+      answerHead(Link, true, [Link, Body](serving_core &Core, core_time Now) {
         Core.onCompleteReply(Link.Call, signedHead(), Body, Now);
       });
     });
@@ -63,7 +63,7 @@
       World.book().onCrashingSent(World.now());
     after(slowed(HeadTime), [this, Link] {
       if (Streams.contains(Link))
-        answer(Link, false, [Link](serving_core &Core, core_time Now) {
+        answerHead(Link, false, [Link](serving_core &Core, core_time Now) {
           Core.onStreamHead(Link.Call, signedHead(), Now);
         });
     });
@@ -81,7 +81,7 @@
     Head.Status = StatusInputGone;
     Head.NotRun = true;
     Head.InputGone = true;
-    answer(Link, true, [Link, Head](serving_core &Core, core_time Now) {
+    answerHead(Link, true, [Link, Head](serving_core &Core, core_time Now) {
       Core.onCompleteReply(Link.Call, Head, "", Now);
     });
   }
@@ -130,7 +130,7 @@
       World.book().add(promise::ResultsBelong, World.now(),
                        Entry.Id.Value + " is asked for too many pieces");
     if (Waiting.size() > CallsWaiting) {
-      answer(Link, true, [Link](serving_core &Core, core_time Now) {
+      answerHead(Link, true, [Link](serving_core &Core, core_time Now) {
         Core.onPiecesRefused(Link.Call, false, Now);
       });
       return;
@@ -193,9 +193,10 @@
         if (Result.succeeded())
           after(Rules.ResultLifetime,
                 [this, Handle = Result.Result] { drop(Handle); });
-      answer(Link, true, [Link, Results](serving_core &Core, core_time Now) {
-        Core.onPiecesAnswered(Link.Call, Results, std::nullopt, Now);
-      });
+      answerHead(Link, true,
+                 [Link, Results](serving_core &Core, core_time Now) {
+                   Core.onPiecesAnswered(Link.Call, Results, std::nullopt, Now);
+                 });
       begin();
     });
   }
@@ -278,6 +279,20 @@
   });
 }
 
+void world_server::answerHead(
+    const world_link &Link, bool Last,
+    std::function<void(serving_core &, core_time)> Event) {
+  stated_limit Stated{Limit};
+  answer(Link, Last,
+         [this, Link, Stated, Event = std::move(Event)](serving_core &Core,
+                                                        core_time Now) {
+           if (Stated.PerSecond)
+             World.book().onLimitTold(Entry.Id, Link.Host, Now);
+           Core.onStatedLimit(Link.Call, Stated, Now);
+           Event(Core, Now);
+         });
+}
+
 std::unique_ptr<world_server> makeWorldServer(serving_world &World,
                                               const backend_entry &Entry,
                                               const batch_rules &Rules,
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -23,6 +23,8 @@
     return "recovery after faults";
   case promise::CrashesEnd:
     return "line 9, parts that crash servers stop reaching them";
+  case promise::LimitsKept:
+    return "line 10, limits of backend servers";
   }
   return "";
 }
