Keep the limits that backend servers name for all hosts together

Two servers that named limits of 1.2 and 1 a second got 15 and 16 requests in 4 s from hosts that they had told; 12 and 11 were allowed.

One host, the first in rank for a server, counts the requests of all to it. The others leave the server alone while their pool has others, and ask for a permit where all are limited; a request without one is refused as not run, with the time to come back. Queue owners count their calls for pieces.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -4,6 +4,7 @@
 
 #include "jasminecroft/core/serving/crash_attribution.h"
 #include "jasminecroft/core/serving/pieces.h"
+#include "jasminecroft/core/serving/server_limits.h"
 #include "jasminecroft/core/stored_objects.h"
 #include "jasminecroft/core/types.h"
 
@@ -26,6 +27,7 @@
 inline constexpr std::size_t MaxHostsInList = 20'000;
 inline constexpr std::size_t MaxPartsPerReport = 32;
 inline constexpr std::size_t MaxRulingsPerMessage = 1'024;
+inline constexpr std::size_t MaxLimitsPerMessage = 4'096;
 
 enum class member_state { Alive, Suspect, Dead, Left };
 std::string_view toText(member_state State);
@@ -286,6 +288,27 @@
   std::vector<part_ruling> Rulings;
   bool operator==(const part_rulings &) const = default;
 };
+/// Limits that backend servers name, or that have ended.
+struct server_limit_list {
+  std::vector<server_limit_news> Limits;
+  bool operator==(const server_limit_list &) const = default;
+};
+/// Asks the host that counts the requests to a limited server for leave to send
+/// one.
+struct send_permit_request {
+  /// What the sender knows of the server.
+  server_limit_news Limit;
+  request_id Request;
+  bool operator==(const send_permit_request &) const = default;
+};
+struct send_permit_reply {
+  backend_id Server;
+  request_id Request;
+  bool Granted = false;
+  /// Time after which a refused request may come back.
+  core_duration RetryIn{0};
+  bool operator==(const send_permit_reply &) const = default;
+};
 /// Submits a job to the owner of a queue.
 struct piece_request {
   piece_job Job;
@@ -339,7 +362,8 @@
     config_changes, host_heartbeat, operator_config_pull, operator_config_push,
     piece_request, pieces_accepted, pieces_completed, pieces_failed,
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
-    store_poll, store_news, crash_report, part_rulings>;
+    store_poll, store_news, crash_report, part_rulings, server_limit_list,
+    send_permit_request, send_permit_reply>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminecroft/core/serving/route_config.h"
+#include "jasminecroft/core/serving/server_limits.h"
 
 #include <map>
 #include <optional>
@@ -90,6 +91,12 @@
   /// draining. If there is none, returns those unlisted very recently: a
   /// platform outage may have removed healthy servers from the list.
   std::vector<backend_state *> usable(const pool_id &Pool, core_time Now);
+  /// Returns whether this run of a server names a limit.
+  bool isLimited(const backend_entry &Entry) const {
+    return Limits.find(Entry.Id, Entry.Run).has_value();
+  }
+  server_limits &limits() { return Limits; }
+  const server_limits &limits() const { return Limits; }
   bool isLeaving(const backend_id &Id) const;
   bool empty() const { return Servers.empty(); }
   const std::map<backend_id, backend_state> &all() const { return Servers; }
@@ -103,6 +110,7 @@
   void onLoad(const backend_id &Id, const backend_load &Load, core_time Now);
 
 private:
+  server_limits Limits;
   std::map<backend_id, backend_state> Servers;
   /// Runs that were seen draining or that reported their shutdown.
   std::set<std::pair<backend_id, incarnation>> LeavingRuns;
--- a/packages/core/include/jasminecroft/core/serving/placement.h
+++ b/packages/core/include/jasminecroft/core/serving/placement.h
@@ -25,6 +25,8 @@
   std::vector<prompt_block> Prefix;
   /// Servers that the request has already tried.
   std::set<backend_id> Avoid;
+  /// Servers that must not be used.
+  std::set<backend_id> Excluded;
   /// Number of entry hosts that send to the same servers independently.
   std::uint32_t LiveHosts = 1;
 };
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -73,6 +73,8 @@
   Overloaded,
   /// The pool has no usable backend server.
   NoBackend,
+  /// All servers of its pool name limits, and others use them up.
+  Limited,
   /// This host stops before it could be completed; another host may take it.
   ShuttingDown,
   /// A part of its prompt crashes the backend servers that begin a reply.
@@ -220,6 +222,8 @@
   std::uint64_t Batches = 0;
   std::uint64_t BatchedPieces = 0;
   std::uint64_t InProgress = 0;
+  /// Requests that were refused because of servers' limits.
+  std::uint64_t RefusedByLimit = 0;
   /// Servers that name a limit; a gauge.
   std::uint64_t LimitedServers = 0;
   /// Parts of prompts in quarantine; a gauge.
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -254,6 +254,11 @@
     bool Asked = Tracked.LoadQueriedAt &&
                  Now - *Tracked.LoadQueriedAt < LoadQueryTimeout;
     Planned.Idle = !Tracked.Running && FreeAt == Now && !Asked;
+    if (Servers.isLimited(Server->Entry)) {
+      core_duration Wait = Servers.limits().timeToNext(Server->Entry.Id, Now);
+      FreeAt = std::max(FreeAt, Now + Wait);
+      Planned.Idle = Planned.Idle && Wait == core_duration{0};
+    }
     if (Tracked.Running)
       FreeAt = std::max(FreeAt, Tracked.FreeAt);
     Planned.FreeIn = FreeAt - Now;
@@ -379,6 +384,8 @@
   Pieces += Started.size();
   Batch.Pieces = std::move(Started);
   tracked_server &Tracked = TrackedServers[Server.Id];
+  if (Servers.isLimited(Server))
+    Servers.limits().tryAcquire(Server.Id, Now);
   flushFrees(Server.Id, Tracked);
   Tracked.Running = Id;
   Tracked.FreeAt = Now + Batch.Expected;
--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -85,6 +85,8 @@
   backend_state *Best = nullptr;
   double BestScore = 0;
   for (backend_state *Server : Servers.usable(Query.Pool, Now)) {
+    if (Query.Excluded.contains(Server->Entry.Id))
+      continue;
     double Score = plainScore(*Server, Query, Now);
     if (!Best || Score < BestScore) {
       Best = Server;
@@ -111,6 +113,8 @@
   backend_state *Best = nullptr;
   double BestScore = 0;
   for (std::size_t I = 0; I < Usable.size(); ++I) {
+    if (Query.Excluded.contains(Usable[I]->Entry.Id))
+      continue;
     double Slots = std::max(Rules.Slots, 1U);
     double Score = estimateCalls(*Usable[I], Query, Now) / Slots;
     if (Query.Prefix.empty() || I >= AffineEngines)
--- a/packages/core/src/serving/server_limits.cc
+++ b/packages/core/src/serving/server_limits.cc
@@ -1,16 +1,53 @@
-// Limits of servers, bounded in number.
+// Limits of servers as token buckets, bounded in number.
 #include "jasminecroft/core/serving/server_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jasminecroft {
 
 namespace {
 
 constexpr std::size_t MaxServers = 4'096;
+constexpr double MicrosPerRequest = 1e6;
+/// Fraction of a limit that is spent. Two hosts that both count a server's
+/// requests, while they disagree about the live hosts, stay below one and a
+/// half times the limit.
+constexpr double SpendableFraction = 0.7;
+/// Requests a second to a server with a lower limit, or one of zero: without
+/// any request nobody learns that it has ended.
+constexpr double MinPerSecond = 0.25;
+/// Limits above it are as good as none.
+constexpr double MaxPerSecond = 1e6;
+/// Time whose requests may be sent at once.
+constexpr double BurstSeconds = 0.25;
+constexpr core_duration MaxSuggestion = std::chrono::seconds(3);
+
+double seconds(core_duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+core_duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<core_duration>(
+      std::chrono::duration<double>(Seconds));
+}
 
 } // namespace
 
+double server_limits::record::rate() const {
+  return std::max(MinPerSecond, SpendableFraction * PerSecond.value_or(0));
+}
+
+void server_limits::set(record &Record, std::optional<double> PerSecond) {
+  if (PerSecond)
+    PerSecond = std::clamp(*PerSecond, 0.0, MaxPerSecond);
+  if (Record.PerSecond)
+    --Limited;
+  if (PerSecond)
+    ++Limited;
+  Record.PerSecond = PerSecond;
+}
+
 // Returns the record of a server; null if there are too many limited servers.
 server_limits::record *server_limits::makeRecord(const backend_id &Server) {
   auto Known = Records.find(Server);
@@ -34,35 +71,145 @@
   record *Known = makeRecord(Server);
   if (!Known || Run < Known->Run)
     return limit_change::None;
-  if (Known->Run < Run)
-    *Known = record{Run, std::nullopt, core_time{}};
-  bool Limited = Known->PerSecond.has_value();
-  if (Limited == Stated.PerSecond.has_value()) {
-    bool Same = Known->PerSecond == Stated.PerSecond;
-    Known->PerSecond = Stated.PerSecond;
-    return Same ? limit_change::None : limit_change::Changed;
+  if (Known->Run < Run) {
+    set(*Known, std::nullopt);
+    *Known = record{};
+    Known->Run = Run;
+  }
+  bool WasLimited = Known->PerSecond.has_value();
+  if (WasLimited == Stated.PerSecond.has_value()) {
+    if (Known->PerSecond == Stated.PerSecond)
+      return limit_change::None;
+    set(*Known, Stated.PerSecond);
+    Known->ChangedAt = Now;
+    return limit_change::Changed;
   }
   if (SentAt < Known->Since)
     return limit_change::None;
-  Known->PerSecond = Stated.PerSecond;
+  set(*Known, Stated.PerSecond);
   Known->Since = Now;
-  return Limited ? limit_change::Ended : limit_change::Began;
+  Known->ChangedAt = Now;
+  Known->Tokens = 0;
+  Known->RefilledAt = Now;
+  return WasLimited ? limit_change::Ended : limit_change::Began;
+}
+
+limit_change server_limits::apply(const server_limit_news &News,
+                                  core_time Now) {
+  record *Known = makeRecord(News.Server);
+  if (!Known || News.Run < Known->Run)
+    return limit_change::None;
+  core_time ChangedAt = Now - std::max(News.ChangeAge, core_duration{0});
+  if (Known->Run == News.Run && ChangedAt <= Known->ChangedAt)
+    return limit_change::None;
+  bool WasLimited = Known->Run == News.Run && Known->PerSecond;
+  if (Known->Run < News.Run) {
+    set(*Known, std::nullopt);
+    *Known = record{};
+    Known->Run = News.Run;
+  }
+  std::optional<double> PerSecond;
+  if (News.MicrosPerSecond)
+    PerSecond = static_cast<double>(*News.MicrosPerSecond) / MicrosPerRequest;
+  bool Same = Known->PerSecond == PerSecond;
+  set(*Known, PerSecond);
+  Known->ChangedAt = ChangedAt;
+  if (WasLimited == PerSecond.has_value())
+    return Same ? limit_change::None : limit_change::Changed;
+  Known->Since = Now - std::max(News.Age, core_duration{0});
+  Known->Tokens = 0;
+  Known->RefilledAt = Now;
+  return WasLimited ? limit_change::Ended : limit_change::Began;
+}
+
+std::optional<server_limit_news> server_limits::news(const backend_id &Server,
+                                                     core_time Now) const {
+  auto Known = Records.find(Server);
+  if (Known == Records.end())
+    return std::nullopt;
+  const record &Record = Known->second;
+  server_limit_news News;
+  News.Server = Server;
+  News.Run = Record.Run;
+  if (Record.PerSecond)
+    News.MicrosPerSecond = static_cast<std::uint64_t>(
+        std::llround(*Record.PerSecond * MicrosPerRequest));
+  News.Age = Now - Record.Since;
+  News.ChangeAge = Now - Record.ChangedAt;
+  return News;
+}
+
+std::vector<server_limit_news> server_limits::inForce(core_time Now) const {
+  std::vector<server_limit_news> Result;
+  if (Limited == 0)
+    return Result;
+  for (const std::pair<const backend_id, record> &Entry : Records)
+    if (Entry.second.PerSecond)
+      Result.push_back(*news(Entry.first, Now));
+  return Result;
 }
 
 std::optional<double> server_limits::find(const backend_id &Server,
                                           incarnation Run) const {
+  if (Limited == 0)
+    return std::nullopt;
   auto Known = Records.find(Server);
   if (Known == Records.end() || Known->second.Run != Run)
     return std::nullopt;
   return Known->second.PerSecond;
 }
 
-std::size_t server_limits::count() const {
-  return static_cast<std::size_t>(
-      std::count_if(Records.begin(), Records.end(),
-                    [](const std::pair<const backend_id, record> &Entry) {
-                      return Entry.second.PerSecond.has_value();
-                    }));
+server_limits::record *server_limits::refill(const backend_id &Server,
+                                             core_time Now) {
+  auto Known = Records.find(Server);
+  if (Known == Records.end() || !Known->second.PerSecond)
+    return nullptr;
+  record &Record = Known->second;
+  double Burst = std::max(1.0, Record.rate() * BurstSeconds);
+  Record.Tokens = std::min(
+      Burst, Record.Tokens + Record.rate() * seconds(Now - Record.RefilledAt));
+  Record.RefilledAt = Now;
+  return &Record;
+}
+
+bool server_limits::tryAcquire(const backend_id &Server, core_time Now) {
+  record *Known = refill(Server, Now);
+  if (!Known)
+    return true;
+  if (Known->Tokens < 1)
+    return false;
+  Known->Tokens -= 1;
+  Known->LastAcquiredAt = Now;
+  return true;
+}
+
+core_duration server_limits::unusedFor(const backend_id &Server,
+                                       core_time Now) const {
+  auto Known = Records.find(Server);
+  if (Known == Records.end() || !Known->second.PerSecond)
+    return core_duration{0};
+  return Now - std::max(Known->second.LastAcquiredAt, Known->second.Since);
+}
+
+core_duration server_limits::timeToNext(const backend_id &Server,
+                                        core_time Now) {
+  record *Known = refill(Server, Now);
+  if (!Known || Known->Tokens >= 1)
+    return core_duration{0};
+  // Rounded up, so that the token is there after this time.
+  return fromSeconds((1 - Known->Tokens) / Known->rate()) + core_duration{1};
+}
+
+core_duration server_limits::suggestRetry(const backend_id &Server,
+                                          core_time Now) {
+  record *Known = refill(Server, Now);
+  if (!Known)
+    return core_duration{0};
+  core_time Next =
+      std::max(Now + timeToNext(Server, Now),
+               Known->SuggestedAt + fromSeconds(1 / Known->rate()));
+  Known->SuggestedAt = std::min(Next, Now + MaxSuggestion);
+  return Known->SuggestedAt - Now;
 }
 
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -42,11 +42,14 @@
 using namespace detail;
 
 backend_state *serving_impl::chooseServer(const request_state &State) {
+  if (backend_state *Unused = unusedLimitedServer(State))
+    return Unused;
   placement_query Query;
   Query.Pool = State.Pool;
   Query.NearZone = inputZone(State);
   Query.Avoid = State.TriedServers;
   Query.LiveHosts = Hosts.liveCount();
+  Query.Excluded = unavailableByLimit(State);
   auto Pool = State.View->Config->Pools.find(State.Pool);
   if (Pool == State.View->Config->Pools.end() || !Pool->second.Engine)
     return choosePlain(Servers, Query, Now);
@@ -63,7 +66,8 @@
   backend_state *Server = chooseServer(State);
   core_duration TimeLeft = State.Deadline - Now;
   if (!Server) {
-    failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
+    if (!waitForPermit(State))
+      failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
     return;
   }
   if (TimeLeft < MinTimeLeft) {
@@ -74,6 +78,7 @@
     failRequest(State, refusal_kind::ShuttingDown, core_duration{0});
     return;
   }
+  spendLimit(State, Server->Entry);
   call_id Id(++LastCall);
   State.CurrentCall = Id;
   State.Server = Server->Entry;
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -1,8 +1,29 @@
-// Limits that backend servers name in their replies.
+// Limits that backend servers name in their replies: what hosts tell each other
+// of them, and permits for requests that only limited servers could run.
 #include "serving_state.h"
 
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
 namespace jasminecroft {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A host that has not answered by then is taken as a refusal.
+constexpr core_duration PermitTimeout = milliseconds(200);
+/// Servers for which a request asks before it is refused.
+constexpr std::uint32_t MaxPermitAsks = 3;
+/// Retry-After if no host said when to come back.
+constexpr core_duration LimitedRetryAfter = milliseconds(500);
+/// A limited server that got no request for this time gets the next one of the
+/// host that counts them: only a reply shows that the limit has ended.
+constexpr core_duration MaxUnusedTime = std::chrono::seconds(2);
+
+} // namespace
+
 using namespace detail;
 
 void serving_impl::onStatedLimit(call_id Call, const stated_limit &Stated) {
@@ -10,18 +31,185 @@
   if (Found == Calls.end())
     return;
   const backend_entry &Server = Found->second.Server;
-  limit_change Change =
-      Limits.onReply(Server.Id, Server.Run, Stated, Found->second.SentAt, Now);
+  limit_change Change = Servers.limits().onReply(Server.Id, Server.Run, Stated,
+                                                 Found->second.SentAt, Now);
   if (Change == limit_change::None)
     return;
-  std::vector<event_field> Fields = {{"server", Server.Id.Value},
-                                     {"pool", Server.Pool.Value}};
-  if (Change == limit_change::Ended) {
+  logLimit(Server.Id, Change, "reply");
+  tellLimit(Server, Change);
+}
+
+// Returns the host that counts the requests of all hosts to a limited server.
+entry_host_id serving_impl::limitCounter(const backend_id &Server) const {
+  return Hosts.owner("server-limit/" + Server.Value);
+}
+
+// All hosts need to know whether a server has a limit; its value only matters
+// where requests are counted.
+void serving_impl::tellLimit(const backend_entry &Server, limit_change Change) {
+  server_limit_list List{{*Servers.limits().news(Server.Id, Now)}};
+  if (Change == limit_change::Changed) {
+    sendToHost(limitCounter(Server.Id), std::move(List));
+    return;
+  }
+  for (const batching_host &Host : Hosts.ring())
+    sendToHost(Host.Host, List);
+}
+
+void serving_impl::on(const host_run &, const server_limit_list &Body) {
+  for (const server_limit_news &News : Body.Limits) {
+    limit_change Change = Servers.limits().apply(News, Now);
+    if (Change != limit_change::None)
+      logLimit(News.Server, Change, "peer");
+  }
+}
+
+// Returns the limited servers to which the request may not be sent now.
+std::set<backend_id>
+serving_impl::unavailableByLimit(const request_state &State) {
+  std::set<backend_id> Result;
+  if (Servers.limits().count() == 0)
+    return Result;
+  for (const backend_state *Server : Servers.usable(State.Pool, Now)) {
+    const backend_id &Id = Server->Entry.Id;
+    if (!Servers.isLimited(Server->Entry) || State.Permit == Id)
+      continue;
+    bool Available = limitCounter(Id) == Settings.Self.Host &&
+                     Servers.limits().timeToNext(Id, Now) == core_duration{0};
+    if (!Available)
+      Result.insert(Id);
+  }
+  return Result;
+}
+
+// Returns a limited server that has to be asked whether its limit goes on.
+backend_state *serving_impl::unusedLimitedServer(const request_state &State) {
+  if (Servers.limits().count() == 0)
+    return nullptr;
+  for (backend_state *Server : Servers.usable(State.Pool, Now)) {
+    const backend_id &Id = Server->Entry.Id;
+    if (Servers.isLimited(Server->Entry) && Server->AvoidUntil <= Now &&
+        !State.TriedServers.contains(Id) &&
+        limitCounter(Id) == Settings.Self.Host &&
+        Servers.limits().unusedFor(Id, Now) >= MaxUnusedTime &&
+        Servers.limits().timeToNext(Id, Now) == core_duration{0})
+      return Server;
+  }
+  return nullptr;
+}
+
+void serving_impl::spendLimit(request_state &State,
+                              const backend_entry &Server) {
+  if (State.Permit == Server.Id)
+    State.Permit.reset();
+  else if (Servers.isLimited(Server))
+    Servers.limits().tryAcquire(Server.Id, Now);
+  State.PermitAsks = 0;
+}
+
+// Asks for a permit, or refuses the request, if all servers of its pool are
+// limited and none can take it now. Returns false if it may go on.
+bool serving_impl::waitForPermit(request_state &State) {
+  if (Servers.limits().count() == 0 || State.Permit)
+    return false;
+  std::vector<backend_state *> Usable = Servers.usable(State.Pool, Now);
+  if (Usable.empty() || unavailableByLimit(State).size() < Usable.size())
+    return false;
+  requestPermit(State, core_duration{0});
+  return true;
+}
+
+// Asks for a permit for the next limited server in the request's own order.
+void serving_impl::requestPermit(request_state &State, core_duration RetryIn) {
+  std::vector<std::pair<std::uint64_t, const backend_entry *>> Ranked;
+  std::uint64_t Seed = XXH3_64bits(State.Request.CallerId.Value.data(),
+                                   State.Request.CallerId.Value.size());
+  for (const backend_state *Server : Servers.usable(State.Pool, Now))
+    if (Servers.isLimited(Server->Entry))
+      Ranked.emplace_back(XXH3_64bits_withSeed(Server->Entry.Id.Value.data(),
+                                               Server->Entry.Id.Value.size(),
+                                               Seed),
+                          &Server->Entry);
+  std::sort(Ranked.begin(), Ranked.end());
+  if (State.PermitAsks >= std::min<std::size_t>(MaxPermitAsks, Ranked.size())) {
+    ++Counters.RefusedByLimit;
+    failRequest(State, refusal_kind::Limited,
+                RetryIn > core_duration{0} ? RetryIn : LimitedRetryAfter);
+    return;
+  }
+  const backend_id Server = Ranked[State.PermitAsks].second->Id;
+  ++State.PermitAsks;
+  State.PermitAskedOf = Server;
+  State.PermitAskedAt = Now;
+  entry_host_id Counter = limitCounter(Server);
+  if (Counter == Settings.Self.Host) {
+    bool Granted = Servers.limits().tryAcquire(Server, Now);
+    onPermitReply(State, Granted,
+                  Granted ? core_duration{0}
+                          : Servers.limits().suggestRetry(Server, Now));
+    return;
+  }
+  addTimer(Now + PermitTimeout, timer_kind::PermitTimeout,
+           State.Request.Number.Value);
+  sendToHost(Counter, send_permit_request{*Servers.limits().news(Server, Now),
+                                          State.Request.Number});
+}
+
+void serving_impl::on(const host_run &Sender, const send_permit_request &Body) {
+  server_limits &Limits = Servers.limits();
+  Limits.apply(Body.Limit, Now);
+  send_permit_reply Reply;
+  Reply.Server = Body.Limit.Server;
+  Reply.Request = Body.Request;
+  Reply.Granted = Limits.tryAcquire(Reply.Server, Now);
+  if (!Reply.Granted)
+    Reply.RetryIn = Limits.suggestRetry(Reply.Server, Now);
+  sendToHost(Sender.Host, Reply);
+}
+
+void serving_impl::on(const host_run &, const send_permit_reply &Body) {
+  request_state *State = find(Body.Request);
+  if (State && State->PermitAskedOf == Body.Server)
+    onPermitReply(*State, Body.Granted, Body.RetryIn);
+}
+
+void serving_impl::onPermitReply(request_state &State, bool Granted,
+                                 core_duration RetryIn) {
+  if (!Granted) {
+    requestPermit(State, RetryIn);
+    return;
+  }
+  State.Permit = std::exchange(State.PermitAskedOf, std::nullopt);
+  continueRequest(State);
+}
+
+void serving_impl::onPermitTimeout(request_id Request) {
+  request_state *State = find(Request);
+  if (!State || !State->PermitAskedOf ||
+      Now < State->PermitAskedAt + PermitTimeout)
+    return;
+  requestPermit(*State, core_duration{0});
+}
+
+void serving_impl::logLimit(const backend_id &Server, limit_change Change,
+                            std::string_view Source) {
+  std::optional<server_limit_news> News = Servers.limits().news(Server, Now);
+  std::vector<event_field> Fields = {{"server", Server.Value},
+                                     {"source", std::string(Source)}};
+  if (Change == limit_change::Ended || !News || !News->MicrosPerSecond) {
     log(event_number::ServerLimitEnded, event_severity::Info,
         "backend server no longer names a limit", std::move(Fields));
     return;
   }
-  Fields.push_back({"per_second", std::to_string(*Stated.PerSecond)});
+  constexpr double MicrosPerRequest = 1e6;
+  Fields.push_back({"per_second",
+                    std::to_string(static_cast<double>(*News->MicrosPerSecond) /
+                                   MicrosPerRequest)});
+  Fields.push_back(
+      {"age_ms",
+       std::to_string(
+           std::chrono::duration_cast<milliseconds>(News->Age).count())});
+  Fields.push_back({"counted_at", limitCounter(Server).Value});
   log(event_number::ServerLimited, event_severity::Warning,
       "backend server names a limit for all hosts together", std::move(Fields));
 }
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -56,13 +56,9 @@
 
 void serving_impl::processStoreGossip() {
   store_gossip::due_actions Due = Gossip.takeDueActions(Now);
-  std::vector<part_ruling> Decided;
-  if (!Due.AnnounceTo.empty())
-    Decided = Quarantine.decided(Now);
   for (const batching_host &Host : Due.AnnounceTo) {
     Actions.sendToPeer(Host, makeHeartbeat(false));
-    if (!Decided.empty())
-      Actions.sendToPeer(Host, part_rulings{Decided});
+    sendRulingsAndLimits(Host);
   }
   for (const batching_host &Host : Due.Probe)
     Actions.sendToPeer(Host, makeHeartbeat(true));
@@ -87,6 +83,17 @@
   }
 }
 
+// Repeats to a host what it may have missed: it was not reached, or has just
+// started.
+void serving_impl::sendRulingsAndLimits(const batching_host &Host) {
+  std::vector<part_ruling> Decided = Quarantine.decided(Now);
+  if (!Decided.empty())
+    Actions.sendToPeer(Host, part_rulings{std::move(Decided)});
+  std::vector<server_limit_news> Limits = Servers.limits().inForce(Now);
+  if (!Limits.empty())
+    Actions.sendToPeer(Host, server_limit_list{std::move(Limits)});
+}
+
 void serving_impl::onHost(const batching_host &Host, core_time) {
   Hosts.add(Host, Now);
   Hosts.markAlive(Host.Host);
@@ -152,9 +159,7 @@
       Reply.Others = Hosts.others();
     HeartbeatSentTo.insert(Sender.Host);
     Actions.sendToPeer(Body.Self, std::move(Reply));
-    std::vector<part_ruling> Decided = Quarantine.decided(Now);
-    if (!Decided.empty())
-      Actions.sendToPeer(Body.Self, part_rulings{std::move(Decided)});
+    sendRulingsAndLimits(Body.Self);
   }
   if (!View && Body.Config > config_version()) {
     sendToHost(Sender.Host, operator_config_pull{});
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -33,6 +33,7 @@
   case refusal_kind::NoBackend:
   case refusal_kind::ShuttingDown:
   case refusal_kind::Quarantined:
+  case refusal_kind::Limited:
   case refusal_kind::TimedOutNotRun:
     return true;
   case refusal_kind::TimedOut:
@@ -58,6 +59,8 @@
     return "shutting_down";
   case refusal_kind::Quarantined:
     return "quarantined";
+  case refusal_kind::Limited:
+    return "limited";
   case refusal_kind::TimedOutNotRun:
     return "timed_out_not_run";
   case refusal_kind::TimedOut:
@@ -195,6 +198,12 @@
     failRequest(State, refusal_kind::ShuttingDown, MinRetryAfter);
     return;
   }
+  if (!waitForPermit(State))
+    continueRequest(State);
+}
+
+// Starts the stages of an admitted request, or goes on where it waited.
+void serving_impl::continueRequest(request_state &State) {
   sendDemandForecast(State);
   startReadyStages(State);
 }
@@ -364,6 +373,9 @@
   case timer_kind::JobCheck:
     onJobCheck(piece_job_id(Timer.Id));
     return;
+  case timer_kind::PermitTimeout:
+    onPermitTimeout(request_id(Timer.Id));
+    return;
   }
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -92,6 +92,13 @@
   call_progress Progress = call_progress::Sent;
   std::optional<core_time> FirstByteAt;
   std::optional<std::uint64_t> LastEvent;
+  /// The limited server for which it has asked for a permit.
+  std::optional<backend_id> PermitAskedOf;
+  core_time PermitAskedAt;
+  /// Number of servers asked for since it last could go on.
+  std::uint32_t PermitAsks = 0;
+  /// The limited server to which it may be sent.
+  std::optional<backend_id> Permit;
   /// The quarantined part because of which it ends.
   std::optional<prompt_part_id> QuarantinedPart;
   /// Allowed to run despite quarantined parts.
@@ -123,7 +130,13 @@
 };
 
 /// Kind of a timer; determines what its id refers to.
-enum class timer_kind { Deadline, AttemptTimeout, AcceptTimeout, JobCheck };
+enum class timer_kind {
+  Deadline,
+  AttemptTimeout,
+  AcceptTimeout,
+  JobCheck,
+  PermitTimeout
+};
 struct timer {
   timer_kind Kind = timer_kind::Deadline;
   std::uint64_t Id = 0;
@@ -141,7 +154,7 @@
   void onWakeup(core_time Now);
   std::optional<core_time> nextWakeup(core_time Now) const;
   bool ready() const;
-  std::size_t limitedServers() const { return Limits.count(); }
+  std::size_t limitedServers() const { return Servers.limits().count(); }
   std::size_t quarantinedParts() const { return Quarantine.quarantinedCount(); }
 
   // Calls: serving_calls.cc.
@@ -291,6 +304,23 @@
   std::vector<std::uint32_t> finalStages(const request_state &State) const;
   bool hasSmallResults(const request_state &State, std::size_t Stage) const;
 
+  // Limits that servers name: serving_limits.cc.
+  void tellLimit(const backend_entry &Server, limit_change Change);
+  void logLimit(const backend_id &Server, limit_change Change,
+                std::string_view Source);
+  entry_host_id limitCounter(const backend_id &Server) const;
+  std::set<backend_id> unavailableByLimit(const request_state &State);
+  backend_state *unusedLimitedServer(const request_state &State);
+  void spendLimit(request_state &State, const backend_entry &Server);
+  bool waitForPermit(request_state &State);
+  void requestPermit(request_state &State, core_duration RetryIn);
+  void onPermitReply(request_state &State, bool Granted, core_duration RetryIn);
+  void onPermitTimeout(request_id Request);
+  void continueRequest(request_state &State);
+  void on(const host_run &Sender, const server_limit_list &Body);
+  void on(const host_run &Sender, const send_permit_request &Body);
+  void on(const host_run &Sender, const send_permit_reply &Body);
+
   // Parts that crash servers: serving_quarantine.cc.
   void askAtStart(const batching_host &Host);
   void reportCrash(const request_state &State);
@@ -326,6 +356,7 @@
   // Peers.
   void sendToHost(const entry_host_id &Host, peer_body Body);
   host_heartbeat makeHeartbeat(bool WantsReply) const;
+  void sendRulingsAndLimits(const batching_host &Host);
   void on(const host_run &Sender, const host_heartbeat &Body);
   void on(const host_run &Sender, const operator_config_pull &Body);
   void on(const host_run &Sender, const operator_config_push &Body);
@@ -353,7 +384,6 @@
   void log(event_number Number, event_severity Severity,
            std::string_view Message, std::vector<event_field> Fields);
 
-  server_limits Limits;
   part_quarantine Quarantine;
   served_parts ServedParts;
   /// Hosts that this run has asked for what it missed.
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -101,6 +101,7 @@
   Impl->set("broken_off", static_cast<double>(Counters.BrokenOff));
   Impl->set("caller_left", static_cast<double>(Counters.CallerLeft));
   Impl->set("repeats", static_cast<double>(Counters.Repeats));
+  Impl->set("refused_by_limit", static_cast<double>(Counters.RefusedByLimit));
   Impl->set("limited_servers", static_cast<double>(Counters.LimitedServers));
   Impl->set("quarantined", static_cast<double>(Counters.Quarantined));
   Impl->set("quarantined_parts",
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -4,6 +4,7 @@
 #include "jasminecroft/testing/serving_world.h"
 
 #include <array>
+#include <optional>
 
 namespace jasminecroft::testing {
 
@@ -58,6 +59,14 @@
     World.ask(Host, world_route::Draft);
 }
 
+// Requests a second; absent: no limit.
+std::optional<double> drawLimit(serving_world &World) {
+  std::uint64_t Tenths = World.random().below(60);
+  if (Tenths >= 40)
+    return std::nullopt;
+  return static_cast<double>(Tenths) / 10;
+}
+
 const std::array Faults = {
     weighted{6, [](serving_world &World) { World.leaveOne(); }},
     weighted{3, [](serving_world &World) { World.killHost(anyHost(World)); }},
@@ -67,6 +76,10 @@
     weighted{4, [](serving_world &World) { World.healNetwork(); }},
     weighted{3,
              [](serving_world &World) { World.crashServer(anyServer(World)); }},
+    weighted{2,
+             [](serving_world &World) {
+               World.limitServer(anyServer(World), drawLimit(World));
+             }},
     weighted{3,
              [](serving_world &World) {
                World.silenceServer(anyServer(World), seconds(2));
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -365,6 +365,10 @@
   for (const server_slot &Slot : Servers) {
     Slot.Server->Slow = 1;
     Slot.Server->SilentUntil = core_time{};
+    if (Slot.Server->Limit) {
+      Slot.Server->Limit.reset();
+      Book.onLimit(Slot.Server->Entry.Id, std::nullopt, now());
+    }
   }
   for (const std::unique_ptr<world_host> &Host : Hosts)
     Host->start();
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -48,6 +48,9 @@
   StoreNews = 25,
   CrashReport = 26,
   PartRulings = 27,
+  ServerLimitList = 28,
+  SendPermitRequest = 29,
+  SendPermitReply = 30,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -292,6 +295,15 @@
 struct number_of<crash_report> : number_constant<body_number::CrashReport> {};
 template <>
 struct number_of<part_rulings> : number_constant<body_number::PartRulings> {};
+template <>
+struct number_of<server_limit_list>
+    : number_constant<body_number::ServerLimitList> {};
+template <>
+struct number_of<send_permit_request>
+    : number_constant<body_number::SendPermitRequest> {};
+template <>
+struct number_of<send_permit_reply>
+    : number_constant<body_number::SendPermitReply> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
@@ -380,6 +392,7 @@
          std::holds_alternative<host_heartbeat>(Body) ||
          std::holds_alternative<store_news>(Body) ||
          std::holds_alternative<part_rulings>(Body) ||
+         std::holds_alternative<server_limit_list>(Body) ||
          std::holds_alternative<claim_query_reply>(Body);
 }
 
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -130,6 +130,24 @@
   Ruling.Remaining = core_duration(Reader.signedNumber("remaining"));
 }
 
+cbor_value writeLimit(const server_limit_news &Limit) {
+  return writeRecord(Limit.Server.Value, Limit.Run.Value,
+                     Limit.MicrosPerSecond.has_value(),
+                     Limit.MicrosPerSecond.value_or(0), Limit.Age.count(),
+                     Limit.ChangeAge.count());
+}
+
+void readLimit(field_reader &Reader, server_limit_news &Limit) {
+  Reader.id("server", Limit.Server);
+  Reader.version("run", Limit.Run);
+  bool Limited = Reader.flag("limited");
+  std::uint64_t Micros = Reader.number("micros_per_second");
+  if (Limited)
+    Limit.MicrosPerSecond = Micros;
+  Limit.Age = core_duration(Reader.signedNumber("age"));
+  Limit.ChangeAge = core_duration(Reader.signedNumber("change_age"));
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -201,6 +219,32 @@
   Reader.list("rulings", Body.Rulings, MaxRulingsPerMessage, readRuling);
 }
 
+cbor_value writeBody(const server_limit_list &Body) {
+  return writeRecord(writeList(Body.Limits, writeLimit));
+}
+void readBody(field_reader &Reader, server_limit_list &Body) {
+  Reader.list("limits", Body.Limits, MaxLimitsPerMessage, readLimit);
+}
+
+cbor_value writeBody(const send_permit_request &Body) {
+  return writeRecord(writeLimit(Body.Limit), Body.Request.Value);
+}
+void readBody(field_reader &Reader, send_permit_request &Body) {
+  Reader.record("limit", Body.Limit, readLimit);
+  Reader.version("request", Body.Request);
+}
+
+cbor_value writeBody(const send_permit_reply &Body) {
+  return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
+                     Body.RetryIn.count());
+}
+void readBody(field_reader &Reader, send_permit_reply &Body) {
+  Reader.id("server", Body.Server);
+  Reader.version("request", Body.Request);
+  Body.Granted = Reader.flag("granted");
+  Body.RetryIn = core_duration(Reader.signedNumber("retry_in"));
+}
+
 cbor_value writeBody(const piece_request &Body) {
   return writeRecord(writeJob(Body.Job));
 }
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -212,8 +212,13 @@
   return Job;
 }
 
+server_limit_news anyLimit() {
+  return {anyId<backend_id>(), anyNumber<incarnation>(),
+          maybe<std::uint64_t>(any32), anyDuration(), anyDuration()};
+}
+
 peer_body anyBody() {
-  switch (below(27)) {
+  switch (below(30)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -303,6 +308,13 @@
                          static_cast<part_standing>(below(3)), any32(),
                          anyDuration()};
     })};
+  case 26:
+    return server_limit_list{some<server_limit_news>(3, anyLimit)};
+  case 27:
+    return send_permit_request{anyLimit(), anyNumber<request_id>()};
+  case 28:
+    return send_permit_reply{anyId<backend_id>(), anyNumber<request_id>(),
+                             below(2) == 0, anyDuration()};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
@@ -398,7 +410,7 @@
   Bytes[1] = PeerFormatVersion + 1;
   CHECK(problemOf(Bytes) == codec_problem::UnknownVersion);
   Bytes = encodePeer(pullMessage());
-  // No body has the number 0; 1 to 27 are all taken.
+  // No body has the number 0; 1 to 30 are all taken.
   Bytes[Bytes.size() - 3] = 0x00;
   CHECK(problemOf(Bytes) == codec_problem::OutOfRange);
   Bytes = encodePeer(pullMessage());
