Treat a stream that ends before its first event as broken off

An answer may come with neither a length nor chunks and end with its connection. A server that crashes after the head of such a stream looks as if it had ended it: the caller got a complete stream without an event, and the crash was not reported.

late-answers-test plays answers without a length: whole ones, streams that end after an event, inside one (both right before), and before the first one, which failed on the code before (200, body empty) and passes. 75 tests passed.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -364,6 +364,11 @@
   request_state *State = callRequest(Call);
   if (!State)
     return;
+  // A reply without a length ends in the same way if its server crashed.
+  if (!State->LastEvent) {
+    onCallFailed(Call, call_failure::Broken, Now);
+    return;
+  }
   endCall(Call);
   observeStream(*State);
   ++Counters.Complete;
--- a/packages/testing/processes/test/late-answers-test.cc
+++ b/packages/testing/processes/test/late-answers-test.cc
@@ -50,6 +50,7 @@
 /// Serves each connection on a thread of its own with what Serve writes.
 class raw_server {
 public:
+  /// Writes a text; an empty one ends the connection.
   using writer = std::function<bool(const std::string &)>;
   /// Called for each request; Number counts those of the connection from 0.
   using handler = std::function<void(const raw_request &Request, int Number,
@@ -124,6 +125,10 @@
       Reused += Number > 0 ? 1 : 0;
       Serve(Request, Number, [&Socket](const std::string &Text) {
         boost::system::error_code Error;
+        if (Text.empty()) {
+          Socket.shutdown(tcp::socket::shutdown_both, Error);
+          return false;
+        }
         asio::write(Socket, asio::buffer(Text), Error);
         return !Error;
       });
@@ -294,3 +299,47 @@
   CHECK(steady::now() - Begin < Deadline + Slack);
   CHECK(waitUntil([&Sending] { return Sending == 0; }));
 }
+
+TEST_CASE("an answer without a length that ends with its connection is whole") {
+  raw_server Server(
+      [](const raw_request &Request, int, const raw_server::writer &Write) {
+        Write("HTTP/1.1 200 OK\r\n" + signature(Request.Id) + "\r\n");
+        std::this_thread::sleep_for(milliseconds(20));
+        Write("{\"id\":\"" + Request.Id + "\"}");
+        Write("");
+      });
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  replace(Fleet, "plain", {"plain-0", "plain-1"}, Server);
+  http_reply Reply = exchange(Fleet.call("once", "unframed"), CallBound);
+  CHECK(Reply.Status == 200);
+  CHECK(Reply.Body == "{\"id\":\"unframed\"}");
+}
+
+TEST_CASE("a stream without chunks is whole if it ends after an event") {
+  std::string Events;
+  raw_server Server([&Events](const raw_request &Request, int,
+                              const raw_server::writer &Write) {
+    Write("HTTP/1.1 200 OK\r\n" + signature(Request.Id) +
+          "Content-Type: text/event-stream\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(20));
+    Write(Events);
+    Write("");
+  });
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  replace(Fleet, "engine", {"engine-0"}, Server);
+  Events = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
+  http_reply Whole = exchange(Fleet.draft("whole"), CallBound);
+  CHECK(Whole.Status == 200);
+  CHECK(Whole.Body.find("id: 2\n") != std::string::npos);
+  for (const char *Cut : {"id: 1\ndata: x\n\nid: 2\ndata: y\n", "id: 1"}) {
+    CAPTURE(std::string(Cut));
+    Events = Cut;
+    http_reply Reply = exchange(Fleet.draft("cut"), CallBound);
+    CHECK(Reply.Status != 200);
+  }
+  // The server broke off before its first event.
+  Events = "";
+  CHECK(exchange(Fleet.draft("empty"), CallBound).Status != 200);
+}
