Count frees and load queries against a server's limit

Whether the users count such calls is not known; the server has to serve them all the same. Frees wait for a token, and only the first load query is made. Results that cannot be freed in time expire.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -265,7 +265,7 @@
   void dropEarlierRuns(const host_run &Host, core_time Now);
   void queueFree(const backend_id &Server, const result_handle &Result,
                  core_time Now);
-  void flushFrees(const backend_id &Id, tracked_server &Tracked);
+  void flushFrees(const backend_id &Id, tracked_server &Tracked, core_time Now);
   void expireResults(core_time Now);
   void checkOverdue(core_time Now);
   void reportFetched(core_time Now);
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -178,7 +178,7 @@
   }
   for (std::pair<const backend_id, tracked_server> &Tracked : TrackedServers)
     if (!Tracked.second.PendingFrees.empty() && Now >= Tracked.second.FlushAt)
-      flushFrees(Tracked.first, Tracked.second);
+      flushFrees(Tracked.first, Tracked.second, Now);
 }
 
 wait_estimator
@@ -289,6 +289,11 @@
     if (Tracked.Running || Tracked.LoadQueriedAt ||
         Now < Tracked.LoadKnownUntil || Now < Server->AvoidUntil)
       continue;
+    // Queries count against its limit: only the first one is worth a call.
+    if (Servers.isLimited(Server->Entry) &&
+        (Tracked.LoadKnownUntil != core_time{} ||
+         !Servers.limits().tryAcquire(Server->Entry.Id, Now)))
+      continue;
     Tracked.LoadQueriedAt = Now;
     Actions.readServer(Server->Entry);
   }
@@ -386,7 +391,7 @@
   tracked_server &Tracked = TrackedServers[Server.Id];
   if (Servers.isLimited(Server))
     Servers.limits().tryAcquire(Server.Id, Now);
-  flushFrees(Server.Id, Tracked);
+  flushFrees(Server.Id, Tracked, Now);
   Tracked.Running = Id;
   Tracked.FreeAt = Now + Batch.Expected;
   Tracked.UsedBytes += Batch.Bytes;
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -339,11 +339,21 @@
   if (HighUsage)
     Tracked.FlushAt = Now;
   if (Tracked.PendingFrees.size() >= MaxFreesPerCall)
-    flushFrees(Server, Tracked);
+    flushFrees(Server, Tracked, Now);
 }
 
-void batch_owner::flushFrees(const backend_id &Id, tracked_server &Tracked) {
+// Frees count against the limit of a server. Those that have to wait may expire
+// by themselves meanwhile.
+void batch_owner::flushFrees(const backend_id &Id, tracked_server &Tracked,
+                             core_time Now) {
   const backend_state *Server = Servers.find(Id);
+  if (Server && Servers.isLimited(Server->Entry) &&
+      !Servers.limits().tryAcquire(Id, Now)) {
+    Tracked.FlushAt = Now + Servers.limits().timeToNext(Id, Now);
+    if (Tracked.PendingFrees.size() > MaxFreesPerCall)
+      Tracked.PendingFrees.clear();
+    return;
+  }
   std::vector<result_handle> Results = std::move(Tracked.PendingFrees);
   Tracked.PendingFrees.clear();
   if (Server && !Results.empty() && !Server->UnlistedSince)
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -408,8 +408,10 @@
   World.Queue.after(ServerWay, [this, Id = Server.Id, There = Server.Zone,
                                 Results = std::move(Results)] {
     world_server *Target = World.server(Id);
-    if (Target && Target->Up && World.linked(Zone, There))
-      Target->freeResults(Results);
+    if (!Target || !Target->Up || !World.linked(Zone, There))
+      return;
+    World.Book.onArrival(Id, Index, World.now());
+    Target->freeResults(Results);
   });
 }
 
@@ -424,8 +426,10 @@
             (!World.linked(Zone, There) || Target->SilentUntil > World.now()))
           return;
         std::optional<pieces_load> Load;
-        if (Target && Target->Up)
+        if (Target && Target->Up) {
+          World.Book.onArrival(Id, Index, World.now());
           Load = Target->load();
+        }
         handle([&](serving_core &Core, core_time Now) {
           Core.onServerLoad(Id, Load, Now);
         });
