Hold parts with earlier replies guilty last

Parts to which a reporting host has relayed replies need one crash more, and are held guilty only if no other part of the request is.

--- a/packages/core/include/jasminecroft/core/serving/crash_attribution.h
+++ b/packages/core/include/jasminecroft/core/serving/crash_attribution.h
@@ -68,6 +68,10 @@
     std::set<std::pair<backend_id, incarnation>> Servers;
     bool sufficient() const;
     std::uint32_t weight() const { return 2 * WithHead + WithoutHead; }
+    /// Parts without earlier replies come last.
+    std::pair<bool, std::uint32_t> strength() const {
+      return {!ServedBefore, weight()};
+    }
   };
 
   void attribute(const crash &Crash, const part_quarantine &Quarantine,
@@ -80,7 +84,7 @@
   /// In the order of their first reports.
   std::deque<crash> Crashes;
   std::map<prompt_part_id, evidence> Evidence;
-  /// Guilty parts, with those that had as much evidence against them.
+  /// Guilty parts, with those that had no less evidence against them.
   std::map<prompt_part_id, std::vector<prompt_part_id>> Alternatives;
 };
 
--- a/packages/core/src/serving/crash_attribution.cc
+++ b/packages/core/src/serving/crash_attribution.cc
@@ -30,7 +30,9 @@
 } // namespace
 
 bool crash_attribution::evidence::sufficient() const {
-  return WithHead >= CrashesWithHead || WithHead + WithoutHead >= CrashesInAll;
+  std::uint32_t More = ServedBefore ? 1 : 0;
+  return WithHead >= CrashesWithHead + More ||
+         WithHead + WithoutHead >= CrashesInAll + More;
 }
 
 void crash_attribution::onReport(const crash_report &Report, core_time Now) {
@@ -107,28 +109,22 @@
   Known.LastAt = Crash.At;
 }
 
-// Holds one part of the request guilty if there is enough evidence. Of parts
-// with the same evidence it is one without an earlier reply, and of these the
-// last one, which the fewest other requests have. If it was another one, the
-// next crash without the held one tells.
+// Holds one part of the request guilty if there is enough evidence: first one
+// without earlier replies, then the one with most evidence, then the last one,
+// which the fewest other requests have. If it was another one, the next crash
+// without the held one tells.
 void crash_attribution::judge(const crash_report &Report, verdicts &Verdicts) {
-  std::uint32_t Most = 0;
+  std::vector<prompt_part_id> Sufficient;
   for (const crash_candidate &Candidate : Report.Parts)
-    Most = std::max(Most, Evidence[Candidate.Part].weight());
-  std::vector<prompt_part_id> Equal;
-  for (const crash_candidate &Candidate : Report.Parts) {
-    const evidence &Known = Evidence[Candidate.Part];
-    if (Known.weight() == Most && Known.sufficient())
-      Equal.push_back(Candidate.Part);
-  }
-  if (Equal.empty())
+    if (Evidence[Candidate.Part].sufficient())
+      Sufficient.push_back(Candidate.Part);
+  if (Sufficient.empty())
     return;
-  std::stable_sort(Equal.begin(), Equal.end(),
+  std::stable_sort(Sufficient.begin(), Sufficient.end(),
                    [this](prompt_part_id A, prompt_part_id B) {
-                     return Evidence[A].ServedBefore > Evidence[B].ServedBefore;
+                     return Evidence[A].strength() < Evidence[B].strength();
                    });
-  prompt_part_id Guilty = Equal.back();
-  Equal.pop_back();
+  prompt_part_id Guilty = Sufficient.back();
   if (contains(Verdicts.Guilty, Guilty))
     return;
   Verdicts.Guilty.push_back(Guilty);
@@ -138,7 +134,11 @@
       Verdicts.Innocent.push_back(Earlier.first);
   for (prompt_part_id Part : Verdicts.Innocent)
     onCleared(Part);
-  Alternatives[Guilty] = std::move(Equal);
+  std::vector<prompt_part_id> &Others = Alternatives[Guilty];
+  for (const crash_candidate &Candidate : Report.Parts)
+    if (Candidate.Part != Guilty &&
+        Evidence[Candidate.Part].weight() >= Evidence[Guilty].weight())
+      Others.push_back(Candidate.Part);
 }
 
 void crash_attribution::onCleared(prompt_part_id Part) {
--- a/packages/core/test/crash-attribution-test.cc
+++ b/packages/core/test/crash-attribution-test.cc
@@ -125,6 +125,41 @@
   CHECK(Test.Last.Guilty == parts{prompt_part_id(Crashing)});
 }
 
+TEST_CASE("calls broken by the loss of a zone do not make a popular part "
+          "guilty") {
+  attribution_fixture Test;
+  Test.report("s0", false, {Common, Session}, {Common});
+  Test.judge();
+  for (const char *Server : {"s1", "s2"}) {
+    Test.report(Server, true, {Common, Session + 1, Crashing}, {Common});
+    Test.judge();
+  }
+  CHECK(Test.Last.Guilty == parts{prompt_part_id(Crashing)});
+}
+
+TEST_CASE("a part with earlier replies needs one crash more") {
+  attribution_fixture Test;
+  for (const char *Server : {"s0", "s1"}) {
+    Test.report(Server, true, {Common}, {Common});
+    CHECK(Test.judge().empty());
+  }
+  Test.report("s2", true, {Common}, {Common});
+  CHECK(Test.judge() == parts{prompt_part_id(Common)});
+}
+
+TEST_CASE("a part held guilty is cleared when a part with earlier replies "
+          "explains its crashes") {
+  attribution_fixture Test;
+  for (const char *Server : {"s0", "s1"}) {
+    Test.report(Server, true, {Crashing, Session}, {Crashing});
+    Test.judge();
+  }
+  CHECK(Test.Last.Guilty == parts{prompt_part_id(Session)});
+  Test.report("s2", true, {Crashing}, {Crashing});
+  CHECK(Test.judge() == parts{prompt_part_id(Crashing)});
+  CHECK(Test.Last.Innocent == parts{prompt_part_id(Session)});
+}
+
 TEST_CASE("a part held guilty is cleared when another one explains its "
           "crashes") {
   attribution_fixture Test;
