Let the crashes of a guilty part count against no other part

Once a part is held guilty, its crashes no longer count against the parts beside it, here and at the other judge. Another part takes the guilt only by two further crashes with a head, or three in all.

crash-attribution-test: `a single broken call does not move the guilt to another part` failed before.

--- a/packages/core/include/jasminecroft/core/serving/crash_attribution.h
+++ b/packages/core/include/jasminecroft/core/serving/crash_attribution.h
@@ -47,6 +47,9 @@
   verdicts takeVerdicts(const part_quarantine &Quarantine, core_time Now);
   /// A request with the part got a reply.
   void onCleared(prompt_part_id Part);
+  /// Another host held a part guilty, from crashes that this one may have
+  /// counted against other parts too: all evidence starts anew.
+  void onJudgedElsewhere();
   std::optional<core_time> nextWakeup() const;
   /// Number of crashes that count against a part.
   std::size_t crashesOf(prompt_part_id Part) const;
--- a/packages/core/src/serving/crash_attribution.cc
+++ b/packages/core/src/serving/crash_attribution.cc
@@ -111,8 +111,8 @@
 
 // Holds one part of the request guilty if there is enough evidence: first one
 // without earlier replies, then the one with most evidence, then the last one,
-// which the fewest other requests have. If it was another one, the next crash
-// without the held one tells.
+// which the fewest other requests have. If it was another one, further crashes
+// without the held one tell.
 void crash_attribution::judge(const crash_report &Report, verdicts &Verdicts) {
   std::vector<prompt_part_id> Sufficient;
   for (const crash_candidate &Candidate : Report.Parts)
@@ -134,11 +134,19 @@
       Verdicts.Innocent.push_back(Earlier.first);
   for (prompt_part_id Part : Verdicts.Innocent)
     onCleared(Part);
+  // Its crashes are explained: evidence against the others starts anew.
+  std::uint32_t Weight = Evidence[Guilty].weight();
   std::vector<prompt_part_id> &Others = Alternatives[Guilty];
-  for (const crash_candidate &Candidate : Report.Parts)
-    if (Candidate.Part != Guilty &&
-        Evidence[Candidate.Part].weight() >= Evidence[Guilty].weight())
+  for (const crash_candidate &Candidate : Report.Parts) {
+    if (Candidate.Part == Guilty)
+      continue;
+    evidence &Other = Evidence[Candidate.Part];
+    if (Other.weight() >= Weight)
       Others.push_back(Candidate.Part);
+    bool ServedBefore = Other.ServedBefore;
+    Other = evidence{};
+    Other.ServedBefore = ServedBefore;
+  }
 }
 
 void crash_attribution::onCleared(prompt_part_id Part) {
@@ -146,6 +154,8 @@
   Alternatives.erase(Part);
 }
 
+void crash_attribution::onJudgedElsewhere() { Evidence.clear(); }
+
 std::size_t crash_attribution::crashesOf(prompt_part_id Part) const {
   auto Found = Evidence.find(Part);
   return Found == Evidence.end()
--- a/packages/core/src/serving/serving_quarantine.cc
+++ b/packages/core/src/serving/serving_quarantine.cc
@@ -118,10 +118,12 @@
     bool Quarantined = Ruling.Standing == part_standing::Quarantined;
     if (Quarantined || WasQuarantined)
       logRuling(Ruling, "peer");
-    if (Quarantined)
+    if (Quarantined) {
+      Crashes.onJudgedElsewhere();
       endQuarantined(Ruling.Part);
-    else if (Ruling.Standing == part_standing::Cleared)
+    } else if (Ruling.Standing == part_standing::Cleared) {
       Crashes.onCleared(Ruling.Part);
+    }
   }
   if (!Newer.empty())
     sendToHost(Sender.Host, part_rulings{std::move(Newer)});
