--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -107,13 +107,19 @@
   State.PermitAsks = 0;
 }
 
+// Returns whether the servers of the request's pool are all limited and none
+// can take it now.
+bool serving_impl::needsPermit(const request_state &State) {
+  if (Servers.limits().count() == 0)
+    return false;
+  std::vector<backend_state *> Usable = Servers.usable(State.Pool, Now);
+  return !Usable.empty() && unavailableByLimit(State).size() == Usable.size();
+}
+
 // Asks for a permit, or refuses the request, if all servers of its pool are
 // limited and none can take it now. Returns false if it may go on.
 bool serving_impl::waitForPermit(request_state &State) {
-  if (Servers.limits().count() == 0 || State.Permit)
-    return false;
-  std::vector<backend_state *> Usable = Servers.usable(State.Pool, Now);
-  if (Usable.empty() || unavailableByLimit(State).size() < Usable.size())
+  if (State.Permit || !needsPermit(State))
     return false;
   requestPermit(State, core_duration{0});
   return true;
@@ -175,11 +181,14 @@
 
 void serving_impl::onPermitReply(request_state &State, bool Granted,
                                  core_duration RetryIn) {
-  if (!Granted) {
+  if (!Granted && needsPermit(State)) {
     requestPermit(State, RetryIn);
     return;
   }
-  State.Permit = std::exchange(State.PermitAskedOf, std::nullopt);
+  std::optional<backend_id> AskedOf =
+      std::exchange(State.PermitAskedOf, std::nullopt);
+  if (Granted)
+    State.Permit = std::move(AskedOf);
   continueRequest(State);
 }
 
@@ -188,7 +197,7 @@
   if (!State || !State->PermitAskedOf ||
       Now < State->PermitAskedAt + PermitTimeout)
     return;
-  requestPermit(*State, core_duration{0});
+  onPermitReply(*State, false, core_duration{0});
 }
 
 void serving_impl::logLimit(const backend_id &Server, limit_change Change,
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -312,6 +312,7 @@
   std::set<backend_id> unavailableByLimit(const request_state &State);
   backend_state *unusedLimitedServer(const request_state &State);
   void spendLimit(request_state &State, const backend_entry &Server);
+  bool needsPermit(const request_state &State);
   bool waitForPermit(request_state &State);
   void requestPermit(request_state &State, core_duration RetryIn);
   void onPermitReply(request_state &State, bool Granted, core_duration RetryIn);
--- a/packages/core/test/serving-limits-test.cc
+++ b/packages/core/test/serving-limits-test.cc
@@ -137,6 +137,30 @@
   CHECK(Test.Actions.Refusals[Request][0].Kind == refusal_kind::Limited);
 }
 
+TEST_CASE("a request that waits for a permit goes on when a limit has ended") {
+  for (bool Answered : {false, true}) {
+    CAPTURE(Answered);
+    limits_fixture Test;
+    Test.limitServers(PlainServers, 1.0);
+    request_id Request = Test.askUntilPeer();
+    send_permit_request Asked = Test.asked().back();
+    std::size_t Before = Test.Actions.Forwards.size();
+    server_limit_list Ended;
+    for (int I = 0; I < PlainServers; ++I) {
+      Ended.Limits.push_back(limits_fixture::limit(I, 0));
+      Ended.Limits.back().MicrosPerSecond.reset();
+    }
+    Test.Now += milliseconds(10);
+    Test.Core.onPeer(Peer, Ended, Test.Now);
+    if (Answered)
+      Test.answer(Asked, false, milliseconds(700));
+    else
+      Test.advance(milliseconds(250));
+    CHECK(Test.Actions.Refusals[Request].empty());
+    CHECK(Test.Actions.Forwards.size() == Before + 1);
+  }
+}
+
 TEST_CASE("a request whose caller left while it waits for a permit is not "
           "sent") {
   limits_fixture Test;
