Review case: a request that is refused twice over runs after the 503

Shown: with one server that refuses some requests and repeats some answers late, and the others out of reach, a host sends a refused filing again over the same connection. The second copy of the refusal bears the filing's id and is taken as the second answer: the caller gets 503 and the filing runs.

At fault: handleNotRun() and sendCall() in packages/core/src/serving/serving_calls.cc, choosePlain() in packages/core/src/serving/placement.cc.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,84 +1,133 @@
-"""A request inside the body of another one runs if the outer one names an unknown transfer coding."""
+"""A late second copy of a refusal answers the same request's second send: refused, though it runs."""
 import asyncio
 import pathlib
+import random
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 import fleet as f
 
-CODINGS = ["identity", "gzip", "xchunked", "chunked, identity"]
-ROUNDS = 3
-WAIT_S = 1.5
+ZONES = {"mx-centro-a": 4, "mx-centro-b": 2, "mx-centro-c": 2}
+CUT_ZONE = "mx-centro-a"
+# Of the sheet of sites/actas-bajio, a third of it for the zone; deadline of both.
+FILINGS_PER_S = 12.6 / 3
+LOOKUPS_PER_S = 5.02 / 3
+DEADLINE_MS = 2500
+# Largest doses of the site file: zone_cut (refused connections), srv_grey and
+# garble "extra late".
+CUT_FOR_S = 5.9
+GREY_X, GREY_FOR_S = 0.45, 7.71
+EXTRA_X, EXTRA_FOR_S = 0.03, 5.0
+PAUSE_S = 0.4
+LENGTH_S = 102
 
 
-class Recording(f.Server):
-    """Keeps the path and the body of what it runs."""
+class Registry(f.Server):
+    """Refuses a part of the requests, and repeats some answers late. Every answer has its id."""
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
-        self.got = []
+        self.refuses = 0.0
+        self.repeats = 0.0
+        self.copies = {}
 
-    async def work(self, request, reader, writer):
-        path = request.first.split(" ")[1]
-        self.got.append((request.header("X-Request-Id"), path, request.body))
-        self.fleet.record.write(f"server {self.name} got {path} with {len(request.body)} bytes")
-        return await super().work(request, reader, writer)
+    def may_repeat(self, writer, text):
+        if random.random() < self.repeats:
+            self.copies[writer] = text
 
+    async def serve(self, request, reader, writer):
+        number = request.header("X-Request-Id")
+        copy = self.copies.pop(writer, None)
+        if copy:
+            kind = "refusal" if b"X-Not-Executed" in copy else "answer"
+            self.fleet.record.write(f"server {self.name} sends a second copy of its last {kind} "
+                                    f"where that to {number} is expected")
+            writer.write(copy)
+        if number and random.random() < self.refuses:
+            self.fleet.record.write(f"server {self.name} refuses {number}")
+            text = f.answer(503, headers=[("X-Not-Executed", "1"), ("X-Request-Id", number),
+                                          ("Keep-Alive", "timeout=5")])
+            writer.write(text)
+            self.may_repeat(writer, text)
+            return True
+        return await super().serve(request, reader, writer)
 
-async def send_raw(host, text):
-    """Everything that comes back on one connection until it ends or is silent."""
-    ip, port = host.front.rsplit(":", 1)
-    reader, writer = await asyncio.open_connection(ip, int(port))
-    writer.write(text)
-    got = b""
-    try:
-        while data := await asyncio.wait_for(reader.read(65536), WAIT_S):
-            got += data
-    except (asyncio.TimeoutError, ConnectionError):
-        pass
-    writer.close()
-    return got
+    async def work(self, request, _reader, writer):
+        await asyncio.sleep(self.work_s * random.uniform(0.5, 1.5))
+        text = f.answer(200, f"done {request.header('X-Request-Id')}".encode(), self.signed(request))
+        writer.write(text)
+        self.may_repeat(writer, text)
+        await writer.drain()
+        return True
+
+
+async def cut(record, others, end):
+    """The hosts of the zone cannot connect to the servers of the others, again and again."""
+    while time.monotonic() < end:
+        record.write(f"{CUT_ZONE} is cut off from the other zones for {CUT_FOR_S} s")
+        for server in others:
+            server.stop()
+        await asyncio.sleep(min(CUT_FOR_S, max(0.1, end - time.monotonic())))
+        for server in others:
+            await f.HttpServer.start(server)
+        await asyncio.sleep(PAUSE_S)
+
+
+async def spells(record, server, field, dose, for_s, end):
+    """One trouble of the server, again and again."""
+    while time.monotonic() < end:
+        record.write(f"{server.name}: {field} {dose} for {for_s} s")
+        setattr(server, field, dose)
+        await asyncio.sleep(min(for_s, max(0.1, end - time.monotonic())))
+        setattr(server, field, 0.0)
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(record):
-    fleet = f.Fleet(record)
-    servers = [Recording(fleet, "orders", f"i-{number}", zone)
-               for number, zone in enumerate(fleet.zones, 1)]
-    config = f.plain_config(["orders"], [
-        f.route("order", "orders", "non_idempotent", "/order/")])
-    sent = {}
+    fleet = f.Fleet(record, ZONES)
+    servers = [Registry(fleet, "registry", f"i-{number}", zone)
+               for number, zone in enumerate(ZONES, 1)]
+    config = f.plain_config(["registry"], [
+        f.route("filing", "registry", "non_idempotent", "/filing/", 1, DEADLINE_MS),
+        f.route("lookup", "registry", "idempotent", "/lookup/", 2, DEADLINE_MS)])
+    filings = []
+    tasks = []
     try:
         await fleet.start(config, servers)
-        for number in range(ROUNDS * len(CODINGS)):
-            host = fleet.hosts[number % len(fleet.hosts)]
-            inner = (f"POST /order/inner HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: "
-                     f"inner-{number}\r\nContent-Length: 0\r\n\r\n").encode()
-            identity = fleet.request_id()
-            sent[identity] = inner
-            head = (f"POST /order/outer HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {identity}\r\n"
-                    "X-Deadline-Ms: 1500\r\n")
-            if f.trouble():
-                coding = CODINGS[number % len(CODINGS)]
-                text = f"{head}Transfer-Encoding: {coding}\r\n\r\n".encode() + inner
-            elif number % 2:
-                coding = "none"
-                text = f"{head}Content-Length: {len(inner)}\r\n\r\n".encode() + inner
+        zone = [host for host in fleet.hosts if host.zone == CUT_ZONE]
+        end = time.monotonic() + LENGTH_S
+        troubles = None
+        if f.trouble():
+            troubles = asyncio.gather(
+                spells(record, servers[0], "refuses", GREY_X, GREY_FOR_S, end),
+                spells(record, servers[0], "repeats", EXTRA_X, EXTRA_FOR_S, end),
+                cut(record, servers[1:], end))
+        while time.monotonic() < end:
+            await asyncio.sleep(random.expovariate(FILINGS_PER_S + LOOKUPS_PER_S))
+            host = random.choice(zone)
+            if random.random() < FILINGS_PER_S / (FILINGS_PER_S + LOOKUPS_PER_S):
+                filings.append(asyncio.create_task(fleet.send(
+                    host, "POST", "/filing/2f", "desk.example", DEADLINE_MS, b"acta")))
             else:
-                coding = "chunked"
-                text = (f"{head}Transfer-Encoding: chunked\r\n\r\n{len(inner):x}\r\n".encode()
-                        + inner + b"\r\n0\r\n\r\n")
-            record.write(f"client sends {identity} to {host.name}, transfer coding {coding}, "
-                         f"body of {len(inner)} bytes")
-            got = await send_raw(host, text)
-            record.write(f"client got {got.count(b'HTTP/1.1 ')} answers, first line "
-                         f"{got.split(b'%s' % bytes([13, 10]))[0].decode('latin-1')!r}")
-        runs = [run for server in servers for run in server.got]
-        unasked = [run for run in runs if run[0] not in sent]
-        changed = [run for run in runs if run[0] in sent and run[2] != sent[run[0]]]
-        record.say(f"{len(sent)} requests sent, {len(runs)} ran; {len(unasked)} with an id that no "
-                   f"client sent, {len(changed)} with another body than the client's")
-        return bool(unasked or changed)
+                tasks.append(asyncio.create_task(fleet.send(
+                    host, "GET", "/lookup/2f", "desk.example", DEADLINE_MS)))
+        replies = await asyncio.gather(*filings)
+        await asyncio.gather(*tasks)
+        if troubles:
+            await troubles
+        ran = {}
+        for server in servers:
+            for _, number in server.runs:
+                ran.setdefault(number, []).append(server.name)
+        refused = [reply.id for reply in replies if reply.status in (429, 503) and reply.id in ran]
+        twice = [reply.id for reply in replies if len(ran.get(reply.id, [])) > 1]
+        for number in refused:
+            record.write(f"{number} was refused and ran at {' and '.join(ran[number])}")
+        record.say(f"{len(replies)} filings sent, {sum(r.status == 200 for r in replies)} served; "
+                   f"{len(refused)} were answered 503 and had run, {len(twice)} ran more than once")
+        return bool(refused or twice)
     finally:
         fleet.stop()
 
