--- a/packages/testing/processes/test/late-answers-test.cc
+++ b/packages/testing/processes/test/late-answers-test.cc
@@ -2,27 +2,20 @@
 // again.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/raw_server.h"
 #include "jasminecroft/processes/users_fleet.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <array>
 #include <atomic>
 #include <doctest/doctest.h>
-#include <functional>
 #include <map>
 #include <mutex>
-#include <sstream>
 #include <thread>
 
 using namespace jasminecroft::processes;
-namespace asio = boost::asio;
 namespace json = boost::json;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 using steady = std::chrono::steady_clock;
 
@@ -33,139 +26,6 @@
 constexpr milliseconds Deadline{3'000};
 constexpr milliseconds Slack{500};
 
-struct raw_request {
-  std::string Target;
-  std::string Id;
-  std::string Body;
-};
-
-std::string headerOf(const std::string &Head, const std::string &Name) {
-  std::size_t Begin = Head.find(Name + ": ");
-  if (Begin == std::string::npos)
-    return {};
-  Begin += Name.size() + 2;
-  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
-}
-
-/// Serves each connection on a thread of its own with what Serve writes.
-class raw_server {
-public:
-  /// Writes a text; an empty one ends the connection.
-  using writer = std::function<bool(const std::string &)>;
-  /// Called for each request; Number counts those of the connection from 0.
-  using handler = std::function<void(const raw_request &Request, int Number,
-                                     const writer &Write)>;
-
-  explicit raw_server(handler Serve)
-      : Serve(std::move(Serve)),
-        Acceptor(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        Accepting([this] { accept(); }) {}
-  ~raw_server() {
-    Stopped = true;
-    // Wakes the thread that accepts.
-    asio::io_context Own;
-    tcp::socket Last(Own);
-    boost::system::error_code Ignored;
-    Last.connect(Acceptor.local_endpoint(), Ignored);
-    Accepting.join();
-    for (const std::shared_ptr<tcp::socket> &Socket : Sockets)
-      Socket->shutdown(tcp::socket::shutdown_both, Ignored);
-    for (std::thread &Thread : Threads)
-      Thread.join();
-  }
-  raw_server(const raw_server &) = delete;
-  raw_server &operator=(const raw_server &) = delete;
-
-  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
-  /// Requests that came on a connection that had served one before.
-  int reused() const { return Reused; }
-
-private:
-  void accept() {
-    while (!Stopped) {
-      std::shared_ptr<tcp::socket> Socket =
-          std::make_shared<tcp::socket>(Context);
-      boost::system::error_code Error;
-      Acceptor.accept(*Socket, Error);
-      if (Error || Stopped)
-        return;
-      Sockets.push_back(Socket);
-      Threads.emplace_back([this, Socket] { serve(*Socket); });
-    }
-  }
-
-  void serve(tcp::socket &Socket) {
-    std::string Bytes;
-    for (int Number = 0;; ++Number) {
-      std::size_t HeadEnd = 0;
-      std::size_t Length = 0;
-      for (;;) {
-        HeadEnd = Bytes.find("\r\n\r\n");
-        if (HeadEnd != std::string::npos) {
-          std::string Text =
-              headerOf(Bytes.substr(0, HeadEnd + 2), "Content-Length");
-          Length = Text.empty() ? 0 : std::stoul(Text);
-          if (Bytes.size() >= HeadEnd + 4 + Length)
-            break;
-        }
-        std::array<char, 4'096> Part{};
-        boost::system::error_code Error;
-        std::size_t Read = Socket.read_some(asio::buffer(Part), Error);
-        if (Error)
-          return;
-        Bytes.append(Part.data(), Read);
-      }
-      raw_request Request;
-      std::string Head = Bytes.substr(0, HeadEnd + 2);
-      std::size_t Target = Head.find(' ') + 1;
-      Request.Target = Head.substr(Target, Head.find(' ', Target) - Target);
-      Request.Id = headerOf(Head, "X-Request-Id");
-      Request.Body = Bytes.substr(HeadEnd + 4, Length);
-      Bytes.erase(0, HeadEnd + 4 + Length);
-      Reused += Number > 0 ? 1 : 0;
-      Serve(Request, Number, [&Socket](const std::string &Text) {
-        boost::system::error_code Error;
-        if (Text.empty()) {
-          Socket.shutdown(tcp::socket::shutdown_both, Error);
-          return false;
-        }
-        asio::write(Socket, asio::buffer(Text), Error);
-        return !Error;
-      });
-    }
-  }
-
-  handler Serve;
-  asio::io_context Context;
-  tcp::acceptor Acceptor;
-  std::atomic<bool> Stopped = false;
-  std::atomic<int> Reused = 0;
-  std::vector<std::shared_ptr<tcp::socket>> Sockets;
-  std::vector<std::thread> Threads;
-  std::thread Accepting;
-};
-
-std::string answer(const std::string &Headers, const std::string &Body) {
-  return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=8\r\n" + Headers +
-         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-}
-
-std::string signature(const std::string &Id) {
-  return "X-Request-Id: " + Id + "\r\nX-Replica-Stamp: raw." + Id + "\r\n";
-}
-
-std::string eventsHead(const std::string &Id) {
-  return "HTTP/1.1 200 OK\r\n" + signature(Id) +
-         "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-         "chunked\r\n\r\n";
-}
-
-std::string chunkOf(const std::string &Text) {
-  std::ostringstream Chunk;
-  Chunk << std::hex << Text.size() << "\r\n" << Text << "\r\n";
-  return Chunk.str();
-}
-
 /// Replaces the servers of a pool by one.
 void replace(users_fleet &Fleet, const std::string &Pool,
              const std::vector<std::string> &Old, const raw_server &Server) {
