Refuse messages whose transfer coding leaves their end uncertain

Cause: all readers of HTTP went by the parser's word that a message is complete. Beast takes a request as one without a body unless it has a length or `chunked` as its last coding, so the body stayed in the buffer and was read as the next request. RFC 9112, 6.3 asks for 400 and a closed connection.

Ruled out: input kept after a refusal; nothing that was refused was followed by another answer.

Change: hasClearFraming (packages/wire) is asked after each head by all readers: callers on both interfaces, probes, servers' answers on both paths, the platform's objects, and jasminecroftctl. Such a request gets 400 and its connection ends, such an answer counts as broken. Why it works: nothing is read behind a message whose end is not certain.

--- a/packages/ctl/src/blocking_access.cc
+++ b/packages/ctl/src/blocking_access.cc
@@ -2,6 +2,7 @@
 #include "blocking_access.h"
 
 #include "jasminecroft/platform/object_api.h"
+#include "jasminecroft/wire/http_framing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -84,7 +85,8 @@
         });
     Io.restart();
     Io.run();
-    if (Error || Response.result() != http::status::ok)
+    if (Error || !hasClearFraming(Response, Response.version()) ||
+        Response.result() != http::status::ok)
       return std::nullopt;
     return std::move(Response.body());
   }
--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -4,6 +4,7 @@
 #include "connection_pool.h"
 #include "io_types.h"
 #include "jasminecroft/entry/settings.h"
+#include "jasminecroft/wire/http_framing.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -175,7 +176,7 @@
   void onHeader(const error &Error) {
     if (!Listener)
       return;
-    if (Error) {
+    if (Error || !hasClearFraming(Parser->get(), Parser->get().version())) {
       fail(exchange_failure::Broken);
       return;
     }
--- a/packages/entry/src/http_session.cc
+++ b/packages/entry/src/http_session.cc
@@ -1,6 +1,8 @@
 // Reads a caller's requests one at a time; http_session_answers.cc answers.
 #include "http_session.h"
 
+#include "jasminecroft/wire/http_framing.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -180,6 +182,10 @@
     onReadFailed(Error);
     return;
   }
+  if (!hasClearFraming(Parser->get(), Parser->get().version())) {
+    refuse({front_error::MalformedRequest, "transfer coding"});
+    return;
+  }
   std::optional<std::string_view> Expect =
       toOptional(Parser->get().base(), "Expect");
   setDeadline(Owner.limits().BodyTimeout);
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -2,6 +2,7 @@
 #include "backend_call.h"
 
 #include "jasminecroft/entry/settings.h"
+#include "jasminecroft/wire/http_framing.h"
 #include "platform/replica/replica_calls.h"
 
 #include <boost/asio/post.hpp>
@@ -141,7 +142,7 @@
   void onHeader(const error &Error) {
     if (!Listener)
       return;
-    if (Error) {
+    if (Error || !hasClearFraming(Parser->get(), Parser->get().version())) {
       fail(call_failure::Broken);
       return;
     }
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -1,6 +1,7 @@
 // Reading of requests within the callers' bounds, and writing of answers.
 #include "caller_session.h"
 
+#include "jasminecroft/wire/http_framing.h"
 #include "platform/front/caller_requests.h"
 
 #include <boost/asio/write.hpp>
@@ -151,6 +152,10 @@
       close();
     return;
   }
+  if (!hasClearFraming(Parser->get(), Parser->get().version())) {
+    refuseEarly(BadRequest, "unknown transfer coding");
+    return;
+  }
   if (Parser->is_done()) {
     dispatch();
     return;
--- a/packages/entry/src/serving/page_listener.cc
+++ b/packages/entry/src/serving/page_listener.cc
@@ -1,6 +1,8 @@
 // One short session per connection; connections stay open between requests.
 #include "page_listener.h"
 
+#include "jasminecroft/wire/http_framing.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -31,7 +33,8 @@
     http::async_read(
         Socket, Buffer, *Parser,
         [Self = shared_from_this()](const error &Error, std::size_t) {
-          if (!Error)
+          if (!Error && hasClearFraming(Self->Parser->get(),
+                                        Self->Parser->get().version()))
             Self->answer();
         });
   }
--- a/packages/platform/src/http_object_api.cc
+++ b/packages/platform/src/http_object_api.cc
@@ -1,5 +1,6 @@
 // Object API over HTTP/1.1 with Beast. Connections are kept and used again.
 #include "jasminecroft/platform/object_api.h"
+#include "jasminecroft/wire/http_framing.h"
 #include "jasminecroft/wire/json_codec.h"
 
 #include <algorithm>
@@ -231,7 +232,8 @@
     http::async_read(
         *Stream, Buffer, *Parser,
         [Self = shared_from_this()](beast::error_code Error, std::size_t) {
-          if (Error)
+          if (Error || !hasClearFraming(Self->Parser->get(),
+                                        Self->Parser->get().version()))
             Self->onBroken();
           else
             Self->onResponse();
