Give a request that goes to a server again a new connection

Cause: sendCall let every call use a kept connection, also the second send of a request to the server that had just refused it. A late second copy of the refusal bears the id of this very request, so that the id no longer told it from the answer to the second send, and the caller was refused while the server ran it.

Ruled out: replies without an id (all bear it here), and the choice of the server: with a connection of its own the second send goes to the same server and none is refused and run.

Change: MayReuseConnection is false if the server has had the request before: after a refusal, a break, a time-out or lost inputs. Why it works: no id goes twice over one connection, so that an answer which names the request is the answer to this call.

--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -123,7 +123,8 @@
   std::vector<result_handle> Inputs;
   /// Resumes a stream after this event; absent: from its beginning.
   std::optional<std::uint64_t> ResumeAfter;
-  /// False if the call must not fail because of a stale connection.
+  /// False if the server has had this request before: on a connection that was
+  /// used then, a late copy of its reply could pass for the reply to this call.
   bool MayReuseConnection = true;
   bool Streamed = false;
 };
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -84,7 +84,7 @@
   State.Server = Server->Entry;
   State.SentAt = Now;
   State.Progress = call_progress::Sent;
-  State.TriedServers.insert(Server->Entry.Id);
+  bool FirstSend = State.TriedServers.insert(Server->Entry.Id).second;
   ++State.Attempts;
   Servers.onCallStarted(Server->Entry.Id);
   Calls[Id] = {call_kind::Forward, State.Request.Number, batch_id(),
@@ -98,7 +98,7 @@
   Forward.Inputs = finalInputs(State);
   Forward.ResumeAfter = State.LastEvent;
   Forward.Streamed = State.Route->Streamed;
-  Forward.MayReuseConnection = true;
+  Forward.MayReuseConnection = FirstSend;
   bool Repeatable = State.Route->Repeatable || State.Route->Resumable;
   if (Repeatable && State.Attempts < State.Route->MaxAttempts)
     addTimer(Now + attemptTimeout(State, *Server), timer_kind::AttemptTimeout,
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -92,6 +92,31 @@
   CHECK(refusalOf(Test, Request) == refusal_kind::Overloaded);
 }
 
+// review/3: a copy of the refusal answered the second send.
+TEST_CASE("a request is sent again to a server that refused it over another "
+          "connection") {
+  serving_fixture Test;
+  Test.addAllPools();
+  // No server can be reached, then one can.
+  request_id Unreached = Test.sendRequest("once");
+  while (Test.Actions.Refusals[Unreached].empty())
+    Test.Core.onCallFailed(Test.Actions.LastForward, call_failure::NotConnected,
+                           Test.Now);
+  Test.sendRequest("once");
+  backend_id Reached = Test.lastForward().Server.Id;
+  Test.Core.onCompleteReply(Test.Actions.LastForward,
+                            serving_fixture::successHead(), "", Test.Now);
+  Test.sendRequest("once");
+  REQUIRE(Test.lastForward().Server.Id == Reached);
+  CHECK(Test.lastForward().MayReuseConnection);
+  std::size_t Before = Test.Actions.Forwards.size();
+  Test.Core.onCompleteReply(Test.Actions.LastForward,
+                            serving_fixture::notRunHead(), "", Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == Before + 1);
+  REQUIRE(Test.lastForward().Server.Id == Reached);
+  CHECK_FALSE(Test.lastForward().MayReuseConnection);
+}
+
 TEST_CASE("a request that may have run is never refused as not run") {
   serving_fixture Test;
   Test.addAllPools();
--- a/packages/entry/src/serving/backend_call.h
+++ b/packages/entry/src/serving/backend_call.h
@@ -18,6 +18,7 @@
   /// The answer has to name it; empty if answers name nothing.
   caller_request_id CallerId;
   std::chrono::microseconds Timeout{0};
+  /// False if a late copy of an answer could name this call's request too.
   bool MayReuseConnection = true;
   /// False if a late copy of the answer could be taken for that of a later
   /// call.
