Keep connections only while every answer has named its request

Cause: servers may refuse without an id. The connection was kept, and a late second copy of the refusal was taken for the answer to the next request on it, which the server ran while the host sent it to another one.

Ruled out: copies that are in the buffer when the first answer ends (the connection is not kept then).

Change: a connection is kept for callers' requests only while every answer on it has named its request. Questions for load and freed results, which bear no id, have idle connections of their own. Why it works: on a kept connection no earlier answer exists whose copy names no request.

--- a/packages/entry/src/connection_pool.cc
+++ b/packages/entry/src/connection_pool.cc
@@ -40,8 +40,9 @@
   setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
 }
 
-std::optional<tcp_socket> connection_pool::take(const endpoint &Address) {
-  auto Found = Idle.find(Address);
+std::optional<tcp_socket> connection_pool::take(const endpoint &Address,
+                                                answer_naming Naming) {
+  auto Found = Idle.find({Address, Naming});
   if (Found == Idle.end())
     return std::nullopt;
   std::deque<idle_connection> &Connections = Found->second;
@@ -58,9 +59,10 @@
   return std::nullopt;
 }
 
-void connection_pool::give(const endpoint &Address, tcp_socket Socket,
+void connection_pool::give(const endpoint &Address, answer_naming Naming,
+                           tcp_socket Socket,
                            std::optional<std::chrono::milliseconds> Lifetime) {
-  std::deque<idle_connection> &Connections = Idle[Address];
+  std::deque<idle_connection> &Connections = Idle[{Address, Naming}];
   // The oldest is the first that its server closes.
   if (Connections.size() >= MaxIdlePerServer)
     Connections.pop_front();
@@ -70,4 +72,9 @@
   Connections.push_back({std::move(Socket), Until});
 }
 
+void connection_pool::drop(const endpoint &Address) {
+  Idle.erase({Address, answer_naming::Named});
+  Idle.erase({Address, answer_naming::Unnamed});
+}
+
 } // namespace jasminecroft::detail
--- a/packages/entry/src/connection_pool.h
+++ b/packages/entry/src/connection_pool.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace jasminecroft::detail {
 
@@ -24,6 +25,10 @@
 /// answer to a call.
 inline constexpr unsigned MaxEarlierAnswers = 8;
 
+/// Whether all answers on a connection so far have named their request. A late
+/// copy of one that did not could be taken for the answer to any later call.
+enum class answer_naming { Named, Unnamed };
+
 /// Used from one thread.
 class connection_pool {
 public:
@@ -31,12 +36,12 @@
 
   /// The connection used last that is neither closed nor about to be closed by
   /// its server.
-  std::optional<tcp_socket> take(const endpoint &Address);
+  std::optional<tcp_socket> take(const endpoint &Address, answer_naming Naming);
   /// Lifetime: how long the server keeps idle connections, if it is known.
-  void give(const endpoint &Address, tcp_socket Socket,
+  void give(const endpoint &Address, answer_naming Naming, tcp_socket Socket,
             std::optional<std::chrono::milliseconds> Lifetime);
   /// Closes what is idle towards one server, or towards all.
-  void drop(const endpoint &Address) { Idle.erase(Address); }
+  void drop(const endpoint &Address);
   void clear() { Idle.clear(); }
 
   connection_counters Counters;
@@ -47,7 +52,8 @@
     tcp_socket Socket;
     std::optional<clock::time_point> UsableUntil;
   };
-  std::map<endpoint, std::deque<idle_connection>> Idle;
+  std::map<std::pair<endpoint, answer_naming>, std::deque<idle_connection>>
+      Idle;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -77,7 +77,7 @@
     prepare();
     std::optional<tcp_socket> Reused;
     if (Wanted.MayReuseConnection)
-      Reused = Pool->take(Wanted.Address);
+      Reused = Pool->take(Wanted.Address, answer_naming::Unnamed);
     if (!Reused) {
       connect();
       return;
@@ -249,7 +249,8 @@
     unsigned Status = Parser->get().result_int();
     std::string Body = std::move(Parser->get().body());
     if (Parser->get().keep_alive() && Buffer.size() == 0)
-      Pool->give(Wanted.Address, std::move(Socket), std::nullopt);
+      Pool->give(Wanted.Address, answer_naming::Unnamed, std::move(Socket),
+                 std::nullopt);
     std::shared_ptr<exchange_listener> Last = Listener;
     end();
     Last->onComplete(Status, std::move(Body));
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -57,7 +57,7 @@
   void start() {
     std::optional<tcp_socket> Reused;
     if (Wanted.MayReuseConnection)
-      Reused = Pool->take(Wanted.Address);
+      Reused = Pool->take(Wanted.Address, naming());
     if (!Reused) {
       connect();
       return;
@@ -69,6 +69,11 @@
   void cancel() override { end(); }
 
 private:
+  answer_naming naming() const {
+    return Wanted.CallerId.empty() ? answer_naming::Unnamed
+                                   : answer_naming::Named;
+  }
+
   void setTimer(std::chrono::microseconds Time) {
     Timer.expires_after(Time);
     Timer.async_wait([Self = shared_from_this()](const error &Error) {
@@ -150,8 +155,12 @@
     // An answer that names another request is a leftover of that request, and
     // one below 200 announces another.
     bool Interim = Head.Status < StatusOk;
-    Foreign = Interim || (!Wanted.CallerId.empty() &&
-                          platform::isForeignReply(Head, Wanted.CallerId));
+    platform::reply_subject Subject =
+        platform::subjectOf(Head, Wanted.CallerId);
+    Foreign = Interim || (naming() == answer_naming::Named &&
+                          Subject == platform::reply_subject::OtherRequest);
+    AllNamed =
+        AllNamed && (Interim || Subject != platform::reply_subject::Unnamed);
     if (Foreign && ++EarlierAnswers > MaxEarlierAnswers) {
       fail(call_failure::Broken);
       return;
@@ -237,7 +246,8 @@
       return;
     }
     std::string Body = std::move(Parser->get().body());
-    if (Wanted.KeepConnection && Parser->get().keep_alive() &&
+    bool Attributable = AllNamed || naming() == answer_naming::Unnamed;
+    if (Wanted.KeepConnection && Attributable && Parser->get().keep_alive() &&
         Buffer.size() == 0 && !WriteFailed)
       keepConnection();
     std::shared_ptr<backend_call_listener> Last = Listener;
@@ -255,7 +265,7 @@
     if (std::optional<std::chrono::seconds> Said = platform::keepAliveOf(Head))
       Lifetime = *Said - CloseMargin;
     if (Lifetime.count() > 0)
-      Pool->give(Wanted.Address, std::move(Socket), Lifetime);
+      Pool->give(Wanted.Address, naming(), std::move(Socket), Lifetime);
   }
 
   void onTimeout() {
@@ -298,6 +308,8 @@
   bool Streaming = false;
   /// The answer that is being read is not the one to this call.
   bool Foreign = false;
+  /// No answer on the connection has left open which request it belongs to.
+  bool AllNamed = true;
   unsigned EarlierAnswers = 0;
 };
 
--- a/packages/testing/processes/test/repeated-refusals-test.cc
+++ b/packages/testing/processes/test/repeated-refusals-test.cc
@@ -123,6 +123,20 @@
   CHECK(Result.Served > Calls / 2);
 }
 
+// review/2 and a report of other operators: the copy was taken for the answer
+// to the next request.
+TEST_CASE("a copy of a refusal that names no request answers no other one") {
+  repeating_server One(false);
+  repeating_server Other(false);
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  listOnly(Fleet, {{"raw-1", One.port()}, {"raw-2", Other.port()}});
+  verdict Result = callAll(Fleet, {&One, &Other});
+  CHECK(Result.RefusedAndRan == 0);
+  CHECK(Result.RanTwice == 0);
+  CHECK(Result.Served > Calls / 2);
+}
+
 TEST_CASE("a copy of a refusal that names its request answers no other one") {
   repeating_server One(true);
   repeating_server Other(true);
