Take no end of a connection before the first event for the end of a stream

Cause: onStreamEnd asked whether the caller has had any event. For a stream that goes on at another server those of the first server counted, so that an answer without a length whose server broke off after the head passed for the whole rest.

Change: the reader of a server's answer says whether it ended by its framing or with its connection; an event stream that ended with its connection and without an event is broken off.

--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -252,10 +252,12 @@
       keepConnection();
     std::shared_ptr<backend_call_listener> Last = Listener;
     bool WasStream = Streaming;
+    answer_end Ended =
+        Parser->need_eof() ? answer_end::Closed : answer_end::Framed;
     platform::http_head LastHead = std::move(Head);
     end();
     if (WasStream)
-      Last->onStreamEnd();
+      Last->onStreamEnd(Ended);
     else
       Last->onWhole(LastHead, std::move(Body));
   }
--- a/packages/entry/src/serving/backend_call.h
+++ b/packages/entry/src/serving/backend_call.h
@@ -29,6 +29,14 @@
   bool HeadOnly = false;
 };
 
+/// How an answer says that it is whole.
+enum class answer_end {
+  /// By its length or its last chunk.
+  Framed,
+  /// Only by the end of its connection, as if its server had ended.
+  Closed,
+};
+
 /// Hears of a call, never before it was started and never after it was
 /// cancelled. Nothing follows onWhole, onStreamEnd and onFailed.
 class backend_call_listener {
@@ -37,8 +45,7 @@
   virtual void onWhole(const platform::http_head &Head, std::string Body) = 0;
   virtual void onStreamHead(const platform::http_head &Head) = 0;
   virtual void onStreamText(std::string Text) = 0;
-  /// The stream has ended as its framing says.
-  virtual void onStreamEnd() = 0;
+  virtual void onStreamEnd(answer_end End) = 0;
   virtual void onFailed(call_failure Failure) = 0;
 };
 
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -67,10 +67,12 @@
                            Last.value_or(0));
   }
 
-  void onStreamEnd() override {
+  void onStreamEnd(answer_end End) override {
     Backends.forget(Call);
-    // A part of an event at the end means that the server broke off.
-    if (!Pending.empty())
+    // A part of an event at the end means that the server broke off, and so
+    // does a connection that ends before the first event.
+    bool BeforeFirst = !Newest && End == answer_end::Closed;
+    if (!Pending.empty() || BeforeFirst)
       Results.onCallFailed(Call, call_failure::Broken);
     else
       Results.onStreamEnd(Call);
@@ -139,7 +141,7 @@
   }
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
-  void onStreamEnd() override { onFailed(call_failure::Broken); }
+  void onStreamEnd(answer_end) override { onFailed(call_failure::Broken); }
   void onFailed(call_failure Failure) override {
     Backends.forget(Call);
     Results.onCallFailed(Call, Failure);
@@ -158,7 +160,7 @@
   void onWhole(const platform::http_head &, std::string) override {}
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
-  void onStreamEnd() override {}
+  void onStreamEnd(answer_end) override {}
   void onFailed(call_failure) override {}
 };
 
@@ -172,7 +174,7 @@
   }
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
-  void onStreamEnd() override {}
+  void onStreamEnd(answer_end) override {}
   void onFailed(call_failure) override {
     Results.onServerLoad(Server, std::nullopt);
   }
