Read addresses in one place

splitEndpoint moves from the daemon's settings into the core, with its test, so that the adapter can check addresses too. The client of the platform's objects and jasminecroftctl had readers of their own, which took \"127.0.0.1:80x\" for port 80; they use it now.

--- a/packages/ctl/src/blocking_access.cc
+++ b/packages/ctl/src/blocking_access.cc
@@ -1,6 +1,7 @@
 // Runs asynchronous calls to their end, with a time for all tries.
 #include "blocking_access.h"
 
+#include "jasminecroft/core/endpoint.h"
 #include "jasminecroft/platform/object_api.h"
 #include "jasminecroft/wire/http_framing.h"
 
@@ -93,17 +94,11 @@
 
 private:
   static std::optional<asio::ip::tcp::endpoint> parse(const endpoint &Host) {
-    std::size_t Colon = Host.Value.rfind(':');
-    if (Colon == std::string::npos)
+    std::optional<ip_port> Parts = splitEndpoint(Host);
+    if (!Parts)
       return std::nullopt;
-    boost::system::error_code Error;
-    asio::ip::address Ip =
-        asio::ip::make_address(Host.Value.substr(0, Colon), Error);
-    unsigned long Port =
-        std::strtoul(Host.Value.c_str() + Colon + 1, nullptr, 10);
-    if (Error || Port == 0 || Port > 65'535)
-      return std::nullopt;
-    return asio::ip::tcp::endpoint(Ip, static_cast<std::uint16_t>(Port));
+    return asio::ip::tcp::endpoint(asio::ip::make_address(Parts->Address),
+                                   Parts->Port);
   }
 };
 
--- a/packages/entry/include/jasminecroft/entry/settings.h
+++ b/packages/entry/include/jasminecroft/entry/settings.h
@@ -1,6 +1,7 @@
 // Settings of one entry host, read from a JSON file with comments.
 #pragma once
 
+#include "jasminecroft/core/endpoint.h"
 #include "jasminecroft/core/entry_core.h"
 #include "jasminecroft/core/event_log.h"
 #include "jasminecroft/entry/exit_code.h"
@@ -74,11 +75,4 @@
 /// The settings in force, defaults included, as JSON.
 std::string printSettings(const daemon_settings &Settings);
 
-/// An "IP:port" taken apart; IPv6 addresses stand in brackets.
-struct ip_port {
-  std::string Address;
-  std::uint16_t Port = 0;
-};
-std::optional<ip_port> splitEndpoint(const endpoint &Text);
-
 } // namespace jasminecroft
--- a/packages/entry/test/settings-test.cc
+++ b/packages/entry/test/settings-test.cc
@@ -85,14 +85,6 @@
   checkError(replaced("\"log\"", "log"), settings_problem::Malformed, "", 13);
 }
 
-TEST_CASE("endpoints need a number address and a port") {
-  CHECK(splitEndpoint(endpoint("127.0.0.1:80"))->Port == 80);
-  CHECK(splitEndpoint(endpoint("[::1]:80"))->Address == "::1");
-  for (const char *Bad : {"", "127.0.0.1", "127.0.0.1:", "localhost:80",
-                          "127.0.0.1:65536", "::1:80", "127.0.0.1:8x"})
-    CHECK_FALSE(splitEndpoint(endpoint(Bad)).has_value());
-}
-
 TEST_CASE("a missing file is a typed error with its own exit code") {
   settings_result Result = readSettings("no-such-folder/settings.json");
   REQUIRE(std::holds_alternative<settings_error>(Result));
--- a/packages/platform/src/http_object_api.cc
+++ b/packages/platform/src/http_object_api.cc
@@ -1,4 +1,5 @@
 // Object API over HTTP/1.1 with Beast. Connections are kept and used again.
+#include "jasminecroft/core/endpoint.h"
 #include "jasminecroft/platform/object_api.h"
 #include "jasminecroft/wire/http_framing.h"
 #include "jasminecroft/wire/json_codec.h"
@@ -131,19 +132,10 @@
 }
 
 std::optional<tcp::endpoint> parseEndpoint(const endpoint &Address) {
-  std::size_t Colon = Address.Value.rfind(':');
-  if (Colon == std::string::npos)
+  std::optional<ip_port> Parts = splitEndpoint(Address);
+  if (!Parts)
     return std::nullopt;
-  boost::system::error_code Error;
-  asio::ip::address Ip =
-      asio::ip::make_address(Address.Value.substr(0, Colon), Error);
-  std::uint16_t Port = 0;
-  std::string_view Digits = std::string_view(Address.Value).substr(Colon + 1);
-  std::from_chars_result Parsed =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  if (Error || Parsed.ec != std::errc())
-    return std::nullopt;
-  return tcp::endpoint(Ip, Port);
+  return tcp::endpoint(asio::ip::make_address(Parts->Address), Parts->Port);
 }
 
 /// Connections that wait for the next call; shared with calls in progress.
