Read each object of the platform's store by itself

Cause: lists and changes were parsed as one text. One entry of another writer with a byte that is no text, nesting deeper than the parser takes, or a number out of range made the whole answer an error, and the watch asked again from the same revision for ever. The check of single entries was never reached.

Ruled out: hosts that end by themselves; none did, with nesting of 50,000 in lists and watches.

Why it works: what another entry holds no longer decides whether an entry is read.

--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -138,6 +138,14 @@
   }
   Changed();
 }
+void serving_store::onUnreadable(std::string_view Kind,
+                                 const platform::object_error &Error) {
+  write(event_number::BackendEntryUnreadable, event_severity::Warning,
+        "object of the platform's store cannot be read and is ignored",
+        {{"kind", std::string(Kind)},
+         {"problem", std::string(platform::toText(Error.Problem))},
+         {"field", Error.Where}});
+}
 void serving_store::onReadTo(std::string_view Kind, object_version Revision) {
   if (Kind == platform::BackendKind)
     Core.onBackendsRead(Revision, now());
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -49,6 +49,8 @@
                  object_version Current) override;
   void onChange(std::string_view Kind,
                 const platform::store_object &Object) override;
+  void onUnreadable(std::string_view Kind,
+                    const platform::object_error &Error) override;
   void onReadTo(std::string_view Kind, object_version Revision) override;
   void onStoreLost(std::string_view Kind, std::string_view Why) override;
   void onStoreBack(std::string_view Kind) override;
--- a/packages/entry/test/store-watch-test.cc
+++ b/packages/entry/test/store-watch-test.cc
@@ -47,6 +47,9 @@
                 const platform::store_object &Object) override {
     Changed.push_back(Object.Name);
   }
+  void onUnreadable(std::string_view, const platform::object_error &) override {
+    ++Unreadable;
+  }
   void onReadTo(std::string_view, object_version Revision) override {
     ReadTo = Revision;
   }
@@ -62,6 +65,7 @@
   int Lists = 0;
   std::size_t Listed = 0;
   std::vector<std::string> Changed;
+  int Unreadable = 0;
   int Lost = 0;
   int Back = 0;
   object_version ReadTo;
@@ -315,3 +319,20 @@
   CHECK(Test.Heard.Lists == 1);
   CHECK(Test.Client.Requests.size() == 2);
 }
+
+// review/1: the watch asked again from the same revision for ever.
+TEST_CASE("an unreadable object does not stop a list or a watch") {
+  watch_test Test;
+  Test.answer(200, R"({"entries":[{"meta":{"name":"\udcff"},"spec":{}},)"
+                   R"({"meta":{"name":"a","revision":3},"spec":{}}],)"
+                   R"("has_more":false,"current_rev":5})");
+  CHECK(Test.Heard.Lists == 1);
+  CHECK(Test.Heard.Listed == 1);
+  CHECK(Test.Heard.Unreadable == 1);
+  Test.answer(200, R"({"events":[{"object":7},{"object":{"meta":{"name":"b",)"
+                   R"("revision":8},"spec":{"x":1e999}}}],"current_rev":8})");
+  CHECK(Test.Heard.Changed == std::vector<std::string>{"b"});
+  CHECK(Test.Heard.Unreadable == 2);
+  CHECK(Test.Heard.Lost == 0);
+  CHECK(Test.target().find("watch=8") != std::string::npos);
+}
--- a/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -31,6 +31,9 @@
   /// Writes an object as the operator or a backend server does.
   void put(const std::string &Kind, const std::string &Name,
            boost::json::value Spec);
+  /// The same with any bytes as the spec, JSON or not.
+  void putText(const std::string &Kind, const std::string &Name,
+               std::string SpecText);
   void remove(const std::string &Kind, const std::string &Name);
   bool has(const std::string &Kind, const std::string &Name) const;
   std::size_t calls() const { return Calls; }
@@ -56,13 +59,14 @@
              std::uint64_t Since, std::int64_t WaitMs);
   bool answerWatch(const waiting_watch &Watch, bool Ended);
   void record(const std::string &Kind, boost::json::value Object, bool Gone);
-  boost::json::value object(const std::string &Kind,
-                            const std::string &Name) const;
+  std::string serialize(const boost::json::value &Value) const;
 
   boost::asio::io_context &Context;
   std::map<std::string, std::map<std::string, boost::json::value>> Kinds;
   std::vector<change> Changes;
   std::list<waiting_watch> Watches;
+  /// By the text that stands for them in objects.
+  std::map<std::string, std::string> RawSpecs;
   std::uint64_t Revision = 1;
   std::size_t Calls = 0;
   std::map<std::string, std::size_t> CallsByKind;
--- a/packages/testing/standins/src/serving_platform.cc
+++ b/packages/testing/standins/src/serving_platform.cc
@@ -46,6 +46,22 @@
   record(Kind, std::move(Object), false);
 }
 
+void users_store::putText(const std::string &Kind, const std::string &Name,
+                          std::string SpecText) {
+  std::string Mark = "raw spec " + std::to_string(RawSpecs.size());
+  RawSpecs['"' + Mark + '"'] = std::move(SpecText);
+  put(Kind, Name, json::value(Mark));
+}
+
+std::string users_store::serialize(const json::value &Value) const {
+  std::string Text = json::serialize(Value);
+  for (const std::pair<const std::string, std::string> &Raw : RawSpecs)
+    for (std::size_t At = Text.find(Raw.first); At != std::string::npos;
+         At = Text.find(Raw.first, At + Raw.second.size()))
+      Text.replace(At, Raw.first.size(), Raw.second);
+  return Text;
+}
+
 void users_store::remove(const std::string &Kind, const std::string &Name) {
   if (!has(Kind, Name))
     return;
@@ -83,9 +99,9 @@
   if (Events.empty() && !Ended)
     return false;
   Watch.Timer->cancel();
-  Watch.Exchange->respond(
-      200, json::serialize(json::object{{"events", std::move(Events)},
-                                        {"current_rev", Revision}}));
+  Watch.Exchange->respond(200,
+                          serialize(json::object{{"events", std::move(Events)},
+                                                 {"current_rev", Revision}}));
   return true;
 }
 
@@ -120,22 +136,21 @@
   if (Exchange->method() == "POST") {
     Name = Body.at("meta").at("name").as_string().c_str();
     if (has(Kind, Name)) {
-      Exchange->respond(409, json::serialize(Kinds[Kind][Name]));
+      Exchange->respond(409, serialize(Kinds[Kind][Name]));
       return;
     }
   }
   put(Kind, Name, Body.at("spec"));
-  Exchange->respond(200, json::serialize(Kinds[Kind][Name]));
+  Exchange->respond(200, serialize(Kinds[Kind][Name]));
 }
 
 void users_store::list(const exchange_ptr &Exchange, const std::string &Kind) {
   json::array Entries;
   for (const std::pair<const std::string, json::value> &Object : Kinds[Kind])
     Entries.push_back(Object.second);
-  Exchange->respond(
-      200, json::serialize(json::object{{"entries", std::move(Entries)},
-                                        {"has_more", false},
-                                        {"current_rev", Revision}}));
+  Exchange->respond(200, serialize(json::object{{"entries", std::move(Entries)},
+                                                {"has_more", false},
+                                                {"current_rev", Revision}}));
 }
 
 void users_store::watch(const exchange_ptr &Exchange, const std::string &Kind,
