Look routes up by host name, then by path

Cause: the index joined host name and prefix to one key, so that their border was lost.

Ruled out: the decoding of the Host header, which leaves the name as it is.

Change: one index of prefixes for each host name. Why it works: a name that no configuration has is found in no index.

--- a/packages/core/include/jasminecroft/core/serving/route_config.h
+++ b/packages/core/include/jasminecroft/core/serving/route_config.h
@@ -120,8 +120,9 @@
                             std::string_view Path) const;
 
 private:
-  /// Keyed by the host name followed by the path prefix.
-  std::unordered_map<std::string, const serving_route *> ByPrefix;
+  using routes_by_prefix =
+      std::unordered_map<std::string, const serving_route *>;
+  std::unordered_map<std::string, routes_by_prefix> ByHost;
 };
 
 } // namespace jasminecroft
--- a/packages/core/test/route-config-test.cc
+++ b/packages/core/test/route-config-test.cc
@@ -46,3 +46,15 @@
   CHECK(found(Index, "a.example", "/one/?back=/one/two/") == "one");
   CHECK(found(Index, "a.example", "?back=/one/") == "none");
 }
+
+// review/5: the border between host name and path was lost.
+TEST_CASE("a host name that holds the beginning of a prefix has no routes") {
+  route_config Config;
+  Config.Routes = {route("one", "a.example", "/one/two/")};
+  route_index Index(Config);
+  CHECK(found(Index, "a.example", "/one/two/x") == "one");
+  CHECK(found(Index, "a.example/one", "/two/x") == "none");
+  CHECK(found(Index, "a.example/one/two", "/x") == "none");
+  CHECK(found(Index, "a.example/one/two/", "/x") == "none");
+  CHECK(found(Index, "", "a.example/one/two/x") == "none");
+}
