Take the head of a request before its body

Cause: Beast adds trailers to the headers, and both readers of callers' requests read the headers after the body.

Change: the head is taken before the body is read. Why it works: no trailer has arrived then.

--- a/packages/entry/src/http_session.cc
+++ b/packages/entry/src/http_session.cc
@@ -186,8 +186,8 @@
     refuse({front_error::MalformedRequest, "transfer coding"});
     return;
   }
-  std::optional<std::string_view> Expect =
-      toOptional(Parser->get().base(), "Expect");
+  Head = Parser->get().base();
+  std::optional<std::string_view> Expect = toOptional(Head, "Expect");
   setDeadline(Owner.limits().BodyTimeout);
   if (!Expect || Parser->is_done()) {
     readBody();
@@ -241,17 +241,16 @@
 }
 
 raw_request http_session::rawRequest() const {
-  const parser::value_type &Message = Parser->get();
   raw_request Raw;
-  beast::string_view Method = Message.method_string();
-  beast::string_view Target = Message.target();
+  beast::string_view Method = Head.method_string();
+  beast::string_view Target = Head.target();
   Raw.Method = std::string_view(Method.data(), Method.size());
   Raw.Target = std::string_view(Target.data(), Target.size());
-  Raw.DeadlineMs = toOptional(Message, "Jasminecroft-Deadline-Ms");
-  Raw.IdempotencyKey = toOptional(Message, "Idempotency-Key");
-  Raw.Attempt = toOptional(Message, "Jasminecroft-Attempt");
-  Raw.TokenLimit = toOptional(Message, "Jasminecroft-Token-Limit");
-  Raw.Accept = toOptional(Message, "Accept");
+  Raw.DeadlineMs = toOptional(Head, "Jasminecroft-Deadline-Ms");
+  Raw.IdempotencyKey = toOptional(Head, "Idempotency-Key");
+  Raw.Attempt = toOptional(Head, "Jasminecroft-Attempt");
+  Raw.TokenLimit = toOptional(Head, "Jasminecroft-Token-Limit");
+  Raw.Accept = toOptional(Head, "Accept");
   return Raw;
 }
 
@@ -266,8 +265,7 @@
     serveOperator();
     return;
   }
-  if (std::optional<front_refusal> Refusal =
-          findRepeatedHeader(Parser->get())) {
+  if (std::optional<front_refusal> Refusal = findRepeatedHeader(Head)) {
     refuse(*Refusal);
     return;
   }
--- a/packages/entry/src/http_session.h
+++ b/packages/entry/src/http_session.h
@@ -103,6 +103,8 @@
   session_owner &Owner;
   boost::beast::flat_buffer Buffer;
   std::optional<parser> Parser;
+  /// Taken before the body is read: the parser adds trailers to the headers.
+  boost::beast::http::request_header<> Head;
   phase Phase = phase::Idle;
   /// Set only while a time limit holds.
   std::optional<clock::time_point> Deadline;
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -156,6 +156,7 @@
     refuseEarly(BadRequest, "unknown transfer coding");
     return;
   }
+  Head = headOf(Parser->get().base());
   if (Parser->is_done()) {
     dispatch();
     return;
@@ -192,7 +193,6 @@
   Deadline.reset();
   KeepAlive = Parser->keep_alive();
   HeadOnly = Parser->get().method() == http::verb::head;
-  platform::http_head Head = headOf(Parser->get().base());
   CallerId = platform::callerIdOf(Head);
   platform::decoded_request Decoded =
       platform::decodeRequest(std::move(Head), std::move(Parser->get().body()));
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -4,6 +4,7 @@
 
 #include "../io_types.h"
 #include "jasminecroft/core/serving/serving_core.h"
+#include "platform/http_text.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -99,6 +100,8 @@
   caller_session_owner &Owner;
   boost::beast::flat_buffer Buffer;
   std::optional<parser> Parser;
+  /// Taken before the body is read: the parser adds trailers to the headers.
+  platform::http_head Head;
   phase Phase = phase::Idle;
   std::optional<clock::time_point> Deadline;
   /// Set while the core has the request.
--- a/packages/testing/processes/include/jasminecroft/processes/raw_server.h
+++ b/packages/testing/processes/include/jasminecroft/processes/raw_server.h
@@ -16,6 +16,8 @@
 namespace jasminecroft::processes {
 
 struct raw_request {
+  /// Request line and headers.
+  std::string Head;
   std::string Target;
   std::string Id;
   std::string Body;
--- a/packages/testing/processes/src/raw_server.cc
+++ b/packages/testing/processes/src/raw_server.cc
@@ -85,6 +85,7 @@
     std::size_t Target = Head.find(' ') + 1;
     Request.Target = Head.substr(Target, Head.find(' ', Target) - Target);
     Request.Id = headerOf(Head, "X-Request-Id");
+    Request.Head = std::move(Head);
     Request.Body = Bytes.substr(HeadEnd + 4, Length);
     Bytes.erase(0, HeadEnd + 4 + Length);
     Reused += Number > 0 ? 1 : 0;
--- a/packages/testing/processes/test/request-framing-test.cc
+++ b/packages/testing/processes/test/request-framing-test.cc
@@ -62,6 +62,21 @@
          Framing + "\r\n";
 }
 
+/// Makes a server the only one of the plain pool.
+void listOnly(users_fleet &Fleet, const raw_server &Server) {
+  Fleet.on([&] {
+    Fleet.listAt("plain", "raw", Server.port());
+    Fleet.Store->remove("servers", "plain-0");
+    Fleet.Store->remove("servers", "plain-1");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+}
+
+std::string chunkedWithTrailers(const std::string &Head,
+                                const std::string &Trailers) {
+  return Head + "2\r\n{}\r\n0\r\n" + Trailers + "\r\n";
+}
+
 } // namespace
 
 // review/4: the body of such a request ran as a request of its own.
@@ -146,12 +161,7 @@
   });
   users_fleet Fleet(1);
   REQUIRE(Fleet.waitReady());
-  Fleet.on([&] {
-    Fleet.listAt("plain", "raw", Server.port());
-    Fleet.Store->remove("servers", "plain-0");
-    Fleet.Store->remove("servers", "plain-1");
-  });
-  std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+  listOnly(Fleet, Server);
   int Number = 0;
   for (const std::string &Line : BadFraming) {
     CAPTURE(Line);
@@ -162,3 +172,51 @@
     CHECK(Reply.Body.find("coded") == std::string::npos);
   }
 }
+
+TEST_CASE("a trailer of a request counts as no header of it") {
+  std::string Got;
+  raw_server Server(
+      [&Got](const raw_request &Request, int, const raw_server::writer &Write) {
+        Got = Request.Head;
+        Write(answer(signature(Request.Id), "done"));
+      });
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  listOnly(Fleet, Server);
+  const std::string Framing = "Transfer-Encoding: chunked\r\n"
+                              "X-Model: m\r\nConnection: close\r\n";
+  std::string Text = answersTo(
+      Fleet.CallerPorts[0],
+      chunkedWithTrailers(usersHead("trailed", Framing),
+                          "X-Token-Count: 9,9\r\nConnection: X-Model\r\n"));
+  CHECK(Text.starts_with("HTTP/1.1 200 "));
+  CHECK(Got.find("X-Model: m\r\n") != std::string::npos);
+  CHECK(Got.find("X-Token-Count") == std::string::npos);
+  // A key in a trailer opens no route.
+  std::string NoKey = usersHead("keyless", Framing);
+  NoKey.erase(NoKey.find("Authorization"),
+              NoKey.find("Transfer-Encoding") - NoKey.find("Authorization"));
+  Got.clear();
+  Text =
+      answersTo(Fleet.CallerPorts[0],
+                chunkedWithTrailers(NoKey, "Authorization: Bearer key-1\r\n"));
+  CHECK(Text.starts_with("HTTP/1.1 401 "));
+  CHECK(Got.empty());
+}
+
+TEST_CASE("a trailer of a call gives it no key") {
+  fleet_options Options;
+  Options.EntryHosts = 1;
+  Options.Backends = 1;
+  local_fleet Fleet(Options);
+  REQUIRE(Fleet.waitAllReady());
+  std::string Text =
+      answersTo(Fleet.callerPort(0),
+                chunkedWithTrailers(
+                    "POST /v1/workspaces/w/pipelines/work-order HTTP/1.1\r\n"
+                    "Host: x\r\nTransfer-Encoding: chunked\r\n"
+                    "Connection: close\r\n\r\n",
+                    "Idempotency-Key: late\r\n"));
+  CHECK(Text.starts_with("HTTP/1.1 400 "));
+  CHECK(Text.find("missing_idempotency_key") != std::string::npos);
+}
