Close connections to the platform with bytes behind an answer

What could happen: an extra answer of the platform was read as the answer to the host's next call, which had asked for another object.

Cause: the client of the platform's objects kept connections whatever had been received behind an answer, and used them without a look.

Ruled out for the store of the users' platform: its client looks.

Change: both pools of connections ask isQuiet before a connection is used; bytes behind an answer end it. Why it works: a connection that is used holds nothing that was sent before the call.

--- a/packages/entry/src/connection_pool.cc
+++ b/packages/entry/src/connection_pool.cc
@@ -1,6 +1,8 @@
 // Socket options, and checks of idle connections before they are used again.
 #include "connection_pool.h"
 
+#include "jasminecroft/wire/quiet_socket.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -16,14 +18,6 @@
 /// Longest time that written bytes may go unacknowledged.
 constexpr int UserTimeoutMs = 3'000;
 
-// Whether an idle connection has neither ended nor received anything.
-bool isQuiet(tcp_socket &Socket) {
-  char Byte = 0;
-  ssize_t Result =
-      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 void setOption(int Socket, int Level, int Name, int Value) {
   ::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
 }
@@ -51,7 +45,7 @@
     Connections.pop_back();
     bool InTime =
         !Connection.UsableUntil || clock::now() < *Connection.UsableUntil;
-    if (InTime && isQuiet(Connection.Socket)) {
+    if (InTime && isQuiet(Connection.Socket.native_handle())) {
       ++Counters.Reused;
       return std::move(Connection.Socket);
     }
--- a/packages/platform/src/http_object_api.cc
+++ b/packages/platform/src/http_object_api.cc
@@ -3,6 +3,7 @@
 #include "jasminecroft/platform/object_api.h"
 #include "jasminecroft/wire/http_framing.h"
 #include "jasminecroft/wire/json_codec.h"
+#include "jasminecroft/wire/quiet_socket.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -147,11 +148,13 @@
 
   /// Null if no connection is idle.
   std::unique_ptr<beast::tcp_stream> take() {
-    if (Idle.empty())
-      return nullptr;
-    std::unique_ptr<beast::tcp_stream> Stream = std::move(Idle.back());
-    Idle.pop_back();
-    return Stream;
+    while (!Idle.empty()) {
+      std::unique_ptr<beast::tcp_stream> Stream = std::move(Idle.back());
+      Idle.pop_back();
+      if (isQuiet(Stream->socket().native_handle()))
+        return Stream;
+    }
+    return nullptr;
   }
 
   void give(std::unique_ptr<beast::tcp_stream> Stream) {
@@ -248,7 +251,7 @@
     platform_result Result = toResult(Response, IsWrite);
     if (IsList && Response.result() == http::status::ok)
       Result = listedObjects(Response);
-    if (Response.keep_alive()) {
+    if (Response.keep_alive() && Buffer.size() == 0) {
       Stream->expires_never();
       Pool->give(std::move(Stream));
     }
