Log an unreadable object of the store once for each revision

Entries that cannot be read were logged at every read of a list, with fields that differed by kind, and not counted. They are told once for each revision, with kind, name, problem and field (606), and the metric `unreadable_objects` counts them. Objects without a readable name are told apart by a digest.

--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -161,6 +161,7 @@
     Gauges.BackendConnectionsOpened = Backends.counters().Opened;
     Gauges.LogLinesDropped = Log.dropped();
     Gauges.StoreCallsFailed = Store.failedCalls();
+    Gauges.UnreadableObjects = Store.unreadableObjects();
     Gauges.StoreSilences = Store.silences();
     Gauges.StoreCalls = Store.calls();
     return Metrics.render(Core.counters(), Gauges);
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -118,6 +118,8 @@
             static_cast<double>(Gauges.BackendConnectionsOpened));
   Impl->set("log_lines_dropped", static_cast<double>(Gauges.LogLinesDropped));
   Impl->set("store_calls_failed", static_cast<double>(Gauges.StoreCallsFailed));
+  Impl->set("unreadable_objects",
+            static_cast<double>(Gauges.UnreadableObjects));
   for (const std::pair<std::string_view, std::chrono::milliseconds> &Silence :
        Gauges.StoreSilences)
     Impl->set("store_silent_ms_" + std::string(Silence.first),
--- a/packages/entry/src/serving/serving_metrics.h
+++ b/packages/entry/src/serving/serving_metrics.h
@@ -23,6 +23,7 @@
   std::uint64_t BackendConnectionsOpened = 0;
   std::uint64_t LogLinesDropped = 0;
   std::uint64_t StoreCallsFailed = 0;
+  std::uint64_t UnreadableObjects = 0;
   /// Time since the store last answered, by kind of objects.
   std::vector<std::pair<std::string_view, std::chrono::milliseconds>>
       StoreSilences;
--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -18,6 +18,8 @@
                                    milliseconds(10'000), false};
 constexpr watch_rules EntryHostRules{milliseconds(1'000), milliseconds(30'000),
                                      milliseconds(30'000), true};
+/// Unreadable objects that are remembered, so that none is told twice.
+constexpr std::size_t MaxToldUnreadable = 1'024;
 
 } // namespace
 
@@ -139,10 +141,22 @@
   Changed();
 }
 void serving_store::onUnreadable(std::string_view Kind,
-                                 const platform::object_error &Error) {
+                                 const platform::unreadable_object &Object) {
+  tellUnreadable(Kind, "", Object.Digest, Object.Error);
+}
+void serving_store::tellUnreadable(std::string_view Kind,
+                                   const std::string &Name,
+                                   std::uint64_t Revision,
+                                   const platform::object_error &Error) {
+  if (ToldUnreadable.size() >= MaxToldUnreadable)
+    ToldUnreadable.clear();
+  if (!ToldUnreadable.insert({{std::string(Kind), Name}, Revision}).second)
+    return;
+  ++UnreadableObjects;
   write(event_number::BackendEntryUnreadable, event_severity::Warning,
         "object of the platform's store cannot be read and is ignored",
         {{"kind", std::string(Kind)},
+         {"name", Name},
          {"problem", std::string(platform::toText(Error.Problem))},
          {"field", Error.Where}});
 }
@@ -213,11 +227,8 @@
       platform::decodeBackend(Object);
   if (platform::object_error *Problem =
           std::get_if<platform::object_error>(&Decoded)) {
-    write(event_number::BackendEntryUnreadable, event_severity::Warning,
-          "entry of a backend server cannot be read and is ignored",
-          {{"server", Object.Name},
-           {"problem", std::string(platform::toText(Problem->Problem))},
-           {"field", Problem->Where}});
+    tellUnreadable(platform::BackendKind, Object.Name, Object.Revision.Value,
+                   *Problem);
     return std::nullopt;
   }
   return std::get<backend_entry>(Decoded);
@@ -254,9 +265,8 @@
   if (batching_host *Host = std::get_if<batching_host>(&Decoded))
     Core.onHost(*Host, now());
   else
-    write(event_number::BackendEntryUnreadable, event_severity::Warning,
-          "entry of an entry host cannot be read and is ignored",
-          {{"host", Object.Name}});
+    tellUnreadable(platform::EntryHostKind, Object.Name, Object.Revision.Value,
+                   std::get<platform::object_error>(Decoded));
 }
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace jasminecroft::detail {
@@ -39,6 +40,8 @@
   std::vector<std::pair<std::string, std::uint64_t>> calls() const;
   /// Calls that failed since the start.
   std::uint64_t failedCalls() const { return FailedCalls; }
+  /// Objects that could not be read since the start, each revision once.
+  std::uint64_t unreadableObjects() const { return UnreadableObjects; }
   /// Decodes a configuration and hands it to the core if it can be read.
   void takeConfig(const std::string &Text);
 
@@ -50,7 +53,7 @@
   void onChange(std::string_view Kind,
                 const platform::store_object &Object) override;
   void onUnreadable(std::string_view Kind,
-                    const platform::object_error &Error) override;
+                    const platform::unreadable_object &Object) override;
   void onReadTo(std::string_view Kind, object_version Revision) override;
   void onStoreLost(std::string_view Kind, std::string_view Why) override;
   void onStoreBack(std::string_view Kind) override;
@@ -62,6 +65,10 @@
   void takeBackend(const platform::store_object &Object);
   void takeEntryHost(const platform::store_object &Object);
   static std::optional<store_kind> coreKind(std::string_view Kind);
+  /// Logs and counts an object that cannot be read, once for each revision.
+  void tellUnreadable(std::string_view Kind, const std::string &Name,
+                      std::uint64_t Revision,
+                      const platform::object_error &Error);
   void write(event_number Number, event_severity Severity,
              std::string_view Message, std::vector<event_field> Fields);
 
@@ -74,6 +81,11 @@
   store_reach Reach;
   std::vector<std::shared_ptr<store_watch>> Watches;
   std::shared_ptr<host_registration> Registration;
+  /// By kind and name. An object without a readable name has its digest as
+  /// revision.
+  using unreadable_key = std::pair<std::string, std::string>;
+  std::set<std::pair<unreadable_key, std::uint64_t>> ToldUnreadable;
+  std::uint64_t UnreadableObjects = 0;
   std::uint64_t FailedCalls = 0;
 };
 
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -246,8 +246,8 @@
     return;
   }
   platform::object_list &List = std::get<platform::object_list>(Decoded);
-  for (const platform::object_error &Error : List.Unreadable)
-    Listener.onUnreadable(Kind, Error);
+  for (const platform::unreadable_object &Object : List.Unreadable)
+    Listener.onUnreadable(Kind, Object);
   if (Pages.empty())
     FirstPage = List.Current;
   bool More = List.More && !List.Objects.empty();
@@ -276,8 +276,8 @@
   }
   Pause.reset();
   platform::object_events &Events = std::get<platform::object_events>(Decoded);
-  for (const platform::object_error &Error : Events.Unreadable)
-    Listener.onUnreadable(Kind, Error);
+  for (const platform::unreadable_object &Object : Events.Unreadable)
+    Listener.onUnreadable(Kind, Object);
   for (const platform::store_object &Object : Events.Changes)
     Listener.onChange(Kind, Object);
   Since = std::max(Since, Events.Current);
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -47,7 +47,7 @@
                         const platform::store_object &Object) = 0;
   /// An object of the kind cannot be read, not even its name.
   virtual void onUnreadable(std::string_view Kind,
-                            const platform::object_error &Error) = 0;
+                            const platform::unreadable_object &Object) = 0;
   /// All changes up to Revision have been told.
   virtual void onReadTo(std::string_view Kind, object_version Revision) = 0;
   /// Calls fail; what is known may be out of date.
--- a/packages/entry/test/store-watch-test.cc
+++ b/packages/entry/test/store-watch-test.cc
@@ -47,7 +47,8 @@
                 const platform::store_object &Object) override {
     Changed.push_back(Object.Name);
   }
-  void onUnreadable(std::string_view, const platform::object_error &) override {
+  void onUnreadable(std::string_view,
+                    const platform::unreadable_object &) override {
     ++Unreadable;
   }
   void onReadTo(std::string_view, object_version Revision) override {
--- a/packages/testing/processes/test/odd-entries-test.cc
+++ b/packages/testing/processes/test/odd-entries-test.cc
@@ -123,6 +123,23 @@
   CHECK_FALSE(Fleet.Processes[0]->waitExit(std::chrono::seconds(0)));
 }
 
+TEST_CASE("an odd entry is logged once, with its name and reason") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  Fleet.on([&] {
+    Fleet.Store->putText("servers", "odd-born",
+                         entry("127.0.0.1:9", R"(,"born":-1)"));
+  });
+  std::this_thread::sleep_for(DrainBound);
+  std::string Log = Fleet.logOf(0);
+  std::size_t First = Log.find("\"odd-born\"");
+  REQUIRE(First != std::string::npos);
+  CHECK(Log.find("\"born\"", First) != std::string::npos);
+  CHECK(Log.find("\"problem\":\"wrong type\"") != std::string::npos);
+  CHECK(Log.find("cannot be read", Log.find("cannot be read") + 1) ==
+        std::string::npos);
+}
+
 TEST_CASE("a server whose entry turns unreadable is not used") {
   users_fleet Fleet(1);
   REQUIRE(Fleet.waitReady());
