Heed servers that say in their answers that they leave

The run that was called is marked in the directory's set of leaving runs, where all ways to a server begin, and the host tells all others once (`server_leaving`, body 31). What is in progress there is finished; a list that still says `ready` does not undo it, a later start does.

Not done: the product's own path has its own report of leaving (601), which stays as it is.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -301,6 +301,12 @@
   request_id Request;
   bool operator==(const send_permit_request &) const = default;
 };
+/// A run of a backend server said in a reply that it leaves.
+struct server_leaving {
+  backend_id Server;
+  incarnation Run;
+  bool operator==(const server_leaving &) const = default;
+};
 struct send_permit_reply {
   backend_id Server;
   request_id Request;
@@ -363,7 +369,7 @@
     piece_request, pieces_accepted, pieces_completed, pieces_failed,
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
     store_poll, store_news, crash_report, part_rulings, server_limit_list,
-    send_permit_request, send_permit_reply>;
+    send_permit_request, send_permit_reply, server_leaving>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -81,6 +81,8 @@
   backend_changes changesSince(object_version Since) const;
   /// The server itself reported that it is shutting down or is another run.
   void markLeaving(const backend_id &Id);
+  /// The same for one run, listed or not. Returns whether that was not known.
+  bool markLeaving(const backend_id &Id, incarnation Run);
   /// Erases servers that have been unlisted for a long time.
   void evictUnlisted(core_time Now);
 
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -257,6 +257,9 @@
   /// What the head of a reply says of its server's limit. Precedes the event of
   /// the reply itself.
   void onStatedLimit(call_id Call, const stated_limit &Stated, core_time Now);
+  /// A reply says that its server, as it was called, leaves. Precedes the event
+  /// of the reply itself.
+  void onServerLeaving(const backend_entry &Server, core_time Now);
   void onCallFailed(call_id Call, call_failure Failure, core_time Now);
   void onPiecesAnswered(call_id Call,
                         const std::vector<batch_item_result> &Results,
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -96,9 +96,13 @@
 }
 
 void backend_directory::markLeaving(const backend_id &Id) {
-  UsableByPool.clear();
   if (const backend_state *State = find(Id))
-    LeavingRuns.insert({Id, State->Entry.Run});
+    markLeaving(Id, State->Entry.Run);
+}
+
+bool backend_directory::markLeaving(const backend_id &Id, incarnation Run) {
+  UsableByPool.clear();
+  return LeavingRuns.insert({Id, Run}).second;
 }
 
 void backend_directory::evictUnlisted(core_time Now) {
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -64,6 +64,28 @@
   }
 }
 
+// Returns whether the run was not known to leave.
+bool serving_impl::markLeaving(const backend_id &Server, incarnation Run,
+                               std::string_view Source) {
+  if (!Servers.markLeaving(Server, Run))
+    return false;
+  log(event_number::BackendLeaving, event_severity::Info,
+      "backend server says that it leaves",
+      {{"backend", Server.Value}, {"source", std::string(Source)}});
+  return true;
+}
+
+void serving_impl::onServerLeaving(const backend_entry &Server) {
+  if (!markLeaving(Server.Id, Server.Run, "reply"))
+    return;
+  for (const batching_host &Host : Hosts.ring())
+    sendToHost(Host.Host, server_leaving{Server.Id, Server.Run});
+}
+
+void serving_impl::on(const host_run &, const server_leaving &Body) {
+  markLeaving(Body.Server, Body.Run, "peer");
+}
+
 // Returns the limited servers to which the request may not be sent now.
 std::set<backend_id>
 serving_impl::unavailableByLimit(const request_state &State) {
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -291,6 +291,10 @@
   event_scope Event(*Impl, Now);
   Impl->onStatedLimit(Call, Stated);
 }
+void serving_core::onServerLeaving(const backend_entry &Server, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onServerLeaving(Server);
+}
 void serving_core::onCallFailed(call_id Call, call_failure Failure,
                                 core_time Now) {
   event_scope Event(*Impl, Now);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -171,8 +171,9 @@
                         const std::optional<backend_load> &Load, core_time Now);
   void onPiecesRefused(call_id Call, bool WrongServer, core_time Now);
 
-  // Limits that servers name: serving_limits.cc.
+  // What servers say of themselves: serving_limits.cc.
   void onStatedLimit(call_id Call, const stated_limit &Stated);
+  void onServerLeaving(const backend_entry &Server);
 
   // Peers: serving_peers.cc.
   void start(core_time Now);
@@ -319,6 +320,9 @@
   void onPermitTimeout(request_id Request);
   void continueRequest(request_state &State);
   void on(const host_run &Sender, const server_limit_list &Body);
+  bool markLeaving(const backend_id &Server, incarnation Run,
+                   std::string_view Source);
+  void on(const host_run &Sender, const server_leaving &Body);
   void on(const host_run &Sender, const send_permit_request &Body);
   void on(const host_run &Sender, const send_permit_reply &Body);
 
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -22,22 +22,30 @@
     Results.onStatedLimit(Call, *Stated);
 }
 
+void tellLeaving(backend_results &Results, const backend_entry &Server,
+                 const platform::http_head &Head) {
+  if (platform::saysLeaving(Head))
+    Results.onServerLeaving(Server);
+}
+
 /// A caller's request. Streams are handed on by whole events.
 class forward_listener final : public backend_call_listener {
 public:
   forward_listener(serving_backends &Backends, backend_results &Results,
-                   call_id Call, caller_request_id CallerId)
+                   call_id Call, const forward_call &Forward)
       : Backends(Backends), Results(Results), Call(Call),
-        CallerId(std::move(CallerId)) {}
+        CallerId(Forward.CallerId), Server(Forward.Server) {}
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
     Backends.forget(Call);
+    tellLeaving(Results, Server, Head);
     tellLimit(Results, Call, Head);
     Results.onCompleteReply(Call, platform::decodeReply(Head, CallerId),
                             std::move(Body));
   }
 
   void onStreamHead(const platform::http_head &Head) override {
+    tellLeaving(Results, Server, Head);
     tellLimit(Results, Call, Head);
     Results.onStreamHead(Call, platform::decodeReply(Head, CallerId));
   }
@@ -114,6 +122,7 @@
   backend_results &Results;
   call_id Call;
   caller_request_id CallerId;
+  backend_entry Server;
   /// Beginning of an event that is not whole yet.
   std::string Pending;
   std::optional<std::uint64_t> Newest;
@@ -122,11 +131,13 @@
 class pieces_listener final : public backend_call_listener {
 public:
   pieces_listener(serving_backends &Backends, backend_results &Results,
-                  call_id Call, std::size_t Expected)
-      : Backends(Backends), Results(Results), Call(Call), Expected(Expected) {}
+                  call_id Call, backend_entry Server, std::size_t Expected)
+      : Backends(Backends), Results(Results), Call(Call),
+        Server(std::move(Server)), Expected(Expected) {}
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
     Backends.forget(Call);
+    tellLeaving(Results, Server, Head);
     tellLimit(Results, Call, Head);
     platform::decoded_pieces Decoded =
         platform::decodePieces(Head, Body, Expected);
@@ -151,37 +162,48 @@
   serving_backends &Backends;
   backend_results &Results;
   call_id Call;
+  backend_entry Server;
   std::size_t Expected;
 };
 
 /// Freed results need no answer: they expire by themselves.
 class free_listener final : public backend_call_listener {
 public:
-  void onWhole(const platform::http_head &, std::string) override {}
+  free_listener(backend_results &Results, backend_entry Server)
+      : Results(Results), Server(std::move(Server)) {}
+
+  void onWhole(const platform::http_head &Head, std::string) override {
+    tellLeaving(Results, Server, Head);
+  }
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
   void onStreamEnd(answer_end) override {}
   void onFailed(call_failure) override {}
+
+private:
+  backend_results &Results;
+  backend_entry Server;
 };
 
 class load_listener final : public backend_call_listener {
 public:
-  load_listener(backend_results &Results, backend_id Server)
+  load_listener(backend_results &Results, backend_entry Server)
       : Results(Results), Server(std::move(Server)) {}
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
-    Results.onServerLoad(Server, platform::decodePiecesLoad(Head, Body));
+    tellLeaving(Results, Server, Head);
+    Results.onServerLoad(Server.Id, platform::decodePiecesLoad(Head, Body));
   }
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
   void onStreamEnd(answer_end) override {}
   void onFailed(call_failure) override {
-    Results.onServerLoad(Server, std::nullopt);
+    Results.onServerLoad(Server.Id, std::nullopt);
   }
 
 private:
   backend_results &Results;
-  backend_id Server;
+  backend_entry Server;
 };
 
 } // namespace
@@ -195,9 +217,9 @@
   Request.MayReuseConnection = Forward.MayReuseConnection;
   Request.Streamed = Forward.Streamed;
   Request.HeadOnly = Forward.Message->Method == "HEAD";
-  Calls[Call] = startBackendCall(Context, Pool, std::move(Request),
-                                 std::make_shared<forward_listener>(
-                                     *this, Results, Call, Forward.CallerId));
+  Calls[Call] = startBackendCall(
+      Context, Pool, std::move(Request),
+      std::make_shared<forward_listener>(*this, Results, Call, Forward));
 }
 
 void serving_backends::runPieces(call_id Call, const backend_entry &Server,
@@ -209,9 +231,10 @@
   Request.Timeout = Timeout;
   // Answers for pieces do not name their call.
   Request.KeepConnection = false;
-  Calls[Call] = startBackendCall(
-      Context, Pool, std::move(Request),
-      std::make_shared<pieces_listener>(*this, Results, Call, Items.size()));
+  Calls[Call] =
+      startBackendCall(Context, Pool, std::move(Request),
+                       std::make_shared<pieces_listener>(*this, Results, Call,
+                                                         Server, Items.size()));
 }
 
 void serving_backends::freeResults(const backend_entry &Server,
@@ -221,7 +244,7 @@
   Request.Text = platform::encodeFree(Server, Handles);
   Request.Timeout = SideCallTimeout;
   startBackendCall(Context, Pool, std::move(Request),
-                   std::make_shared<free_listener>());
+                   std::make_shared<free_listener>(Results, Server));
 }
 
 void serving_backends::readServer(const backend_entry &Server) {
@@ -230,7 +253,7 @@
   Request.Text = platform::encodeLoadQuestion(Server);
   Request.Timeout = SideCallTimeout;
   startBackendCall(Context, Pool, std::move(Request),
-                   std::make_shared<load_listener>(Results, Server.Id));
+                   std::make_shared<load_listener>(Results, Server));
 }
 
 void serving_backends::cancel(call_id Call) {
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -20,6 +20,7 @@
                               std::uint64_t First, std::uint64_t Last) = 0;
   virtual void onStreamEnd(call_id Call) = 0;
   virtual void onStatedLimit(call_id Call, const stated_limit &Stated) = 0;
+  virtual void onServerLeaving(const backend_entry &Server) = 0;
   virtual void onCallFailed(call_id Call, call_failure Failure) = 0;
   virtual void onPiecesAnswered(call_id Call,
                                 const std::vector<batch_item_result> &Results,
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -396,6 +396,9 @@
   void onStatedLimit(call_id Call, const stated_limit &Stated) override {
     Core.onStatedLimit(Call, Stated, now());
   }
+  void onServerLeaving(const backend_entry &Server) override {
+    Core.onServerLeaving(Server, now());
+  }
   void onCallFailed(call_id Call, call_failure Failure) override {
     Core.onCallFailed(Call, Failure, now());
     arm();
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -73,6 +73,10 @@
   void onLimitTold(const backend_id &Server, std::size_t Host, core_time Now);
   /// A host is excused as if it had not been told.
   void onHostLost(std::size_t Host);
+  /// A reply has told the host that its server leaves.
+  void onLeavingTold(const backend_id &Server, std::size_t Host, core_time Now);
+  /// A request or a call for pieces arrives; counts as an arrival too.
+  void onCall(const backend_id &Server, std::size_t Host, core_time Now);
   /// A request of a host reached the server, whatever became of it.
   void onArrival(const backend_id &Server, std::size_t Host, core_time Now);
   std::size_t arrivalsSince(const backend_id &Server, core_time From) const;
@@ -114,6 +118,7 @@
   std::map<caller_request_id, booked_request> Requests;
   violation_list Violations;
   std::map<backend_id, limited_server> Limits;
+  std::map<std::pair<backend_id, std::size_t>, core_time> LeavingTold;
   std::map<backend_id, std::vector<std::pair<core_time, std::size_t>>> Arrivals;
   std::vector<core_time> CrashingSent;
   std::vector<core_time> PartCrashes;
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -93,6 +93,8 @@
   void slowServer(std::size_t Server, double Factor);
   /// It reports that it leaves; another one takes its place.
   void replaceServer(std::size_t Server);
+  /// The same, but only its replies say so until it is off the list.
+  void replaceSilently(std::size_t Server);
   /// Ends all faults and starts what is down.
   void calm();
 
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -22,6 +22,8 @@
 constexpr core_duration LimitWindow = std::chrono::seconds(4);
 constexpr double LimitFactor = 1.5;
 constexpr double LimitSlack = 5;
+/// A call that was sent before its host was told arrives by then.
+constexpr core_duration OnTheWay = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -56,6 +58,13 @@
 void serving_book::onHostLost(std::size_t Host) {
   for (std::pair<const backend_id, limited_server> &Limit : Limits)
     Limit.second.ToldAt.erase(Host);
+  std::erase_if(LeavingTold,
+                [Host](const auto &Told) { return Told.first.second == Host; });
+}
+
+void serving_book::onLeavingTold(const backend_id &Server, std::size_t Host,
+                                 core_time Now) {
+  LeavingTold.emplace(std::pair(Server, Host), Now);
 }
 
 void serving_book::onArrival(const backend_id &Server, std::size_t Host,
@@ -64,6 +73,14 @@
   judgeLimit(Server, Now);
 }
 
+void serving_book::onCall(const backend_id &Server, std::size_t Host,
+                          core_time Now) {
+  auto Told = LeavingTold.find({Server, Host});
+  if (Told != LeavingTold.end() && Now > Told->second + OnTheWay)
+    onLeavingUsed(Server, Now - Told->second, Now);
+  onArrival(Server, Host, Now);
+}
+
 void serving_book::judgeLimit(const backend_id &Server, core_time Now) {
   auto Limit = Limits.find(Server);
   if (Limit == Limits.end() || !Limit->second.PerSecond ||
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -92,6 +92,9 @@
              }},
     weighted{
         3, [](serving_world &World) { World.replaceServer(anyServer(World)); }},
+    weighted{
+        2,
+        [](serving_world &World) { World.replaceSilently(anyServer(World)); }},
     weighted{2, [](serving_world &World) {
                network_quality Quality;
                std::uint64_t Loss =
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -333,6 +333,24 @@
   });
 }
 
+void serving_world::replaceSilently(std::size_t Number) {
+  server_slot &Slot = Servers[Number % Servers.size()];
+  if (!Slot.Server->Up)
+    return;
+  const backend_entry Entry = Slot.Server->Entry;
+  Slot.Server->SaysLeaving = true;
+  Leaving.push_back(std::move(Slot.Server));
+  Slot.Server = makeServer(Slot.Pool, Slot.Zone);
+  tellHosts(Slot.Server->Entry, false);
+  after(LeavingTime, [this, Entry] { tellHosts(Entry, true); });
+  after(2 * LeavingTime, [this, Entry] {
+    if (world_server *Server = findServer(Entry.Id))
+      Server->Up = false;
+    for (const std::unique_ptr<world_host> &Host : Hosts)
+      Host->breakCalls(Entry.Id);
+  });
+}
+
 void serving_world::changeConfig() {
   NewestConfig = config_version(NewestConfig.Value + 1);
   for (const std::unique_ptr<world_host> &Host : Hosts)
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -370,7 +370,7 @@
           HasRead ? Server->LeavingKnownAt : Server->LeavingToldAt;
       if (Known && World.now() > *Known)
         World.Book.onLeavingUsed(Wanted, World.now() - *Known, World.now());
-      World.Book.onArrival(Wanted, Link.Host, World.now());
+      World.Book.onCall(Wanted, Link.Host, World.now());
       Begin(*Server, Link);
       return;
     }
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -133,6 +133,8 @@
   double Slow = 1;
   /// Requests a second that it says it takes.
   std::optional<double> Limit;
+  /// Its replies say that it leaves.
+  bool SaysLeaving = false;
   /// Since when every host that watches the store knows that it leaves, and
   /// since when every other host does.
   std::optional<core_time> LeavingKnownAt;
@@ -141,7 +143,8 @@
 protected:
   void answer(const world_link &Link, bool Last,
               std::function<void(serving_core &, core_time)> Event);
-  /// The same for what begins with the head of a reply, which names the limit.
+  /// The same for what begins with the head of a reply, which names the limit
+  /// and says whether the server leaves.
   void answerHead(const world_link &Link, bool Last,
                   std::function<void(serving_core &, core_time)> Event);
   void after(core_duration Time, std::function<void()> Action);
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -284,8 +284,12 @@
     std::function<void(serving_core &, core_time)> Event) {
   stated_limit Stated{Limit};
   answer(Link, Last,
-         [this, Link, Stated, Event = std::move(Event)](serving_core &Core,
-                                                        core_time Now) {
+         [this, Link, Stated, Says = SaysLeaving,
+          Event = std::move(Event)](serving_core &Core, core_time Now) {
+           if (Says) {
+             World.book().onLeavingTold(Entry.Id, Link.Host, Now);
+             Core.onServerLeaving(Entry, Now);
+           }
            if (Stated.PerSecond)
              World.book().onLimitTold(Entry.Id, Link.Host, Now);
            Core.onStatedLimit(Link.Call, Stated, Now);
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -51,6 +51,7 @@
   ServerLimitList = 28,
   SendPermitRequest = 29,
   SendPermitReply = 30,
+  ServerLeaving = 31,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -304,6 +305,9 @@
 template <>
 struct number_of<send_permit_reply>
     : number_constant<body_number::SendPermitReply> {};
+template <>
+struct number_of<server_leaving> : number_constant<body_number::ServerLeaving> {
+};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -234,6 +234,14 @@
   Reader.version("request", Body.Request);
 }
 
+cbor_value writeBody(const server_leaving &Body) {
+  return writeRecord(Body.Server.Value, Body.Run.Value);
+}
+void readBody(field_reader &Reader, server_leaving &Body) {
+  Reader.id("server", Body.Server);
+  Reader.version("run", Body.Run);
+}
+
 cbor_value writeBody(const send_permit_reply &Body) {
   return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
                      Body.RetryIn.count());
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -218,7 +218,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(30)) {
+  switch (below(31)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -315,6 +315,8 @@
   case 28:
     return send_permit_reply{anyId<backend_id>(), anyNumber<request_id>(),
                              below(2) == 0, anyDuration()};
+  case 29:
+    return server_leaving{anyId<backend_id>(), anyNumber<incarnation>()};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
@@ -410,7 +412,7 @@
   Bytes[1] = PeerFormatVersion + 1;
   CHECK(problemOf(Bytes) == codec_problem::UnknownVersion);
   Bytes = encodePeer(pullMessage());
-  // No body has the number 0; 1 to 30 are all taken.
+  // No body has the number 0; 1 to 31 are all taken.
   Bytes[Bytes.size() - 3] = 0x00;
   CHECK(problemOf(Bytes) == codec_problem::OutOfRange);
   Bytes = encodePeer(pullMessage());
