Send nothing to servers that ask for a pause

Change: the adapter reads the header of a 503, in seconds with or without a fraction; what cannot be read binds nobody and is counted (614). The directory keeps the end of the pause for the run that was called and hands out the servers that may be called now; first tries, retries, resumed streams, permits and questions for load ask it, queue owners plan with the end of the pause, freed results wait for it. If no server of a pool may be called, the request is refused as not run (`paused`) with the end of the first pause, spread over half a second. A retry after a time-out no longer cancels its call if no other server may be called.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -61,6 +61,8 @@
   PartCleared = 610,
   ServerLimited = 611,
   ServerLimitEnded = 612,
+  ServerPaused = 613,
+  ServerPauseUnreadable = 614,
   PlatformAway = 701,
   PlatformBack = 702,
   StoreCallBegun = 703,
--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -50,6 +50,8 @@
   std::uint32_t Failures = 0;
   /// End of the backoff: no new work before it unless no other server is left.
   core_time AvoidUntil;
+  /// Until then it wants nothing from this host.
+  core_time PausedUntil;
   /// Moving average of the time of a plain call, in microseconds; 0 if unknown.
   double CallMicros = 0;
 };
@@ -93,6 +95,15 @@
   /// draining. If there is none, returns those unlisted very recently: a
   /// platform outage may have removed healthy servers from the list.
   std::vector<backend_state *> usable(const pool_id &Pool, core_time Now);
+  /// Returns the usable servers that may be called now: without those that want
+  /// nothing from this host.
+  std::vector<backend_state *> callable(const pool_id &Pool, core_time Now);
+  /// Returns when the first server of a pool may be called again; absent if one
+  /// may be called now or none is usable.
+  std::optional<core_time> pausedUntil(const pool_id &Pool, core_time Now);
+  /// Leaves a run of a server alone until a time. Returns whether it was not
+  /// left alone before.
+  bool pause(const backend_entry &Server, core_time Until, core_time Now);
   /// Returns whether this run of a server names a limit.
   bool isLimited(const backend_entry &Entry) const {
     return Limits.find(Entry.Id, Entry.Run).has_value();
@@ -118,6 +129,8 @@
   std::set<std::pair<backend_id, incarnation>> LeavingRuns;
   /// Removals up to this revision may have been erased.
   object_version ErasedUpTo;
+  /// The latest end of a pause, so that times without one cost nothing.
+  core_time LastPauseEnd;
   /// Listed servers of a pool that are not leaving. Emptied by each change of
   /// an entry: a scan of all servers for each job would grow with the fleet.
   std::map<pool_id, std::vector<backend_state *>> UsableByPool;
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -75,6 +75,8 @@
   NoBackend,
   /// All servers of its pool name limits, and others use them up.
   Limited,
+  /// No server of its pool wants anything from this host for now.
+  Paused,
   /// This host stops before it could be completed; another host may take it.
   ShuttingDown,
   /// A part of its prompt crashes the backend servers that begin a reply.
@@ -112,6 +114,13 @@
   std::optional<backend_load> Load;
 };
 
+/// How long a server wants nothing from this host.
+struct stated_pause {
+  /// Absent if that cannot be read.
+  std::optional<core_duration> Time;
+  bool operator==(const stated_pause &) const = default;
+};
+
 /// A request as sent to one backend server.
 struct forward_call {
   backend_entry Server;
@@ -227,6 +236,10 @@
   std::uint64_t RefusedByLimit = 0;
   /// Servers that name a limit; a gauge.
   std::uint64_t LimitedServers = 0;
+  /// Requests that were refused because no server wanted any.
+  std::uint64_t RefusedByPause = 0;
+  /// Wishes for a pause that could not be read.
+  std::uint64_t OddPauses = 0;
   /// Parts of prompts in quarantine; a gauge.
   std::uint64_t QuarantinedParts = 0;
 };
@@ -260,6 +273,10 @@
   /// A reply says that its server, as it was called, leaves. Precedes the event
   /// of the reply itself.
   void onServerLeaving(const backend_entry &Server, core_time Now);
+  /// A server turned a call away and wants nothing from this host for a while.
+  /// Precedes the event of the reply itself.
+  void onServerPause(const backend_entry &Server, const stated_pause &Stated,
+                     core_time Now);
   void onCallFailed(call_id Call, call_failure Failure, core_time Now);
   void onPiecesAnswered(call_id Call,
                         const std::vector<batch_item_result> &Results,
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -249,8 +249,8 @@
     planned_server Planned;
     Planned.Id = Server->Entry.Id;
     Planned.Zone = Server->Entry.Zone;
-    core_time FreeAt =
-        std::max({Now, Tracked.BlockedUntil, Server->AvoidUntil});
+    core_time FreeAt = std::max(
+        {Now, Tracked.BlockedUntil, Server->AvoidUntil, Server->PausedUntil});
     bool Asked = Tracked.LoadQueriedAt &&
                  Now - *Tracked.LoadQueriedAt < LoadQueryTimeout;
     Planned.Idle = !Tracked.Running && FreeAt == Now && !Asked;
@@ -287,7 +287,8 @@
       continue;
     tracked_server &Tracked = TrackedServers[Server->Entry.Id];
     if (Tracked.Running || Tracked.LoadQueriedAt ||
-        Now < Tracked.LoadKnownUntil || Now < Server->AvoidUntil)
+        Now < Tracked.LoadKnownUntil || Now < Server->AvoidUntil ||
+        Now < Server->PausedUntil)
       continue;
     // Queries count against its limit: only the first one is worth a call.
     if (Servers.isLimited(Server->Entry) &&
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -342,14 +342,16 @@
     flushFrees(Server, Tracked, Now);
 }
 
-// Frees count against the limit of a server. Those that have to wait may expire
-// by themselves meanwhile.
+// Frees count against the limit of a server, and wait for the end of a pause.
+// Those that have to wait may expire by themselves meanwhile.
 void batch_owner::flushFrees(const backend_id &Id, tracked_server &Tracked,
                              core_time Now) {
   const backend_state *Server = Servers.find(Id);
-  if (Server && Servers.isLimited(Server->Entry) &&
-      !Servers.limits().tryAcquire(Id, Now)) {
-    Tracked.FlushAt = Now + Servers.limits().timeToNext(Id, Now);
+  bool Paused = Server && Now < Server->PausedUntil;
+  if (Paused || (Server && Servers.isLimited(Server->Entry) &&
+                 !Servers.limits().tryAcquire(Id, Now))) {
+    Tracked.FlushAt = Paused ? Server->PausedUntil
+                             : Now + Servers.limits().timeToNext(Id, Now);
     if (Tracked.PendingFrees.size() > MaxFreesPerCall)
       Tracked.PendingFrees.clear();
     return;
--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -84,7 +84,7 @@
                            const placement_query &Query, core_time Now) {
   backend_state *Best = nullptr;
   double BestScore = 0;
-  for (backend_state *Server : Servers.usable(Query.Pool, Now)) {
+  for (backend_state *Server : Servers.callable(Query.Pool, Now)) {
     if (Query.Excluded.contains(Server->Entry.Id))
       continue;
     double Score = plainScore(*Server, Query, Now);
@@ -99,7 +99,7 @@
 backend_state *chooseEngine(backend_directory &Servers,
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now) {
-  std::vector<backend_state *> Usable = Servers.usable(Query.Pool, Now);
+  std::vector<backend_state *> Usable = Servers.callable(Query.Pool, Now);
   if (Usable.empty())
     return nullptr;
   if (!Query.Prefix.empty()) {
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -67,7 +67,7 @@
   core_duration TimeLeft = State.Deadline - Now;
   if (!Server) {
     if (!waitForPermit(State))
-      failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
+      failUnserved(State, refusal_kind::NoBackend, NoBackendRetryAfter);
     return;
   }
   if (TimeLeft < MinTimeLeft) {
@@ -173,7 +173,7 @@
     return;
   }
   bool HasUntriedServer = false;
-  for (const backend_state *Server : Servers.usable(State.Pool, Now))
+  for (const backend_state *Server : Servers.callable(State.Pool, Now))
     HasUntriedServer =
         HasUntriedServer || !State.TriedServers.contains(Server->Entry.Id);
   bool WillRetry = HasUntriedServer && State.Deadline - Now > MinTimeLeft &&
@@ -186,7 +186,7 @@
        {"status", std::to_string(Head.Status)},
        {"again", WillRetry ? "yes" : "no"}});
   if (!WillRetry) {
-    failRequest(State, refusal_kind::Overloaded, OverloadRetryAfter);
+    failUnserved(State, refusal_kind::Overloaded, OverloadRetryAfter);
     return;
   }
   ++Counters.Repeats;
@@ -403,13 +403,13 @@
   if (Failure == call_failure::NotConnected && !State->HeadRelayed) {
     --State->Attempts;
     bool HasUntriedServer = false;
-    for (const backend_state *Other : Servers.usable(State->Pool, Now))
+    for (const backend_state *Other : Servers.callable(State->Pool, Now))
       HasUntriedServer =
           HasUntriedServer || !State->TriedServers.contains(Other->Entry.Id);
     if (HasUntriedServer)
       sendCall(*State);
     else
-      failRequest(*State, refusal_kind::NoBackend, NoBackendRetryAfter);
+      failUnserved(*State, refusal_kind::NoBackend, NoBackendRetryAfter);
     return;
   }
   handleBrokenCall(*State, Failure == call_failure::TimedOut);
@@ -418,7 +418,8 @@
 // Retries a retryable call that has not begun to respond in time.
 void serving_impl::onAttemptTimeout(call_id Call) {
   request_state *State = callRequest(Call);
-  if (!State || State->HeadRelayed || !reserveRetry(*State))
+  if (!State || State->HeadRelayed ||
+      Servers.callable(State->Pool, Now).empty() || !reserveRetry(*State))
     return;
   log(event_number::CallFailed, event_severity::Warning,
       "no answer yet; retrying on another backend server",
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -22,6 +22,10 @@
 /// host that counts them: only a reply shows that the limit has ended.
 constexpr core_duration MaxUnusedTime = std::chrono::seconds(2);
 
+/// Callers that were refused because of a pause are asked to come back spread
+/// over this time after its end.
+constexpr core_duration PauseEndSpread = milliseconds(500);
+
 } // namespace
 
 using namespace detail;
@@ -86,13 +90,57 @@
   markLeaving(Body.Server, Body.Run, "peer");
 }
 
+void serving_impl::onServerPause(const backend_entry &Server,
+                                 const stated_pause &Stated) {
+  if (!Stated.Time) {
+    ++Counters.OddPauses;
+    log(event_number::ServerPauseUnreadable, event_severity::Warning,
+        "backend server asks for a pause that cannot be read",
+        {{"backend", Server.Id.Value}});
+    return;
+  }
+  if (Servers.pause(Server, Now + *Stated.Time, Now))
+    log(event_number::ServerPaused, event_severity::Info,
+        "backend server wants no requests from this host for a while",
+        {{"backend", Server.Id.Value},
+         {"for_ms",
+          std::to_string(std::chrono::duration_cast<milliseconds>(*Stated.Time)
+                             .count())}});
+}
+
+// Ends a request for which no server may be called. If all servers of its pool
+// want nothing from this host, the caller is told when one will.
+void serving_impl::failUnserved(request_state &State, refusal_kind Kind,
+                                core_duration RetryAfter) {
+  std::optional<core_time> Until = Servers.pausedUntil(State.Pool, Now);
+  if (!Until) {
+    failRequest(State, Kind, RetryAfter);
+    return;
+  }
+  ++Counters.RefusedByPause;
+  std::uint64_t Point = XXH3_64bits(State.Request.CallerId.Value.data(),
+                                    State.Request.CallerId.Value.size());
+  core_duration Spread(static_cast<std::int64_t>(
+      Point % static_cast<std::uint64_t>(PauseEndSpread.count())));
+  failRequest(State, refusal_kind::Paused, *Until - Now + Spread);
+}
+
+// Refuses a request whose call would be due while no server may be called.
+bool serving_impl::refusePaused(request_state &State) {
+  std::optional<core_time> Until = Servers.pausedUntil(State.Pool, Now);
+  if (!Until || *Until <= Now + State.Forecast)
+    return false;
+  failUnserved(State, refusal_kind::NoBackend, core_duration{0});
+  return true;
+}
+
 // Returns the limited servers to which the request may not be sent now.
 std::set<backend_id>
 serving_impl::unavailableByLimit(const request_state &State) {
   std::set<backend_id> Result;
   if (Servers.limits().count() == 0)
     return Result;
-  for (const backend_state *Server : Servers.usable(State.Pool, Now)) {
+  for (const backend_state *Server : Servers.callable(State.Pool, Now)) {
     const backend_id &Id = Server->Entry.Id;
     if (!Servers.isLimited(Server->Entry) || State.Permit == Id)
       continue;
@@ -108,7 +156,7 @@
 backend_state *serving_impl::unusedLimitedServer(const request_state &State) {
   if (Servers.limits().count() == 0)
     return nullptr;
-  for (backend_state *Server : Servers.usable(State.Pool, Now)) {
+  for (backend_state *Server : Servers.callable(State.Pool, Now)) {
     const backend_id &Id = Server->Entry.Id;
     if (Servers.isLimited(Server->Entry) && Server->AvoidUntil <= Now &&
         !State.TriedServers.contains(Id) &&
@@ -134,7 +182,7 @@
 bool serving_impl::needsPermit(const request_state &State) {
   if (Servers.limits().count() == 0)
     return false;
-  std::vector<backend_state *> Usable = Servers.usable(State.Pool, Now);
+  std::vector<backend_state *> Usable = Servers.callable(State.Pool, Now);
   return !Usable.empty() && unavailableByLimit(State).size() == Usable.size();
 }
 
@@ -152,7 +200,7 @@
   std::vector<std::pair<std::uint64_t, const backend_entry *>> Ranked;
   std::uint64_t Seed = XXH3_64bits(State.Request.CallerId.Value.data(),
                                    State.Request.CallerId.Value.size());
-  for (const backend_state *Server : Servers.usable(State.Pool, Now))
+  for (const backend_state *Server : Servers.callable(State.Pool, Now))
     if (Servers.isLimited(Server->Entry))
       Ranked.emplace_back(XXH3_64bits_withSeed(Server->Entry.Id.Value.data(),
                                                Server->Entry.Id.Value.size(),
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -295,6 +295,11 @@
   event_scope Event(*Impl, Now);
   Impl->onServerLeaving(Server);
 }
+void serving_core::onServerPause(const backend_entry &Server,
+                                 const stated_pause &Stated, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onServerPause(Server, Stated);
+}
 void serving_core::onCallFailed(call_id Call, call_failure Failure,
                                 core_time Now) {
   event_scope Event(*Impl, Now);
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -34,6 +34,7 @@
   case refusal_kind::ShuttingDown:
   case refusal_kind::Quarantined:
   case refusal_kind::Limited:
+  case refusal_kind::Paused:
   case refusal_kind::TimedOutNotRun:
     return true;
   case refusal_kind::TimedOut:
@@ -61,6 +62,8 @@
     return "quarantined";
   case refusal_kind::Limited:
     return "limited";
+  case refusal_kind::Paused:
+    return "paused";
   case refusal_kind::TimedOutNotRun:
     return "timed_out_not_run";
   case refusal_kind::TimedOut:
@@ -192,7 +195,7 @@
       State.PlannedZone = Planned->Entry.Zone;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     State.Stages[Stage].QueueZone = queueZone(State, Stage);
-  if (shedIfLate(State))
+  if (shedIfLate(State) || refusePaused(State))
     return;
   if (!endsBeforeDrain(State, State.Forecast)) {
     failRequest(State, refusal_kind::ShuttingDown, MinRetryAfter);
@@ -246,10 +249,11 @@
   core_duration Retry = core_duration{0};
   if (guaranteesNotRun(Kind)) {
     ++Counters.Refused;
-    // The end of a quarantine is known; of other causes it is a guess.
-    Retry = Kind == refusal_kind::Quarantined
-                ? std::max(RetryAfter, MinRetryAfter)
-                : std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter);
+    // Of other causes, the end is a guess.
+    bool EndIsKnown =
+        Kind == refusal_kind::Quarantined || Kind == refusal_kind::Paused;
+    Retry = EndIsKnown ? std::max(RetryAfter, MinRetryAfter)
+                       : std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter);
   } else {
     ++Counters.Failed;
   }
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -174,6 +174,7 @@
   // What servers say of themselves: serving_limits.cc.
   void onStatedLimit(call_id Call, const stated_limit &Stated);
   void onServerLeaving(const backend_entry &Server);
+  void onServerPause(const backend_entry &Server, const stated_pause &Stated);
 
   // Peers: serving_peers.cc.
   void start(core_time Now);
@@ -320,6 +321,9 @@
   void onPermitTimeout(request_id Request);
   void continueRequest(request_state &State);
   void on(const host_run &Sender, const server_limit_list &Body);
+  void failUnserved(request_state &State, refusal_kind Kind,
+                    core_duration RetryAfter);
+  bool refusePaused(request_state &State);
   bool markLeaving(const backend_id &Server, incarnation Run,
                    std::string_view Source);
   void on(const host_run &Sender, const server_leaving &Body);
--- a/packages/core/test/server-replies-test.cc
+++ b/packages/core/test/server-replies-test.cc
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 using namespace jasminecroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST_CASE("a server that says it leaves gets no more work from this host") {
   serving_fixture Test;
@@ -61,3 +63,89 @@
   Test.Core.onBackend(Late, Test.Now);
   CHECK(Test.Core.backends().isLeaving(Late.Id));
 }
+
+TEST_CASE("a server that asks for a pause gets nothing until its end") {
+  serving_fixture Test;
+  Test.addAllPools();
+  Test.sendRequest("once");
+  const backend_entry Server = Test.lastForward().Server;
+  Test.Core.onServerPause(Server, {seconds(2)}, Test.Now);
+  Test.Core.onCompleteReply(Test.Actions.LastForward,
+                            serving_fixture::notRunHead(), "", Test.Now);
+  for (int I = 0; I < 8; ++I) {
+    CHECK(Test.lastForward().Server.Id != Server.Id);
+    Test.sendRequest("once");
+  }
+  // A shorter wish does not end an earlier one.
+  Test.Core.onServerPause(Server, {milliseconds(1)}, Test.Now);
+  Test.advance(milliseconds(1'990));
+  Test.sendRequest("once");
+  CHECK(Test.lastForward().Server.Id != Server.Id);
+  Test.advance(milliseconds(20));
+  bool Used = false;
+  for (int I = 0; I < 8; ++I) {
+    Test.sendRequest("once");
+    Used = Used || Test.lastForward().Server.Id == Server.Id;
+  }
+  CHECK(Used);
+}
+
+TEST_CASE("a later run of a server has asked for no pause") {
+  serving_fixture Test;
+  Test.addAllPools();
+  Test.sendRequest("once");
+  backend_entry Server = Test.lastForward().Server;
+  Test.Core.onServerPause(Server, {seconds(9)}, Test.Now);
+  Server.Run = Server.Run.next();
+  Server.Revision = Server.Revision.next();
+  Test.Core.onBackend(Server, Test.Now);
+  bool Used = false;
+  for (int I = 0; I < 8; ++I) {
+    Test.sendRequest("once");
+    Used = Used || Test.lastForward().Server.Id == Server.Id;
+  }
+  CHECK(Used);
+}
+
+TEST_CASE(
+    "a wish for a pause that cannot be read binds nobody and is counted") {
+  serving_fixture Test;
+  Test.addAllPools();
+  Test.sendRequest("once");
+  const backend_entry Server = Test.lastForward().Server;
+  Test.Core.onServerPause(Server, {}, Test.Now);
+  CHECK(Test.Core.counters().OddPauses == 1);
+  bool Used = false;
+  for (int I = 0; I < 8; ++I) {
+    Test.sendRequest("once");
+    Used = Used || Test.lastForward().Server.Id == Server.Id;
+  }
+  CHECK(Used);
+}
+
+TEST_CASE("a request is refused at once with the end of the first pause if all "
+          "servers of its pool ask for one") {
+  serving_fixture Test;
+  Test.addAllPools();
+  request_id Request = Test.sendRequest("once");
+  core_duration Time = seconds(5);
+  while (Test.Actions.Refusals[Request].empty()) {
+    Test.Core.onServerPause(Test.lastForward().Server, {Time}, Test.Now);
+    Test.Core.onCompleteReply(Test.Actions.LastForward,
+                              serving_fixture::notRunHead(), "", Test.Now);
+    Time += seconds(1);
+  }
+  // Others that were not called yet ask too.
+  for (const std::pair<const backend_id, backend_state> &Server :
+       Test.Core.backends().all())
+    Test.Core.onServerPause(Server.second.Entry, {seconds(5)}, Test.Now);
+  std::size_t Sent = Test.Actions.Forwards.size();
+  Request = Test.sendRequest("once");
+  REQUIRE(Test.Actions.Refusals[Request].size() == 1);
+  const refusal &Refusal = Test.Actions.Refusals[Request][0];
+  CHECK(Refusal.Kind == refusal_kind::Paused);
+  CHECK(guaranteesNotRun(Refusal.Kind));
+  CHECK(Refusal.RetryAfter >= seconds(5));
+  CHECK(Refusal.RetryAfter <= milliseconds(5'500));
+  CHECK(Test.Actions.Forwards.size() == Sent);
+}
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -22,10 +22,13 @@
     Results.onStatedLimit(Call, *Stated);
 }
 
-void tellLeaving(backend_results &Results, const backend_entry &Server,
-                 const platform::http_head &Head) {
+/// What the head of any answer says of the server itself.
+void tellServer(backend_results &Results, const backend_entry &Server,
+                const platform::http_head &Head) {
   if (platform::saysLeaving(Head))
     Results.onServerLeaving(Server);
+  if (std::optional<stated_pause> Stated = platform::decodeStatedPause(Head))
+    Results.onServerPause(Server, *Stated);
 }
 
 /// A caller's request. Streams are handed on by whole events.
@@ -38,14 +41,14 @@
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
     Backends.forget(Call);
-    tellLeaving(Results, Server, Head);
+    tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
     Results.onCompleteReply(Call, platform::decodeReply(Head, CallerId),
                             std::move(Body));
   }
 
   void onStreamHead(const platform::http_head &Head) override {
-    tellLeaving(Results, Server, Head);
+    tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
     Results.onStreamHead(Call, platform::decodeReply(Head, CallerId));
   }
@@ -137,7 +140,7 @@
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
     Backends.forget(Call);
-    tellLeaving(Results, Server, Head);
+    tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
     platform::decoded_pieces Decoded =
         platform::decodePieces(Head, Body, Expected);
@@ -173,7 +176,7 @@
       : Results(Results), Server(std::move(Server)) {}
 
   void onWhole(const platform::http_head &Head, std::string) override {
-    tellLeaving(Results, Server, Head);
+    tellServer(Results, Server, Head);
   }
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
@@ -191,7 +194,7 @@
       : Results(Results), Server(std::move(Server)) {}
 
   void onWhole(const platform::http_head &Head, std::string Body) override {
-    tellLeaving(Results, Server, Head);
+    tellServer(Results, Server, Head);
     Results.onServerLoad(Server.Id, platform::decodePiecesLoad(Head, Body));
   }
   void onStreamHead(const platform::http_head &) override {}
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -21,6 +21,8 @@
   virtual void onStreamEnd(call_id Call) = 0;
   virtual void onStatedLimit(call_id Call, const stated_limit &Stated) = 0;
   virtual void onServerLeaving(const backend_entry &Server) = 0;
+  virtual void onServerPause(const backend_entry &Server,
+                             const stated_pause &Stated) = 0;
   virtual void onCallFailed(call_id Call, call_failure Failure) = 0;
   virtual void onPiecesAnswered(call_id Call,
                                 const std::vector<batch_item_result> &Results,
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -399,6 +399,10 @@
   void onServerLeaving(const backend_entry &Server) override {
     Core.onServerLeaving(Server, now());
   }
+  void onServerPause(const backend_entry &Server,
+                     const stated_pause &Stated) override {
+    Core.onServerPause(Server, Stated, now());
+  }
   void onCallFailed(call_id Call, call_failure Failure) override {
     Core.onCallFailed(Call, Failure, now());
     arm();
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -75,6 +75,11 @@
   void onHostLost(std::size_t Host);
   /// A reply has told the host that its server leaves.
   void onLeavingTold(const backend_id &Server, std::size_t Host, core_time Now);
+  /// A reply has told the host that its server wants nothing until a time.
+  void onPauseTold(const backend_id &Server, std::size_t Host, core_time Until,
+                   core_time Now);
+  /// The server takes calls again before the time that it named.
+  void onPauseEnded(const backend_id &Server);
   /// A request or a call for pieces arrives; counts as an arrival too.
   void onCall(const backend_id &Server, std::size_t Host, core_time Now);
   /// A request of a host reached the server, whatever became of it.
@@ -119,6 +124,12 @@
   violation_list Violations;
   std::map<backend_id, limited_server> Limits;
   std::map<std::pair<backend_id, std::size_t>, core_time> LeavingTold;
+  struct asked_pause {
+    core_time CountsFrom;
+    core_time Until;
+    std::size_t Calls = 0;
+  };
+  std::map<std::pair<backend_id, std::size_t>, asked_pause> Pauses;
   std::map<backend_id, std::vector<std::pair<core_time, std::size_t>>> Arrivals;
   std::vector<core_time> CrashingSent;
   std::vector<core_time> PartCrashes;
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -91,6 +91,8 @@
   const backend_id &serverId(std::size_t Server) const;
   void silenceServer(std::size_t Server, core_duration Time);
   void slowServer(std::size_t Server, double Factor);
+  /// It turns calls away for a while and asks for a pause until the end of it.
+  void pauseServer(std::size_t Server, core_duration Time);
   /// It reports that it leaves; another one takes its place.
   void replaceServer(std::size_t Server);
   /// The same, but only its replies say so until it is off the list.
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -31,8 +31,10 @@
   CrashesEnd,
   /// A server gets no more requests a second than it says that it takes.
   LimitsKept,
+  /// A server that asks a host for a pause gets nothing more from it meanwhile.
+  PausesKept,
 };
-inline constexpr std::size_t PromiseCount = 10;
+inline constexpr std::size_t PromiseCount = 11;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -22,6 +22,9 @@
 constexpr core_duration LimitWindow = std::chrono::seconds(4);
 constexpr double LimitFactor = 1.5;
 constexpr double LimitSlack = 5;
+/// Bounds of the users' rule on pauses.
+constexpr core_duration PauseCountsAfter = std::chrono::milliseconds(500);
+constexpr std::size_t MostInPause = 2;
 /// A call that was sent before its host was told arrives by then.
 constexpr core_duration OnTheWay = std::chrono::milliseconds(10);
 
@@ -60,6 +63,20 @@
     Limit.second.ToldAt.erase(Host);
   std::erase_if(LeavingTold,
                 [Host](const auto &Told) { return Told.first.second == Host; });
+  std::erase_if(
+      Pauses, [Host](const auto &Pause) { return Pause.first.second == Host; });
+}
+
+void serving_book::onPauseTold(const backend_id &Server, std::size_t Host,
+                               core_time Until, core_time Now) {
+  Pauses.emplace(std::pair(Server, Host),
+                 asked_pause{Now + PauseCountsAfter, Until, 0});
+}
+
+void serving_book::onPauseEnded(const backend_id &Server) {
+  std::erase_if(Pauses, [&Server](const auto &Pause) {
+    return Pause.first.first == Server;
+  });
 }
 
 void serving_book::onLeavingTold(const backend_id &Server, std::size_t Host,
@@ -78,6 +95,13 @@
   auto Told = LeavingTold.find({Server, Host});
   if (Told != LeavingTold.end() && Now > Told->second + OnTheWay)
     onLeavingUsed(Server, Now - Told->second, Now);
+  auto Pause = Pauses.find({Server, Host});
+  if (Pause != Pauses.end() && Now >= Pause->second.Until)
+    Pauses.erase(Pause);
+  else if (Pause != Pauses.end() && Now > Pause->second.CountsFrom &&
+           ++Pause->second.Calls > MostInPause)
+    add(promise::PausesKept, Now,
+        Server.Value + " gets a call of a host that it asked for a pause");
   onArrival(Server, Host, Now);
 }
 
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -67,6 +67,10 @@
   return static_cast<double>(Tenths) / 10;
 }
 
+core_duration drawPause(serving_world &World) {
+  return World.random().between(milliseconds(200), seconds(6));
+}
+
 const std::array Faults = {
     weighted{6, [](serving_world &World) { World.leaveOne(); }},
     weighted{3, [](serving_world &World) { World.killHost(anyHost(World)); }},
@@ -84,6 +88,10 @@
              [](serving_world &World) {
                World.silenceServer(anyServer(World), seconds(2));
              }},
+    weighted{3,
+             [](serving_world &World) {
+               World.pauseServer(anyServer(World), drawPause(World));
+             }},
     weighted{3,
              [](serving_world &World) {
                World.slowServer(
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -310,6 +310,10 @@
   Servers[Server % Servers.size()].Server->Slow = Factor;
 }
 
+void serving_world::pauseServer(std::size_t Server, core_duration Time) {
+  Servers[Server % Servers.size()].Server->RefusesUntil = now() + Time;
+}
+
 void serving_world::replaceServer(std::size_t Number) {
   server_slot &Slot = Servers[Number % Servers.size()];
   if (!Slot.Server->Up)
@@ -383,6 +387,8 @@
   for (const server_slot &Slot : Servers) {
     Slot.Server->Slow = 1;
     Slot.Server->SilentUntil = core_time{};
+    Slot.Server->RefusesUntil = core_time{};
+    Book.onPauseEnded(Slot.Server->Entry.Id);
     if (Slot.Server->Limit) {
       Slot.Server->Limit.reset();
       Book.onLimit(Slot.Server->Entry.Id, std::nullopt, now());
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -371,7 +371,10 @@
       if (Known && World.now() > *Known)
         World.Book.onLeavingUsed(Wanted, World.now() - *Known, World.now());
       World.Book.onCall(Wanted, Link.Host, World.now());
-      Begin(*Server, Link);
+      if (Server->RefusesUntil > World.now())
+        Server->turnAway(Link);
+      else
+        Begin(*Server, Link);
       return;
     }
     core_duration Wait =
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -120,6 +120,8 @@
   virtual void forward(const world_link &, const forward_call &) {}
   virtual void runPieces(const world_link &, const std::vector<batch_item> &) {}
   virtual void cancel(const world_link &) {}
+  /// Turns a call away and asks its host for a pause until RefusesUntil.
+  void turnAway(const world_link &Link);
   virtual void freeResults(const std::vector<result_handle> &) {}
   virtual std::optional<pieces_load> load() const { return std::nullopt; }
   virtual const serving_book::input *result(const result_handle &) const {
@@ -133,6 +135,7 @@
   double Slow = 1;
   /// Requests a second that it says it takes.
   std::optional<double> Limit;
+  core_time RefusesUntil;
   /// Its replies say that it leaves.
   bool SaysLeaving = false;
   /// Since when every host that watches the store knows that it leaves, and
@@ -148,6 +151,8 @@
   void answerHead(const world_link &Link, bool Last,
                   std::function<void(serving_core &, core_time)> Event);
   void after(core_duration Time, std::function<void()> Action);
+  /// Tells a host that its call was not taken.
+  virtual void refuse(const world_link &Link);
   core_duration slowed(core_duration Time) const;
 
   serving_world &World;
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -18,6 +18,7 @@
 constexpr std::size_t CallsWaiting = 2;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusInputGone = 409;
+constexpr unsigned StatusUnavailable = 503;
 
 backend_reply_head signedHead() {
   backend_reply_head Head;
@@ -130,9 +131,7 @@
       World.book().add(promise::ResultsBelong, World.now(),
                        Entry.Id.Value + " is asked for too many pieces");
     if (Waiting.size() > CallsWaiting) {
-      answerHead(Link, true, [Link](serving_core &Core, core_time Now) {
-        Core.onPiecesRefused(Link.Call, false, Now);
-      });
+      refuse(Link);
       return;
     }
     Waiting.push_back({Link, Items, World.now()});
@@ -145,6 +144,12 @@
                   [&Link](const call &Call) { return Call.Link == Link; });
   }
 
+  void refuse(const world_link &Link) override {
+    answerHead(Link, true, [Link](serving_core &Core, core_time Now) {
+      Core.onPiecesRefused(Link.Call, false, Now);
+    });
+  }
+
   void freeResults(const std::vector<result_handle> &Handles) override {
     for (const result_handle &Handle : Handles)
       drop(Handle);
@@ -297,6 +302,24 @@
          });
 }
 
+void world_server::refuse(const world_link &Link) {
+  backend_reply_head Head;
+  Head.Status = StatusUnavailable;
+  Head.NotRun = true;
+  answerHead(Link, true, [Link, Head](serving_core &Core, core_time Now) {
+    Core.onCompleteReply(Link.Call, Head, "", Now);
+  });
+}
+
+void world_server::turnAway(const world_link &Link) {
+  core_time Until = RefusesUntil;
+  answer(Link, false, [this, Link, Until](serving_core &Core, core_time Now) {
+    World.book().onPauseTold(Entry.Id, Link.Host, Until, Now);
+    Core.onServerPause(Entry, {Until - Now}, Now);
+  });
+  refuse(Link);
+}
+
 std::unique_ptr<world_server> makeWorldServer(serving_world &World,
                                               const backend_entry &Entry,
                                               const batch_rules &Rules,
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -25,6 +25,8 @@
     return "line 9, parts that crash servers stop reaching them";
   case promise::LimitsKept:
     return "line 10, limits of backend servers";
+  case promise::PausesKept:
+    return "line 11, pauses that backend servers ask for";
   }
   return "";
 }
