--- a/packages/testing/processes/test/repeated-refusals-test.cc
+++ b/packages/testing/processes/test/repeated-refusals-test.cc
@@ -77,6 +77,7 @@
                 const std::vector<repeating_server *> &Servers) {
   verdict Result;
   std::vector<http_reply> Replies;
+  Replies.reserve(Calls);
   for (int I = 0; I < Calls; ++I)
     Replies.push_back(
         exchange(Fleet.call("once", "r" + std::to_string(I)), CallBound));
