Give the two kinds of request state different names

jasminecroft::detail::request_state was defined twice, in serving_state.h and for the product's own pipeline in detail/request_state.h. Both objects carry a weak ~request_state(); the linker keeps one for both classes, so that a request may be destroyed as an object of the other layout.

Change: the serving path's is active_request; nothing else. Conclusion: whether landed builds destroyed the wrong class depended on what was inlined; a link with processes that ended by themselves is not shown.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -41,7 +41,7 @@
 
 using namespace detail;
 
-backend_state *serving_impl::chooseServer(const request_state &State) {
+backend_state *serving_impl::chooseServer(const active_request &State) {
   if (backend_state *Unused = unusedLimitedServer(State))
     return Unused;
   placement_query Query;
@@ -60,7 +60,7 @@
   return chooseEngine(Servers, Query, *Pool->second.Engine, Now);
 }
 
-void serving_impl::sendCall(request_state &State) {
+void serving_impl::sendCall(active_request &State) {
   if (refuseQuarantined(State))
     return;
   backend_state *Server = chooseServer(State);
@@ -106,7 +106,7 @@
   Actions.forward(Id, Forward);
 }
 
-core_duration serving_impl::attemptTimeout(const request_state &State,
+core_duration serving_impl::attemptTimeout(const active_request &State,
                                            const backend_state &Server) const {
   if (!State.Route->Streamed) {
     core_duration Usual(
@@ -119,11 +119,11 @@
   return std::max(MinEngineAttemptTimeout, Usual);
 }
 
-request_state *serving_impl::callRequest(call_id Call) {
+active_request *serving_impl::callRequest(call_id Call) {
   auto Found = Calls.find(Call);
   if (Found == Calls.end() || Found->second.Kind != call_kind::Forward)
     return nullptr;
-  request_state *State = find(Found->second.Request);
+  active_request *State = find(Found->second.Request);
   return State && State->CurrentCall == Call ? State : nullptr;
 }
 
@@ -133,14 +133,14 @@
     return;
   if (Found->second.Kind == call_kind::Forward)
     Servers.onCallEnded(Found->second.Server.Id);
-  if (request_state *State = callRequest(Call))
+  if (active_request *State = callRequest(Call))
     State->CurrentCall.reset();
   Calls.erase(Call);
 }
 
 // Returns whether a request whose call failed may be retried; if so, charges
 // the retry budget.
-bool serving_impl::reserveRetry(const request_state &State) {
+bool serving_impl::reserveRetry(const active_request &State) {
   if (State.Attempts >= State.Route->MaxAttempts ||
       State.Deadline - Now < MinTimeLeft)
     return false;
@@ -149,13 +149,13 @@
   return Granted;
 }
 
-void serving_impl::observeFirstByte(const request_state &State) {
+void serving_impl::observeFirstByte(const active_request &State) {
   double Micros = static_cast<double>((Now - State.SentAt).count());
   double &Known = FirstByteMicros[State.Pool];
   Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
 }
 
-void serving_impl::observeStream(const request_state &State) {
+void serving_impl::observeStream(const active_request &State) {
   if (!State.FirstByteAt)
     return;
   double Micros = static_cast<double>((Now - *State.FirstByteAt).count());
@@ -164,7 +164,7 @@
 }
 
 // Handles a reply that states that the server did not run the request.
-void serving_impl::handleNotRun(request_state &State,
+void serving_impl::handleNotRun(active_request &State,
                                 const backend_reply_head &Head) {
   if (Head.InputGone) {
     --State.Attempts;
@@ -195,7 +195,7 @@
 
 // Adds what had arrived of the call's reply, and the shared parts of the
 // prompt.
-void serving_impl::addPartFields(const request_state &State,
+void serving_impl::addPartFields(const active_request &State,
                                  std::vector<event_field> &Fields) const {
   Fields.push_back({"progress", std::string(toText(State.Progress))});
   const std::vector<prompt_block> &Prefix = State.Request.Prefix;
@@ -208,7 +208,7 @@
 }
 
 // Handles a call that broke or timed out: the request may have run.
-void serving_impl::handleBrokenCall(request_state &State, bool Timed) {
+void serving_impl::handleBrokenCall(active_request &State, bool Timed) {
   State.MayHaveRun = true;
   if (State.HeadRelayed) {
     resumeStream(State);
@@ -233,7 +233,7 @@
 // Resumes a stream that ended early on another server, after the last event
 // that the caller has. Stage results are recomputed because they are released
 // when the stream begins.
-void serving_impl::resumeStream(request_state &State) {
+void serving_impl::resumeStream(active_request &State) {
   bool WillRetry =
       State.Route->Resumable && State.LastEvent && reserveRetry(State);
   std::vector<event_field> Fields = {
@@ -258,7 +258,7 @@
 
 void serving_impl::onCompleteReply(call_id Call, const backend_reply_head &Head,
                                    std::string Body, core_time) {
-  request_state *State = callRequest(Call);
+  active_request *State = callRequest(Call);
   backend_id Server = State ? State->Server.Id : backend_id();
   if (Head.Load)
     Servers.onLoad(Server, *Head.Load, Now);
@@ -311,7 +311,7 @@
 
 void serving_impl::onStreamHead(call_id Call, const backend_reply_head &Head,
                                 core_time) {
-  request_state *State = callRequest(Call);
+  active_request *State = callRequest(Call);
   if (!State)
     return;
   if (Head.Load)
@@ -338,7 +338,7 @@
 void serving_impl::onStreamEvents(call_id Call, std::string Text,
                                   std::uint64_t First, std::uint64_t Last,
                                   core_time) {
-  request_state *State = callRequest(Call);
+  active_request *State = callRequest(Call);
   if (!State)
     return;
   if (State->LastEvent && First != *State->LastEvent + 1) {
@@ -361,7 +361,7 @@
 }
 
 void serving_impl::onStreamEnd(call_id Call, core_time) {
-  request_state *State = callRequest(Call);
+  active_request *State = callRequest(Call);
   if (!State)
     return;
   // A reply without a length ends in the same way if its server crashed.
@@ -392,7 +392,7 @@
     Owner.onBatchFailed(Batch, Reason, Now);
     return;
   }
-  request_state *State = callRequest(Call);
+  active_request *State = callRequest(Call);
   backend_id Server = Found->second.Server.Id;
   endCall(Call);
   Servers.onCallFailed(Server, Now);
@@ -417,7 +417,7 @@
 
 // Retries a retryable call that has not begun to respond in time.
 void serving_impl::onAttemptTimeout(call_id Call) {
-  request_state *State = callRequest(Call);
+  active_request *State = callRequest(Call);
   if (!State || State->HeadRelayed ||
       Servers.callable(State->Pool, Now).empty() || !reserveRetry(*State))
     return;
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -40,7 +40,7 @@
   return Wait;
 }
 
-queue_wait serving_impl::estimatedWait(const request_state &State,
+queue_wait serving_impl::estimatedWait(const active_request &State,
                                        std::size_t Stage) const {
   return estimatedWait(State.Route->Stages[Stage].Pool,
                        State.Stages[Stage].QueueZone);
@@ -49,7 +49,7 @@
 // Announces the work that this host's requests will submit to the queues of
 // later stages to their owners, which include it in the waits that they report
 // to all hosts.
-void serving_impl::sendDemandForecast(const request_state &State) {
+void serving_impl::sendDemandForecast(const active_request &State) {
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
     const route_stage &Plan = State.Route->Stages[Stage];
     if (Plan.After.empty() || State.Request.Pieces[Stage] == 0)
@@ -73,7 +73,7 @@
 serving_impl::plannedPieces(const pool_id &Pool) const {
   by_urgency<std::uint32_t> Planned{};
   for (const request_map::value_type &Entry : Requests) {
-    const request_state &State = Entry.second;
+    const active_request &State = Entry.second;
     for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
       if (State.Stages[Stage].Phase == stage_phase::Waiting &&
           State.Route->Stages[Stage].Pool == Pool)
@@ -83,7 +83,7 @@
 }
 
 // Returns the expected duration of a stage's call, without the wait before it.
-core_duration serving_impl::callTime(const request_state &State,
+core_duration serving_impl::callTime(const active_request &State,
                                      std::size_t Stage) const {
   auto Found = State.View->Config->Pools.find(State.Route->Stages[Stage].Pool);
   if (Found == State.View->Config->Pools.end() || !Found->second.Batches)
@@ -97,13 +97,13 @@
                           std::max(Own, Rules.MaxPieces / TypicalBatchDivisor));
 }
 
-core_duration serving_impl::stageTime(const request_state &State,
+core_duration serving_impl::stageTime(const active_request &State,
                                       std::size_t Stage) const {
   return estimatedWait(State, Stage).OnTime[urgencyRank(State.Priority)] +
          callTime(State, Stage);
 }
 
-core_duration serving_impl::firstByteTime(const request_state &State) const {
+core_duration serving_impl::firstByteTime(const active_request &State) const {
   auto Found = FirstByteMicros.find(State.Pool);
   if (Found == FirstByteMicros.end())
     return DefaultFirstByteTime;
@@ -111,7 +111,7 @@
 }
 
 // Returns the expected time from the first byte of the response to its end.
-core_duration serving_impl::streamTime(const request_state &State) const {
+core_duration serving_impl::streamTime(const active_request &State) const {
   auto Found = StreamMicros.find(State.Route->Name);
   if (Found == StreamMicros.end())
     return core_duration{0};
@@ -120,7 +120,7 @@
 
 // Returns the expected time from the end of Stage to the first byte of the
 // response.
-core_duration serving_impl::remainingTimeAfter(const request_state &State,
+core_duration serving_impl::remainingTimeAfter(const active_request &State,
                                                std::size_t Stage) const {
   core_duration Longest{0};
   for (std::size_t Next = Stage + 1; Next < State.Stages.size(); ++Next) {
@@ -138,7 +138,7 @@
 // to submit to a stage adds to its queue; the time until the request reaches
 // the stage, in which the servers drain the queue, is subtracted.
 serving_impl::forecast
-serving_impl::forecastStages(const request_state &State) const {
+serving_impl::forecastStages(const active_request &State) const {
   forecast Result;
   std::size_t Rank = urgencyRank(State.Priority);
   std::vector<core_duration> Ends(State.Stages.size(), core_duration{0});
@@ -168,7 +168,7 @@
 // that starting the request only takes result memory from others: its results
 // would expire, or block servers, before the next stage uses them. Returns
 // whether it was refused.
-bool serving_impl::shedIfLate(request_state &State) {
+bool serving_impl::shedIfLate(active_request &State) {
   forecast Forecast = forecastStages(State);
   State.Forecast = Forecast.Needed;
   bool OnTime = Now + Forecast.Needed <= State.GoalAt;
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -110,7 +110,7 @@
 
 // Ends a request for which no server may be called. If all servers of its pool
 // want nothing from this host, the caller is told when one will.
-void serving_impl::failUnserved(request_state &State, refusal_kind Kind,
+void serving_impl::failUnserved(active_request &State, refusal_kind Kind,
                                 core_duration RetryAfter) {
   std::optional<core_time> Until = Servers.pausedUntil(State.Pool, Now);
   if (!Until) {
@@ -126,7 +126,7 @@
 }
 
 // Refuses a request whose call would be due while no server may be called.
-bool serving_impl::refusePaused(request_state &State) {
+bool serving_impl::refusePaused(active_request &State) {
   std::optional<core_time> Until = Servers.pausedUntil(State.Pool, Now);
   if (!Until || *Until <= Now + State.Forecast)
     return false;
@@ -136,7 +136,7 @@
 
 // Returns the limited servers to which the request may not be sent now.
 std::set<backend_id>
-serving_impl::unavailableByLimit(const request_state &State) {
+serving_impl::unavailableByLimit(const active_request &State) {
   std::set<backend_id> Result;
   if (Servers.limits().count() == 0)
     return Result;
@@ -153,7 +153,7 @@
 }
 
 // Returns a limited server that has to be asked whether its limit goes on.
-backend_state *serving_impl::unusedLimitedServer(const request_state &State) {
+backend_state *serving_impl::unusedLimitedServer(const active_request &State) {
   if (Servers.limits().count() == 0)
     return nullptr;
   for (backend_state *Server : Servers.callable(State.Pool, Now)) {
@@ -168,7 +168,7 @@
   return nullptr;
 }
 
-void serving_impl::spendLimit(request_state &State,
+void serving_impl::spendLimit(active_request &State,
                               const backend_entry &Server) {
   if (State.Permit == Server.Id)
     State.Permit.reset();
@@ -179,7 +179,7 @@
 
 // Returns whether the servers of the request's pool are all limited and none
 // can take it now.
-bool serving_impl::needsPermit(const request_state &State) {
+bool serving_impl::needsPermit(const active_request &State) {
   if (Servers.limits().count() == 0)
     return false;
   std::vector<backend_state *> Usable = Servers.callable(State.Pool, Now);
@@ -188,7 +188,7 @@
 
 // Asks for a permit, or refuses the request, if all servers of its pool are
 // limited and none can take it now. Returns false if it may go on.
-bool serving_impl::waitForPermit(request_state &State) {
+bool serving_impl::waitForPermit(active_request &State) {
   if (State.Permit || !needsPermit(State))
     return false;
   requestPermit(State, core_duration{0});
@@ -196,7 +196,7 @@
 }
 
 // Asks for a permit for the next limited server in the request's own order.
-void serving_impl::requestPermit(request_state &State, core_duration RetryIn) {
+void serving_impl::requestPermit(active_request &State, core_duration RetryIn) {
   std::vector<std::pair<std::uint64_t, const backend_entry *>> Ranked;
   std::uint64_t Seed = XXH3_64bits(State.Request.CallerId.Value.data(),
                                    State.Request.CallerId.Value.size());
@@ -244,12 +244,12 @@
 }
 
 void serving_impl::on(const host_run &, const send_permit_reply &Body) {
-  request_state *State = find(Body.Request);
+  active_request *State = find(Body.Request);
   if (State && State->PermitAskedOf == Body.Server)
     onPermitReply(*State, Body.Granted, Body.RetryIn);
 }
 
-void serving_impl::onPermitReply(request_state &State, bool Granted,
+void serving_impl::onPermitReply(active_request &State, bool Granted,
                                  core_duration RetryIn) {
   if (!Granted && needsPermit(State)) {
     requestPermit(State, RetryIn);
@@ -263,7 +263,7 @@
 }
 
 void serving_impl::onPermitTimeout(request_id Request) {
-  request_state *State = find(Request);
+  active_request *State = find(Request);
   if (!State || !State->PermitAskedOf ||
       Now < State->PermitAskedAt + PermitTimeout)
     return;
--- a/packages/core/src/serving/serving_quarantine.cc
+++ b/packages/core/src/serving/serving_quarantine.cc
@@ -45,7 +45,7 @@
 
 // Reports a call that broke before the first event of its reply, as it may have
 // crashed its server.
-void serving_impl::reportCrash(const request_state &State) {
+void serving_impl::reportCrash(const active_request &State) {
   const std::vector<prompt_block> &Prefix = State.Request.Prefix;
   if (State.Progress == call_progress::Events || Prefix.size() < 2)
     return;
@@ -130,7 +130,7 @@
 }
 
 // A request got the first event of its reply, or all of it.
-void serving_impl::onPartsServed(const request_state &State) {
+void serving_impl::onPartsServed(const active_request &State) {
   const std::vector<prompt_block> &Prefix = State.Request.Prefix;
   std::vector<part_ruling> Rulings;
   for (std::size_t I = 0; I + 1 < Prefix.size(); ++I) {
@@ -146,7 +146,7 @@
 }
 
 std::optional<prompt_part_id>
-serving_impl::blockingPart(const request_state &State) const {
+serving_impl::blockingPart(const active_request &State) const {
   for (const prompt_block &Block : State.Request.Prefix)
     if (Quarantine.isQuarantined(prompt_part_id(Block.Id)))
       return prompt_part_id(Block.Id);
@@ -155,7 +155,7 @@
 
 // Ends a request with a quarantined part unless it is a trial. All ways to a
 // backend server lead through here.
-bool serving_impl::refuseQuarantined(request_state &State) {
+bool serving_impl::refuseQuarantined(active_request &State) {
   if (Quarantine.empty() || State.Trial)
     return false;
   std::optional<prompt_part_id> Part = blockingPart(State);
@@ -171,7 +171,7 @@
 // Begins a trial if one is due for each quarantined part and it is this host's
 // turn: the hosts take turns in the order of their ranks, so that no two begin
 // one at once.
-bool serving_impl::tryBeginTrial(request_state &State) {
+bool serving_impl::tryBeginTrial(active_request &State) {
   std::vector<prompt_part_id> Parts;
   for (const prompt_block &Block : State.Request.Prefix) {
     prompt_part_id Part(Block.Id);
@@ -204,8 +204,8 @@
 // Ends the requests with the part that have no event yet.
 void serving_impl::endQuarantined(prompt_part_id Part) {
   std::vector<request_id> Ended;
-  for (const std::pair<const request_id, request_state> &Entry : Requests) {
-    const request_state &State = Entry.second;
+  for (const std::pair<const request_id, active_request> &Entry : Requests) {
+    const active_request &State = Entry.second;
     bool Running = State.CurrentCall && State.Progress == call_progress::Events;
     if (Running || State.Trial)
       continue;
@@ -216,7 +216,7 @@
       }
   }
   for (request_id Request : Ended) {
-    request_state *State = find(Request);
+    active_request *State = find(Request);
     if (!State)
       continue;
     State->MayHaveRun = State->MayHaveRun || State->CurrentCall;
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -84,7 +84,7 @@
       Gossip(Hosts), Following(Hosts), Budget(Settings.Retries),
       Owner(*this, Servers, Budget) {}
 
-request_state *serving_impl::find(request_id Request) {
+active_request *serving_impl::find(request_id Request) {
   auto Found = Requests.find(Request);
   return Found == Requests.end() ? nullptr : &Found->second;
 }
@@ -169,7 +169,7 @@
   if (!Route)
     return;
   request_id Number = Request.Number;
-  request_state &State = Requests[Number];
+  active_request &State = Requests[Number];
   State.View = View;
   State.Route = Route;
   State.Pool = selectPool(*Route, Request.CallerId);
@@ -206,13 +206,13 @@
 }
 
 // Starts the stages of an admitted request, or goes on where it waited.
-void serving_impl::continueRequest(request_state &State) {
+void serving_impl::continueRequest(active_request &State) {
   sendDemandForecast(State);
   startReadyStages(State);
 }
 
 void serving_impl::onCallerDisconnected(request_id Request, core_time) {
-  request_state *State = find(Request);
+  active_request *State = find(Request);
   if (!State)
     return;
   ++Counters.CallerLeft;
@@ -233,7 +233,7 @@
 // Ends a request with a refusal, or aborts the response if its head has been
 // relayed. A kind that guarantees 'not run' is replaced if a backend server
 // may have run the request.
-void serving_impl::failRequest(request_state &State, refusal_kind Kind,
+void serving_impl::failRequest(active_request &State, refusal_kind Kind,
                                core_duration RetryAfter) {
   if (State.MayHaveRun && guaranteesNotRun(Kind))
     Kind = Kind == refusal_kind::TimedOutNotRun ? refusal_kind::TimedOut
@@ -262,7 +262,7 @@
   finish(Request);
 }
 
-void serving_impl::logOutcome(const request_state &State,
+void serving_impl::logOutcome(const active_request &State,
                               std::string_view Outcome, unsigned Status) {
   std::optional<core_duration> FirstByte;
   if (State.FirstByteAt)
@@ -307,7 +307,7 @@
   auto Found = Requests.find(Request);
   if (Found == Requests.end())
     return;
-  request_state &State = Found->second;
+  active_request &State = Found->second;
   if (State.CurrentCall) {
     call_id Call = *State.CurrentCall;
     endCall(Call);
@@ -320,7 +320,7 @@
 }
 
 void serving_impl::onDeadline(request_id Request) {
-  request_state *State = find(Request);
+  active_request *State = find(Request);
   if (!State)
     return;
   bool Sent = State->MayHaveRun || State->CurrentCall;
@@ -338,7 +338,7 @@
 }
 
 // Ends a request that would outlast this host when the host stops.
-void serving_impl::limitToDrain(request_state &State) {
+void serving_impl::limitToDrain(active_request &State) {
   if (!DrainEnd || State.Deadline <= *DrainEnd)
     return;
   State.Deadline = *DrainEnd;
@@ -347,13 +347,13 @@
 
 // Returns whether the stop of this host ends the request earlier than its
 // caller or route would.
-bool serving_impl::cutByDrain(const request_state &State) const {
+bool serving_impl::cutByDrain(const active_request &State) const {
   return DrainEnd && State.Deadline == *DrainEnd;
 }
 
 // Returns whether the reply is expected to be complete before this host stops
 // if its first byte takes FirstByte from now on.
-bool serving_impl::endsBeforeDrain(const request_state &State,
+bool serving_impl::endsBeforeDrain(const active_request &State,
                                    core_duration FirstByte) const {
   return !cutByDrain(State) ||
          Now + FirstByte + streamTime(State) <= State.Deadline;
--- a/packages/core/src/serving/serving_results.cc
+++ b/packages/core/src/serving/serving_results.cc
@@ -20,7 +20,7 @@
 
 // Resets Stage so that it is computed again, and the stages that it depends on
 // if their results were released.
-void serving_impl::resetStage(request_state &State, std::size_t Stage) {
+void serving_impl::resetStage(active_request &State, std::size_t Stage) {
   if (State.Request.Pieces[Stage] == 0 ||
       State.Stages[Stage].Phase == stage_phase::Waiting)
     return;
@@ -36,7 +36,7 @@
 
 // Recomputes the lost results of the stages in Lost. Returns false if the limit
 // is reached or the deadline cannot be met.
-bool serving_impl::recomputeResults(request_state &State,
+bool serving_impl::recomputeResults(active_request &State,
                                     const std::vector<std::uint32_t> &Lost) {
   if (State.Recomputations >= MaxRecomputations)
     return false;
@@ -56,7 +56,7 @@
 
 // Returns the stages that no other stage depends on.
 std::vector<std::uint32_t>
-serving_impl::finalStages(const request_state &State) const {
+serving_impl::finalStages(const active_request &State) const {
   std::vector<std::uint32_t> Last;
   for (std::uint32_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     if (isFinalStage(State, Stage))
@@ -66,7 +66,7 @@
 
 // Returns whether the results of a stage are too small for an early release to
 // matter.
-bool serving_impl::hasSmallResults(const request_state &State,
+bool serving_impl::hasSmallResults(const active_request &State,
                                    std::size_t Stage) const {
   const route_stage &Plan = State.Route->Stages[Stage];
   auto Pool = State.View->Config->Pools.find(Plan.Pool);
@@ -94,7 +94,7 @@
 
 // Releases the results that all dependent stages have fetched, except small
 // ones.
-void serving_impl::releaseUsed(request_state &State) {
+void serving_impl::releaseUsed(active_request &State) {
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
     if (hasSmallResults(State, Stage))
       continue;
@@ -114,12 +114,12 @@
   }
 }
 
-void serving_impl::releaseAll(request_state &State) {
+void serving_impl::releaseAll(active_request &State) {
   for (stage_state &Stage : State.Stages)
     releaseStage(Stage);
 }
 
-void serving_impl::cancelJobs(request_state &State) {
+void serving_impl::cancelJobs(active_request &State) {
   for (stage_state &Stage : State.Stages)
     cancelJob(Stage);
 }
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -37,7 +37,7 @@
 
 using namespace detail;
 
-bool serving_impl::stageReady(const request_state &State,
+bool serving_impl::stageReady(const active_request &State,
                               std::size_t Stage) const {
   if (State.Stages[Stage].Phase != stage_phase::Waiting)
     return false;
@@ -48,7 +48,7 @@
   });
 }
 
-bool serving_impl::stagesDone(const request_state &State) const {
+bool serving_impl::stagesDone(const active_request &State) const {
   return std::all_of(State.Stages.begin(), State.Stages.end(),
                      [](const stage_state &Stage) {
                        return Stage.Phase == stage_phase::Done;
@@ -59,20 +59,20 @@
 // stages are done. Stages without pieces are done at once, which may make
 // others ready. The request is looked up again after each step because an
 // owner's reply may end it.
-void serving_impl::startReadyStages(request_state &First) {
+void serving_impl::startReadyStages(active_request &First) {
   request_id Request = First.Request.Number;
   for (std::size_t Stage = 0; Stage < First.Stages.size(); ++Stage)
     if (First.Request.Pieces[Stage] == 0)
       First.Stages[Stage].Phase = stage_phase::Done;
   std::size_t Count = First.Stages.size();
   for (std::size_t Stage = 0; Stage < Count; ++Stage) {
-    request_state *State = find(Request);
+    active_request *State = find(Request);
     if (!State)
       return;
     if (stageReady(*State, Stage))
       requestStage(*State, Stage);
   }
-  request_state *State = find(Request);
+  active_request *State = find(Request);
   if (!State || State->CurrentCall || !stagesDone(*State))
     return;
   State->StagesDoneAt = Now;
@@ -80,8 +80,9 @@
 }
 
 // Returns all results of the stages that Stage depends on.
-std::vector<result_handle> serving_impl::stageInputs(const request_state &State,
-                                                     std::size_t Stage) const {
+std::vector<result_handle>
+serving_impl::stageInputs(const active_request &State,
+                          std::size_t Stage) const {
   std::vector<result_handle> Inputs;
   for (std::uint32_t Before : State.Route->Stages[Stage].After)
     for (const completed_piece &Piece : State.Stages[Before].Results)
@@ -89,7 +90,7 @@
   return Inputs;
 }
 
-bool serving_impl::isFinalStage(const request_state &State,
+bool serving_impl::isFinalStage(const active_request &State,
                                 std::size_t Stage) const {
   const std::vector<route_stage> &All = State.Route->Stages;
   return std::none_of(All.begin(), All.end(), [Stage](const route_stage &Next) {
@@ -100,7 +101,7 @@
 
 // Returns all results of the stages that no other stage depends on.
 std::vector<result_handle>
-serving_impl::finalInputs(const request_state &State) const {
+serving_impl::finalInputs(const active_request &State) const {
   std::vector<result_handle> Inputs;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     if (isFinalStage(State, Stage))
@@ -111,7 +112,7 @@
 
 // Returns the zone that holds most bytes of the request's results; the planned
 // zone if there are none yet.
-zone_id serving_impl::inputZone(const request_state &State) const {
+zone_id serving_impl::inputZone(const active_request &State) const {
   std::map<zone_id, std::uint64_t> Bytes;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     if (!State.Stages[Stage].Released)
@@ -132,7 +133,8 @@
 // by its failure do not grow with the fleet. Among these, the queue with the
 // shortest estimated wait is chosen; the time to transfer the results and a
 // penalty are added for zones other than that of the inputs.
-zone_id serving_impl::queueZone(const request_state &State, std::size_t Stage) {
+zone_id serving_impl::queueZone(const active_request &State,
+                                std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
   std::vector<backend_state *> Usable = Servers.usable(Plan.Pool, Now);
   if (Usable.size() <= MaxServersPerQueue)
@@ -175,7 +177,7 @@
         Now);
 }
 
-void serving_impl::requestStage(request_state &State, std::size_t Stage) {
+void serving_impl::requestStage(active_request &State, std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
   if (Servers.usable(Plan.Pool, Now).empty()) {
     failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
@@ -195,7 +197,7 @@
 
 // Assigns a job to the present owner of its queue, also if another owner had
 // it before, and submits it.
-void serving_impl::assignJob(piece_job_id Id, request_state &State) {
+void serving_impl::assignJob(piece_job_id Id, active_request &State) {
   job_state &Pending = PendingJobs[Id];
   const pool_id &Pool = State.Route->Stages[Pending.Stage].Pool;
   Pending.QueueZone = queueZone(State, Pending.Stage);
@@ -208,7 +210,7 @@
 
 // Submits a job to its assigned owner. Idempotent: an owner that already has
 // the job only replies with the expected wait.
-void serving_impl::submitJob(piece_job_id Id, request_state &State) {
+void serving_impl::submitJob(piece_job_id Id, active_request &State) {
   job_state &Pending = PendingJobs[Id];
   const route_stage &Plan = State.Route->Stages[Pending.Stage];
   piece_job Job;
@@ -259,7 +261,7 @@
     observeAcceptance(Job.Owner, Now - Job.RequestedAt);
   Job.Accepted = true;
   Job.EverAccepted = true;
-  request_state *State = find(Job.Request);
+  active_request *State = find(Job.Request);
   if (!State)
     return;
   Waits[{State->Route->Stages[Job.Stage].Pool, Job.QueueZone}] = {Wait, Now};
@@ -287,7 +289,7 @@
   const entry_host_id Unresponsive = Found->second.Owner;
   if (Hosts.receivedSince(Unresponsive, Found->second.RequestedAt)) {
     // The owner is alive; the message or its reply was lost or is late.
-    if (request_state *State = find(Found->second.Request))
+    if (active_request *State = find(Found->second.Request))
       submitJob(Id, *State);
     return;
   }
@@ -338,7 +340,7 @@
     if (Patient && Found->second.EverAccepted)
       continue;
     cancelJobAt(Lost, Id);
-    if (request_state *State = find(Found->second.Request))
+    if (active_request *State = find(Found->second.Request))
       assignJob(Id, *State);
   }
 }
@@ -350,7 +352,7 @@
   auto Found = PendingJobs.find(Id);
   if (Found == PendingJobs.end())
     return;
-  request_state *State = find(Found->second.Request);
+  active_request *State = find(Found->second.Request);
   if (!State)
     return;
   const entry_host_id Owner = Found->second.Owner;
@@ -404,7 +406,7 @@
   if (!isAssignedTo(From, Id))
     return;
   auto Found = PendingJobs.find(Id);
-  request_state *State = find(Found->second.Request);
+  active_request *State = find(Found->second.Request);
   if (!State)
     return;
   stage_state &Stage = State->Stages[Found->second.Stage];
@@ -419,7 +421,7 @@
                                          const entry_host_id &From,
                                          std::vector<completed_piece> Pieces) {
   auto Found = PendingJobs.find(Id);
-  request_state *State =
+  active_request *State =
       Found == PendingJobs.end() ? nullptr : find(Found->second.Request);
   std::set<std::uint32_t> Distinct;
   for (const completed_piece &Piece : Pieces)
@@ -454,7 +456,7 @@
   if (!isAssignedTo(From, Id))
     return;
   auto Found = PendingJobs.find(Id);
-  request_state *State = find(Found->second.Request);
+  active_request *State = find(Found->second.Request);
   std::uint32_t Stage = Found->second.Stage;
   if (State && Failure == piece_failure::OwnerChanged) {
     assignJob(Id, *State);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -58,7 +58,7 @@
 /// What has arrived of a call's reply.
 enum class call_progress { Sent, Head, Events };
 
-struct request_state {
+struct active_request {
   serving_request Request;
   std::shared_ptr<const config_view> View;
   const serving_route *Route = nullptr;
@@ -227,10 +227,10 @@
     /// Longest wait in any one queue behind all jobs in it.
     core_duration MaxLateQueueWait{0};
   };
-  using request_map = std::unordered_map<request_id, request_state>;
+  using request_map = std::unordered_map<request_id, active_request>;
 
   // Requests.
-  request_state *find(request_id Request);
+  active_request *find(request_id Request);
   const serving_route *admit(const serving_request &Request,
                              workspace_id &Workspace, std::uint32_t &Priority);
   pool_id selectPool(const serving_route &Route,
@@ -238,47 +238,48 @@
   void refuse(request_id Request, refusal_kind Kind, core_duration RetryAfter);
   void refuseBeforeAdmission(request_id Request, refusal_kind Kind,
                              core_duration RetryAfter);
-  void failRequest(request_state &State, refusal_kind Kind,
+  void failRequest(active_request &State, refusal_kind Kind,
                    core_duration RetryAfter);
   void finish(request_id Request);
-  void logOutcome(const request_state &State, std::string_view Outcome,
+  void logOutcome(const active_request &State, std::string_view Outcome,
                   unsigned Status);
   void onDeadline(request_id Request);
-  void limitToDrain(request_state &State);
-  bool cutByDrain(const request_state &State) const;
-  bool endsBeforeDrain(const request_state &State,
+  void limitToDrain(active_request &State);
+  bool cutByDrain(const active_request &State) const;
+  bool endsBeforeDrain(const active_request &State,
                        core_duration FirstByte) const;
   void addTimer(core_time Time, timer_kind Kind, std::uint64_t Id);
   void onTimer(const timer &Timer);
 
   // Stages: serving_stages.cc.
-  void startReadyStages(request_state &State);
-  bool stageReady(const request_state &State, std::size_t Stage) const;
-  bool isFinalStage(const request_state &State, std::size_t Stage) const;
-  bool stagesDone(const request_state &State) const;
-  void requestStage(request_state &State, std::size_t Stage);
-  void assignJob(piece_job_id Id, request_state &State);
-  void submitJob(piece_job_id Id, request_state &State);
-  zone_id queueZone(const request_state &State, std::size_t Stage);
-  std::vector<result_handle> stageInputs(const request_state &State,
+  void startReadyStages(active_request &State);
+  bool stageReady(const active_request &State, std::size_t Stage) const;
+  bool isFinalStage(const active_request &State, std::size_t Stage) const;
+  bool stagesDone(const active_request &State) const;
+  void requestStage(active_request &State, std::size_t Stage);
+  void assignJob(piece_job_id Id, active_request &State);
+  void submitJob(piece_job_id Id, active_request &State);
+  zone_id queueZone(const active_request &State, std::size_t Stage);
+  std::vector<result_handle> stageInputs(const active_request &State,
                                          std::size_t Stage) const;
-  std::vector<result_handle> finalInputs(const request_state &State) const;
-  zone_id inputZone(const request_state &State) const;
-  core_duration callTime(const request_state &State, std::size_t Stage) const;
-  core_duration stageTime(const request_state &State, std::size_t Stage) const;
-  core_duration remainingTimeAfter(const request_state &State,
+  std::vector<result_handle> finalInputs(const active_request &State) const;
+  zone_id inputZone(const active_request &State) const;
+  core_duration callTime(const active_request &State, std::size_t Stage) const;
+  core_duration stageTime(const active_request &State, std::size_t Stage) const;
+  core_duration remainingTimeAfter(const active_request &State,
                                    std::size_t Stage) const;
-  core_duration firstByteTime(const request_state &State) const;
-  core_duration streamTime(const request_state &State) const;
+  core_duration firstByteTime(const active_request &State) const;
+  core_duration streamTime(const active_request &State) const;
   entry_host_id queueOwner(const pool_id &Pool, const zone_id &Zone) const;
   void transferQueues();
   void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
   queue_wait estimatedWait(const pool_id &Pool, const zone_id &Zone) const;
-  queue_wait estimatedWait(const request_state &State, std::size_t Stage) const;
-  void sendDemandForecast(const request_state &State);
+  queue_wait estimatedWait(const active_request &State,
+                           std::size_t Stage) const;
+  void sendDemandForecast(const active_request &State);
   by_urgency<std::uint32_t> plannedPieces(const pool_id &Pool) const;
-  forecast forecastStages(const request_state &State) const;
-  bool shedIfLate(request_state &State);
+  forecast forecastStages(const active_request &State) const;
+  bool shedIfLate(active_request &State);
   void onAcceptTimeout(piece_job_id Job);
   core_duration acceptTimeout(const entry_host_id &Owner) const;
   void observeAcceptance(const entry_host_id &Owner, core_duration Time);
@@ -295,35 +296,36 @@
 
   // Results: serving_results.cc.
   void releaseStage(stage_state &Stage);
-  void releaseUsed(request_state &State);
-  void releaseAll(request_state &State);
-  void cancelJobs(request_state &State);
+  void releaseUsed(active_request &State);
+  void releaseAll(active_request &State);
+  void cancelJobs(active_request &State);
   void cancelJob(const stage_state &Stage);
   void cancelJobAt(const entry_host_id &Host, piece_job_id Job);
-  void resetStage(request_state &State, std::size_t Stage);
-  bool recomputeResults(request_state &State,
+  void resetStage(active_request &State, std::size_t Stage);
+  bool recomputeResults(active_request &State,
                         const std::vector<std::uint32_t> &Lost);
-  std::vector<std::uint32_t> finalStages(const request_state &State) const;
-  bool hasSmallResults(const request_state &State, std::size_t Stage) const;
+  std::vector<std::uint32_t> finalStages(const active_request &State) const;
+  bool hasSmallResults(const active_request &State, std::size_t Stage) const;
 
   // Limits that servers name: serving_limits.cc.
   void tellLimit(const backend_entry &Server, limit_change Change);
   void logLimit(const backend_id &Server, limit_change Change,
                 std::string_view Source);
   entry_host_id limitCounter(const backend_id &Server) const;
-  std::set<backend_id> unavailableByLimit(const request_state &State);
-  backend_state *unusedLimitedServer(const request_state &State);
-  void spendLimit(request_state &State, const backend_entry &Server);
-  bool needsPermit(const request_state &State);
-  bool waitForPermit(request_state &State);
-  void requestPermit(request_state &State, core_duration RetryIn);
-  void onPermitReply(request_state &State, bool Granted, core_duration RetryIn);
+  std::set<backend_id> unavailableByLimit(const active_request &State);
+  backend_state *unusedLimitedServer(const active_request &State);
+  void spendLimit(active_request &State, const backend_entry &Server);
+  bool needsPermit(const active_request &State);
+  bool waitForPermit(active_request &State);
+  void requestPermit(active_request &State, core_duration RetryIn);
+  void onPermitReply(active_request &State, bool Granted,
+                     core_duration RetryIn);
   void onPermitTimeout(request_id Request);
-  void continueRequest(request_state &State);
+  void continueRequest(active_request &State);
   void on(const host_run &Sender, const server_limit_list &Body);
-  void failUnserved(request_state &State, refusal_kind Kind,
+  void failUnserved(active_request &State, refusal_kind Kind,
                     core_duration RetryAfter);
-  bool refusePaused(request_state &State);
+  bool refusePaused(active_request &State);
   bool markLeaving(const backend_id &Server, incarnation Run,
                    std::string_view Source);
   void on(const host_run &Sender, const server_leaving &Body);
@@ -332,11 +334,11 @@
 
   // Parts that crash servers: serving_quarantine.cc.
   void askAtStart(const batching_host &Host);
-  void reportCrash(const request_state &State);
-  void onPartsServed(const request_state &State);
-  bool refuseQuarantined(request_state &State);
-  std::optional<prompt_part_id> blockingPart(const request_state &State) const;
-  bool tryBeginTrial(request_state &State);
+  void reportCrash(const active_request &State);
+  void onPartsServed(const active_request &State);
+  bool refuseQuarantined(active_request &State);
+  std::optional<prompt_part_id> blockingPart(const active_request &State) const;
+  bool tryBeginTrial(active_request &State);
   void endQuarantined(prompt_part_id Part);
   void processCrashes();
   void applyVerdicts(const crash_attribution::verdicts &Verdicts);
@@ -346,21 +348,21 @@
   void on(const host_run &Sender, const part_rulings &Body);
 
   // Calls.
-  void sendCall(request_state &State);
-  backend_state *chooseServer(const request_state &State);
-  core_duration attemptTimeout(const request_state &State,
+  void sendCall(active_request &State);
+  backend_state *chooseServer(const active_request &State);
+  core_duration attemptTimeout(const active_request &State,
                                const backend_state &Server) const;
   void onAttemptTimeout(call_id Call);
-  request_state *callRequest(call_id Call);
+  active_request *callRequest(call_id Call);
   void endCall(call_id Call);
-  bool reserveRetry(const request_state &State);
-  void handleNotRun(request_state &State, const backend_reply_head &Head);
-  void handleBrokenCall(request_state &State, bool Timed);
-  void addPartFields(const request_state &State,
+  bool reserveRetry(const active_request &State);
+  void handleNotRun(active_request &State, const backend_reply_head &Head);
+  void handleBrokenCall(active_request &State, bool Timed);
+  void addPartFields(const active_request &State,
                      std::vector<event_field> &Fields) const;
-  void resumeStream(request_state &State);
-  void observeFirstByte(const request_state &State);
-  void observeStream(const request_state &State);
+  void resumeStream(active_request &State);
+  void observeFirstByte(const active_request &State);
+  void observeStream(const active_request &State);
 
   // Peers.
   void sendToHost(const entry_host_id &Host, peer_body Body);
