Log what became of each call of a request that is refused as not run

Change: call_ledger keeps the fate of each call and what the answer said of itself (status, names the request, connection new or reused). 206 and 207 have it as calls; 215 is written for each 408, 421, 429 or 503 after a call, the servers' own included, with ten times the lines of other events; 208 and 201 name the caller's id. Metric promises_after_calls. No decision changes.

Conclusion: a refused request without a 215 line was never sent; one with it names each server that could have had it.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -36,6 +36,7 @@
   BatchOverdue = 212,
   PiecesFailed = 213,
   BatchEnded = 214,
+  PromisedNotRun = 215,
   ClaimTaken = 301,
   ClaimDuplicate = 302,
   ClaimUndecided = 303,
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -5,6 +5,7 @@
 #include "jasminecroft/core/event_log.h"
 #include "jasminecroft/core/peer_messages.h"
 #include "jasminecroft/core/serving/backend_directory.h"
+#include "jasminecroft/core/serving/call_ledger.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/placement.h"
 #include "jasminecroft/core/serving/retry_budget.h"
@@ -107,10 +108,16 @@
   bool Signed = false;
   /// The server states that it did not run the request.
   bool NotRun = false;
+  /// Its status tells a caller that the request has not run and never will.
+  bool PromisesNotRun = false;
   /// The reply comes from another server than the expected one.
   bool WrongServer = false;
   /// A stage result that the request needs no longer exists.
   bool InputGone = false;
+  /// The reply names the request that it answers.
+  bool NamesRequest = false;
+  /// It came over a connection that had served an earlier request.
+  bool ConnectionReused = false;
   std::optional<backend_load> Load;
 };
 
@@ -223,6 +230,8 @@
   std::uint64_t Requests = 0;
   std::uint64_t Complete = 0;
   std::uint64_t Refused = 0;
+  /// Answers that promised 'not run' after calls were made for the request.
+  std::uint64_t PromisesAfterCalls = 0;
   std::uint64_t Failed = 0;
   std::uint64_t BrokenOff = 0;
   std::uint64_t CallerLeft = 0;
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -37,6 +37,10 @@
   return "sent";
 }
 
+answer_evidence evidenceOf(const backend_reply_head &Head) {
+  return {Head.Status, Head.NamesRequest, Head.ConnectionReused};
+}
+
 } // namespace
 
 using namespace detail;
@@ -86,6 +90,7 @@
   State.Progress = call_progress::Sent;
   bool FirstSend = State.TriedServers.insert(Server->Entry.Id).second;
   ++State.Attempts;
+  State.Ledger.begin(Server->Entry.Id);
   Servers.onCallStarted(Server->Entry.Id);
   Calls[Id] = {call_kind::Forward, State.Request.Number, batch_id(),
                Server->Entry, Now};
@@ -166,6 +171,7 @@
 // Handles a reply that states that the server did not run the request.
 void serving_impl::handleNotRun(active_request &State,
                                 const backend_reply_head &Head) {
+  State.Ledger.end(call_fate::Refused, evidenceOf(Head));
   if (Head.InputGone) {
     --State.Attempts;
     if (!recomputeResults(State, finalStages(State)))
@@ -209,6 +215,7 @@
 
 // Handles a call that broke or timed out: the request may have run.
 void serving_impl::handleBrokenCall(active_request &State, bool Timed) {
+  State.Ledger.end(Timed ? call_fate::TimedOut : call_fate::Broken);
   State.MayHaveRun = true;
   if (State.HeadRelayed) {
     resumeStream(State);
@@ -280,6 +287,7 @@
     return;
   }
   State->MayHaveRun = true;
+  State->Ledger.end(call_fate::Answered, evidenceOf(Head));
   bool Succeeded = Head.Status < FirstFailureStatus;
   if (Succeeded)
     Servers.onCallSucceeded(Server,
@@ -303,6 +311,8 @@
     onPartsServed(*State);
   ++Counters.Complete;
   State->FirstByteAt = Now;
+  if (Head.PromisesNotRun)
+    logPromise(*State, "server_reply");
   logOutcome(*State, Succeeded ? "complete" : "server_error", Head.Status);
   request_id Request = State->Request.Number;
   Actions.relayReply(Request, Head, std::move(Body));
@@ -348,6 +358,7 @@
          {"server", State->Server.Id.Value},
          {"expected", std::to_string(*State->LastEvent + 1)},
          {"got", std::to_string(First)}});
+    State->Ledger.end(call_fate::Broken);
     endCall(Call);
     Actions.cancelCall(Call);
     failRequest(*State, refusal_kind::Failed, core_duration{0});
@@ -369,6 +380,7 @@
     onCallFailed(Call, call_failure::Broken, Now);
     return;
   }
+  State->Ledger.end(call_fate::Answered);
   endCall(Call);
   observeStream(*State);
   ++Counters.Complete;
@@ -402,6 +414,7 @@
     reportCrash(*State);
   if (Failure == call_failure::NotConnected && !State->HeadRelayed) {
     --State->Attempts;
+    State->Ledger.end(call_fate::NotConnected);
     bool HasUntriedServer = false;
     for (const backend_state *Other : Servers.callable(State->Pool, Now))
       HasUntriedServer =
@@ -427,6 +440,7 @@
        {"server", State->Server.Id.Value}});
   Servers.onCallFailed(State->Server.Id, Now);
   State->MayHaveRun = true;
+  State->Ledger.end(call_fate::GivenUp);
   endCall(Call);
   Actions.cancelCall(Call);
   sendCall(*State);
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -136,15 +136,13 @@
                                          workspace_id &Workspace,
                                          std::uint32_t &Priority) {
   if (!View) {
-    refuseBeforeAdmission(Request.Number, refusal_kind::NotReady,
-                          NotReadyRetryAfter);
+    refuseBeforeAdmission(Request, refusal_kind::NotReady, NotReadyRetryAfter);
     return nullptr;
   }
   const serving_route *Route =
       View->Routes.find(Request.Message->Hostname, Request.Message->Target);
   if (!Route) {
-    refuseBeforeAdmission(Request.Number, refusal_kind::NoRoute,
-                          core_duration{0});
+    refuseBeforeAdmission(Request, refusal_kind::NoRoute, core_duration{0});
     return nullptr;
   }
   Priority = Route->Priority;
@@ -152,8 +150,7 @@
     return Route;
   auto Key = View->Config->Keys.find(Request.Key);
   if (Key == View->Config->Keys.end()) {
-    refuseBeforeAdmission(Request.Number, refusal_kind::UnknownKey,
-                          core_duration{0});
+    refuseBeforeAdmission(Request, refusal_kind::UnknownKey, core_duration{0});
     return nullptr;
   }
   Workspace = Key->second.Workspace;
@@ -220,14 +217,16 @@
   finish(Request);
 }
 
-void serving_impl::refuseBeforeAdmission(request_id Request, refusal_kind Kind,
+void serving_impl::refuseBeforeAdmission(const serving_request &Request,
+                                         refusal_kind Kind,
                                          core_duration RetryAfter) {
   ++Counters.Refused;
   log(event_number::RequestRefused, event_severity::Info, "request refused",
-      {{"request", std::to_string(Request.Value)},
+      {{"request", Request.CallerId.Value},
        {"reason", std::string(toText(Kind))},
-       {"config", std::to_string(View ? View->Config->Version.Value : 0)}});
-  Actions.refuse(Request, {Kind, RetryAfter});
+       {"config", std::to_string(View ? View->Config->Version.Value : 0)},
+       {"calls", "none"}});
+  Actions.refuse(Request.Number, {Kind, RetryAfter});
 }
 
 // Ends a request with a refusal, or aborts the response if its head has been
@@ -249,6 +248,7 @@
   core_duration Retry = core_duration{0};
   if (guaranteesNotRun(Kind)) {
     ++Counters.Refused;
+    logPromise(State, toText(Kind));
     // Of other causes, the end is a guess.
     bool EndIsKnown =
         Kind == refusal_kind::Quarantined || Kind == refusal_kind::Paused;
@@ -281,7 +281,8 @@
       {"goal_ms", inMs(State.Route->Goal)},
       {"deadline_ms", inMs(State.Deadline - State.Arrived)},
       {"server", State.Server.Id.Value},
-      {"sends", std::to_string(State.Attempts)}};
+      {"sends", std::to_string(State.Attempts)},
+      {"calls", State.Ledger.describe()}};
   if (State.QuarantinedPart)
     Fields.push_back({"part", partName(*State.QuarantinedPart)});
   if (FirstByte)
@@ -303,6 +304,22 @@
       std::move(Fields));
 }
 
+// Logs which servers had a request that its caller is told has not run, and
+// what shows that each of them did not run it.
+void serving_impl::logPromise(const active_request &State,
+                              std::string_view Outcome) {
+  if (State.Ledger.count() == 0)
+    return;
+  ++Counters.PromisesAfterCalls;
+  log(event_number::PromisedNotRun, event_severity::Info,
+      "caller is told that a request has not run, after calls were made",
+      {{"request", State.Request.CallerId.Value},
+       {"outcome", std::string(Outcome)},
+       {"route", State.Route->Name.Value},
+       {"calls", State.Ledger.describe()},
+       {"proved", State.Ledger.provesNotRun() ? "yes" : "no"}});
+}
+
 void serving_impl::finish(request_id Request) {
   auto Found = Requests.find(Request);
   if (Found == Requests.end())
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -86,6 +86,7 @@
   std::set<backend_id> TriedServers;
   /// Number of calls whose first byte may have been sent.
   std::uint32_t Attempts = 0;
+  call_ledger Ledger;
   /// True once a call was sent that a server may have run.
   bool MayHaveRun = false;
   bool HeadRelayed = false;
@@ -236,13 +237,14 @@
   pool_id selectPool(const serving_route &Route,
                      const caller_request_id &Id) const;
   void refuse(request_id Request, refusal_kind Kind, core_duration RetryAfter);
-  void refuseBeforeAdmission(request_id Request, refusal_kind Kind,
+  void refuseBeforeAdmission(const serving_request &Request, refusal_kind Kind,
                              core_duration RetryAfter);
   void failRequest(active_request &State, refusal_kind Kind,
                    core_duration RetryAfter);
   void finish(request_id Request);
   void logOutcome(const active_request &State, std::string_view Outcome,
                   unsigned Status);
+  void logPromise(const active_request &State, std::string_view Outcome);
   void onDeadline(request_id Request);
   void limitToDrain(active_request &State);
   bool cutByDrain(const active_request &State) const;
--- /dev/null
+++ b/packages/core/test/call-ledger-test.cc
@@ -0,0 +1,63 @@
+// What is known of a request's calls, and its text in logs.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "jasminecroft/core/serving/call_ledger.h"
+
+#include <doctest/doctest.h>
+
+using namespace jasminecroft;
+
+namespace {
+
+const backend_id First("i-1");
+const backend_id Second("i-2");
+
+} // namespace
+
+TEST_CASE("a request without a call is proved not to have run") {
+  call_ledger Ledger;
+  CHECK(Ledger.provesNotRun());
+  CHECK(Ledger.describe() == "none");
+}
+
+TEST_CASE("only refused and unconnected calls prove that nothing ran") {
+  for (call_fate Fate :
+       {call_fate::InFlight, call_fate::Answered, call_fate::Broken,
+        call_fate::TimedOut, call_fate::GivenUp}) {
+    call_ledger Ledger;
+    Ledger.begin(First);
+    Ledger.end(Fate);
+    CHECK_FALSE(Ledger.provesNotRun());
+  }
+  call_ledger Ledger;
+  Ledger.begin(First);
+  CHECK_FALSE(Ledger.provesNotRun());
+  Ledger.end(call_fate::NotConnected);
+  CHECK(Ledger.provesNotRun());
+  Ledger.begin(Second);
+  Ledger.end(call_fate::Refused, {503, true, false});
+  CHECK(Ledger.provesNotRun());
+  CHECK(Ledger.describe() == "i-1=not_connected,i-2=refused_503_named_new");
+}
+
+TEST_CASE("a later refusal does not outweigh a call that may have run") {
+  call_ledger Ledger;
+  Ledger.begin(First);
+  Ledger.end(call_fate::TimedOut);
+  Ledger.begin(Second);
+  Ledger.end(call_fate::Refused, {429, false, true});
+  CHECK_FALSE(Ledger.provesNotRun());
+  CHECK(Ledger.describe() == "i-1=timed_out,i-2=refused_429_unnamed_reused");
+}
+
+TEST_CASE("a call that may have run counts also when its record is dropped") {
+  call_ledger Ledger;
+  Ledger.begin(First);
+  Ledger.end(call_fate::Broken);
+  for (int I = 0; I < 100; ++I) {
+    Ledger.begin(Second);
+    Ledger.end(call_fate::NotConnected);
+  }
+  CHECK_FALSE(Ledger.provesNotRun());
+  CHECK(Ledger.count() == 101);
+  CHECK(Ledger.describe().starts_with("93_earlier_may_have_run,i-2="));
+}
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -63,6 +63,7 @@
       return;
     }
     Socket = std::move(*Reused);
+    Connection = connection_use::Reused;
     write();
   }
 
@@ -259,7 +260,7 @@
     if (WasStream)
       Last->onStreamEnd(Ended);
     else
-      Last->onWhole(LastHead, std::move(Body));
+      Last->onWhole(LastHead, std::move(Body), Connection);
   }
 
   void keepConnection() {
@@ -304,6 +305,7 @@
   std::optional<http::response_parser<http::string_body>> Parser;
   beast::flat_buffer Buffer{MaxUndecodedBytes};
   platform::http_head Head;
+  connection_use Connection = connection_use::New;
   /// True from just before the first byte is written.
   bool MayHaveLeft = false;
   bool WriteFailed = false;
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -97,6 +97,7 @@
 void caller_session::awaitRequest() {
   Phase = phase::Idle;
   Request.reset();
+  CallerId.clear();
   setDeadline(Owner.bounds().IdleTimeout);
   if (Buffer.size() > 0) {
     onFirstBytes({}, 0);
@@ -157,6 +158,7 @@
     return;
   }
   Head = headOf(Parser->get().base());
+  CallerId = platform::callerIdOf(Head);
   if (Parser->is_done()) {
     dispatch();
     return;
@@ -193,7 +195,6 @@
   Deadline.reset();
   KeepAlive = Parser->keep_alive();
   HeadOnly = Parser->get().method() == http::verb::head;
-  CallerId = platform::callerIdOf(Head);
   platform::decoded_request Decoded =
       platform::decodeRequest(std::move(Head), std::move(Parser->get().body()));
   Parser.reset();
@@ -247,7 +248,7 @@
 }
 
 void caller_session::refuseEarly(unsigned Status, std::string_view Why) {
-  Owner.onRefusedEarly(Status, Why);
+  Owner.onRefusedEarly(CallerId, Status, Why);
   Phase = phase::Finishing;
   CloseWhenWritten = true;
   LingerWhenWritten = true;
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -31,7 +31,10 @@
   virtual request_id accept(serving_request Request,
                             const std::shared_ptr<caller_session> &Session) = 0;
   virtual void onCallerDisconnected(request_id Request) = 0;
-  virtual void onRefusedEarly(unsigned Status, std::string_view Why) = 0;
+  /// A request was answered before it was handed on; CallerId is empty if its
+  /// head has not arrived.
+  virtual void onRefusedEarly(std::string_view CallerId, unsigned Status,
+                              std::string_view Why) = 0;
   virtual void onClosed(const caller_session &Session) = 0;
 };
 
@@ -106,6 +109,7 @@
   std::optional<clock::time_point> Deadline;
   /// Set while the core has the request.
   std::optional<request_id> Request;
+  /// Of the present request; empty until its head has arrived.
   std::string CallerId;
   bool KeepAlive = true;
   bool HeadOnly = false;
--- a/packages/entry/src/serving/line_log.cc
+++ b/packages/entry/src/serving/line_log.cc
@@ -17,6 +17,8 @@
 /// A buffer of this size is written at once.
 constexpr std::size_t FlushBytes = 16'384;
 constexpr std::chrono::seconds WindowLength{1};
+/// Lines of promises to callers, as a multiple of those of other events.
+constexpr std::uint32_t PromiseFactor = 10;
 
 void appendText(std::string &Line, std::string_view Text) {
   constexpr std::string_view Digits = "0123456789abcdef";
@@ -86,6 +88,13 @@
     ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
 }
 
+// Each promise to a caller is logged even when a whole pool refuses work.
+std::uint32_t line_log::maxPerSecond(event_number Number) const {
+  return Number == event_number::PromisedNotRun
+             ? Settings.MaxPerSecond * PromiseFactor
+             : Settings.MaxPerSecond;
+}
+
 void line_log::write(const event_record &Record) {
   if (Record.Severity < Settings.MinimumSeverity)
     return;
@@ -95,7 +104,7 @@
     Window.Began = Now;
     Window.Lines = 0;
   }
-  if (Window.Lines >= Settings.MaxPerSecond) {
+  if (Window.Lines >= maxPerSecond(Record.Number)) {
     ++Window.LeftOut;
     return;
   }
--- a/packages/entry/src/serving/line_log.h
+++ b/packages/entry/src/serving/line_log.h
@@ -34,6 +34,7 @@
   };
 
   void armFlush();
+  std::uint32_t maxPerSecond(event_number Number) const;
 
   std::string Host;
   log_settings Settings;
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -39,12 +39,14 @@
       : Backends(Backends), Results(Results), Call(Call),
         CallerId(Forward.CallerId), Server(Forward.Server) {}
 
-  void onWhole(const platform::http_head &Head, std::string Body) override {
+  void onWhole(const platform::http_head &Head, std::string Body,
+               connection_use Connection) override {
     Backends.forget(Call);
     tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
-    Results.onCompleteReply(Call, platform::decodeReply(Head, CallerId),
-                            std::move(Body));
+    backend_reply_head Reply = platform::decodeReply(Head, CallerId);
+    Reply.ConnectionReused = Connection == connection_use::Reused;
+    Results.onCompleteReply(Call, Reply, std::move(Body));
   }
 
   void onStreamHead(const platform::http_head &Head) override {
@@ -138,7 +140,8 @@
       : Backends(Backends), Results(Results), Call(Call),
         Server(std::move(Server)), Expected(Expected) {}
 
-  void onWhole(const platform::http_head &Head, std::string Body) override {
+  void onWhole(const platform::http_head &Head, std::string Body,
+               connection_use) override {
     Backends.forget(Call);
     tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
@@ -175,7 +178,8 @@
   free_listener(backend_results &Results, backend_entry Server)
       : Results(Results), Server(std::move(Server)) {}
 
-  void onWhole(const platform::http_head &Head, std::string) override {
+  void onWhole(const platform::http_head &Head, std::string,
+               connection_use) override {
     tellServer(Results, Server, Head);
   }
   void onStreamHead(const platform::http_head &) override {}
@@ -193,7 +197,8 @@
   load_listener(backend_results &Results, backend_entry Server)
       : Results(Results), Server(std::move(Server)) {}
 
-  void onWhole(const platform::http_head &Head, std::string Body) override {
+  void onWhole(const platform::http_head &Head, std::string Body,
+               connection_use) override {
     tellServer(Results, Server, Head);
     Results.onServerLoad(Server.Id, platform::decodePiecesLoad(Head, Body));
   }
--- a/packages/entry/src/serving/serving_front.cc
+++ b/packages/entry/src/serving/serving_front.cc
@@ -119,8 +119,9 @@
   Listener.onCallerDisconnected(Request);
 }
 
-void serving_front::onRefusedEarly(unsigned Status, std::string_view Why) {
-  Listener.onRefusedEarly(Status, Why);
+void serving_front::onRefusedEarly(std::string_view CallerId, unsigned Status,
+                                   std::string_view Why) {
+  Listener.onRefusedEarly(CallerId, Status, Why);
 }
 
 void serving_front::onClosed(const caller_session &Session) {
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -15,7 +15,8 @@
   virtual ~serving_front_listener() = default;
   virtual void onRequest(serving_request Request) = 0;
   virtual void onCallerDisconnected(request_id Request) = 0;
-  virtual void onRefusedEarly(unsigned Status, std::string_view Why) = 0;
+  virtual void onRefusedEarly(std::string_view CallerId, unsigned Status,
+                              std::string_view Why) = 0;
   virtual caller_bounds bounds() const = 0;
 };
 
@@ -52,7 +53,8 @@
   request_id accept(serving_request Request,
                     const std::shared_ptr<caller_session> &Session) override;
   void onCallerDisconnected(request_id Request) override;
-  void onRefusedEarly(unsigned Status, std::string_view Why) override;
+  void onRefusedEarly(std::string_view CallerId, unsigned Status,
+                      std::string_view Why) override;
   void onClosed(const caller_session &Session) override;
 
   serving_front_listener &Listener;
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -285,10 +285,14 @@
     Core.onCallerDisconnected(Request, now());
     arm();
   }
-  void onRefusedEarly(unsigned Status, std::string_view Why) override {
+  void onRefusedEarly(std::string_view CallerId, unsigned Status,
+                      std::string_view Why) override {
     write(event_number::RequestRejected, event_severity::Info,
           "request rejected before it was whole",
-          {{"status", std::to_string(Status)}, {"why", std::string(Why)}});
+          {{"request", std::string(CallerId)},
+           {"status", std::to_string(Status)},
+           {"why", std::string(Why)},
+           {"calls", "none"}});
   }
   caller_bounds bounds() const override {
     std::shared_ptr<const route_config> Config = Core.config();
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -102,6 +102,8 @@
   Impl->set("caller_left", static_cast<double>(Counters.CallerLeft));
   Impl->set("repeats", static_cast<double>(Counters.Repeats));
   Impl->set("refused_by_limit", static_cast<double>(Counters.RefusedByLimit));
+  Impl->set("promises_after_calls",
+            static_cast<double>(Counters.PromisesAfterCalls));
   Impl->set("refused_by_pause", static_cast<double>(Counters.RefusedByPause));
   Impl->set("odd_pauses", static_cast<double>(Counters.OddPauses));
   Impl->set("limited_servers", static_cast<double>(Counters.LimitedServers));
