--- a/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
+++ b/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
@@ -12,6 +12,7 @@
 #include <boost/asio/post.hpp>
 
 #include <filesystem>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
@@ -21,14 +22,19 @@
 
 namespace jasminecroft::processes {
 
-/// The operator's configuration: routes "read", "once" and "draft", two
-/// workspaces with one key each.
+/// The operator's configuration: routes "read", "once", "draft" (a stream that
+/// may be resumed) and "note" (one that may not), two workspaces with one key
+/// each.
 const char *usersConfig();
 
 class users_fleet {
 public:
+  using act_chooser = std::function<standins::backend_act()>;
+
   /// Proxied: hosts reach the store and the backend servers through proxies.
-  explicit users_fleet(std::size_t Hosts, bool Proxied = false);
+  /// Act: what the first backend servers do with each request.
+  explicit users_fleet(std::size_t Hosts, bool Proxied = false,
+                       act_chooser Act = nullptr);
   ~users_fleet();
   users_fleet(const users_fleet &) = delete;
   users_fleet &operator=(const users_fleet &) = delete;
@@ -57,8 +63,12 @@
   bool waitReady() const;
   http_call call(const std::string &Path, const std::string &Id,
                  const std::string &Key = "key-1", std::size_t Host = 0) const;
-  /// A stream with three pieces in two stages.
+  /// Streams with three pieces in two stages.
   http_call draft(const std::string &Id, std::size_t Host = 0) const;
+  http_call stream(const std::string &Path, const std::string &Id,
+                   std::size_t Host = 0) const;
+  /// Options of a backend server that does as the first ones.
+  standins::users_backend_options backendOptions(const std::string &Id) const;
   /// Name of the proxy between a host and the store.
   static std::string storeProxy(std::size_t Host);
   std::size_t ranTimes(const std::string &Id);
@@ -81,6 +91,7 @@
   void writeSettings(std::size_t Host, std::uint16_t Peers) const;
 
   bool Proxied;
+  act_chooser Act;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard{Context.get_executor()};
   std::thread Thread;
--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds CallerPause{15};
 /// A host that was told to stop ends by itself within its grace.
 constexpr std::chrono::seconds StopBound{10};
-constexpr std::size_t CalmRequests = 6;
+constexpr std::size_t CalmRequests = 8;
 /// Bounds of the users' rules: when hosts count again after faults, and when a
 /// configuration is in force.
 constexpr milliseconds StableTime{3'000};
@@ -40,7 +40,61 @@
   return Status == 429 || Status == 503 || Status == 408 || Status == 421;
 }
 
-enum class soak_kind { Read, Once, Draft };
+/// Draft: a stream that may be resumed; Note: one that may not.
+enum class soak_kind { Read, Once, Draft, Note };
+constexpr std::size_t Kinds = 4;
+
+bool isStream(soak_kind Kind) {
+  return Kind == soak_kind::Draft || Kind == soak_kind::Note;
+}
+
+bool mayRepeat(soak_kind Kind) {
+  return Kind == soak_kind::Read || Kind == soak_kind::Draft;
+}
+
+using standins::backend_act;
+
+const std::vector<backend_act> TroubledActs = {
+    backend_act::Refuse,          backend_act::RefuseTooMany,
+    backend_act::RunAndFail,      backend_act::RunAndRepeat,
+    backend_act::RefuseAndRepeat, backend_act::Close,
+    backend_act::RunAndClose,     backend_act::RunAndCutHead,
+    backend_act::RunAndCutBody,   backend_act::RunAndHang};
+const std::vector<backend_act> UnnamedActs = {
+    backend_act::RefuseUnnamed, backend_act::RefuseUnnamedAndRepeat,
+    backend_act::RefuseUnnamedAndRepeat, backend_act::RefuseWithPause};
+const std::vector<backend_act> ContradictingActs = {
+    backend_act::RunAndAnswerBusy, backend_act::RunAndAnswerTooMany,
+    backend_act::RunAndAnswerTimeout, backend_act::RunAndAnswerUnsigned};
+
+/// Chooses what servers do; used on their thread only.
+class troubled_servers {
+public:
+  troubled_servers(std::uint64_t Seed, soak_servers Servers) : Random(Seed) {
+    if (Servers == soak_servers::Sound)
+      return;
+    Acts = TroubledActs;
+    if (Servers == soak_servers::Unnamed)
+      Acts.insert(Acts.end(), UnnamedActs.begin(), UnnamedActs.end());
+    if (Servers == soak_servers::Contradicting)
+      Acts.insert(Acts.end(), ContradictingActs.begin(),
+                  ContradictingActs.end());
+  }
+
+  backend_act choose() {
+    constexpr std::uint64_t TroubledShare = 4;
+    if (Acts.empty() || Calm || Random() % TroubledShare != 0)
+      return backend_act::Run;
+    return Acts[Random() % Acts.size()];
+  }
+
+  void calm() { Calm = true; }
+
+private:
+  std::mt19937_64 Random;
+  std::vector<backend_act> Acts;
+  bool Calm = false;
+};
 
 struct soak_answer {
   std::string Id;
@@ -51,10 +105,12 @@
 class soak {
 public:
   explicit soak(const soak_options &Options)
-      : Options(Options), Random(Options.Seed), Fleet(Options.Hosts, true),
+      : Options(Options), Random(Options.Seed),
+        Servers(Options.Seed, Options.Servers),
+        Fleet(Options.Hosts, true, [this] { return Servers.choose(); }),
         Runs(Options.Hosts), Served(Options.Hosts) {
-    Fleet.add("engine", {"engine-1"});
-    Fleet.add("stage", {"stage-1"});
+    Fleet.add("engine", Fleet.backendOptions("engine-1"));
+    Fleet.add("stage", Fleet.backendOptions("stage-1"));
   }
 
   soak_report run() {
@@ -236,6 +292,7 @@
 
   void calm() {
     healProxies();
+    Fleet.on([this] { Servers.calm(); });
     steady::time_point Healed = steady::now();
     changeConfig();
     std::this_thread::sleep_until(Healed + StableTime);
@@ -250,10 +307,21 @@
   }
 
   soak_answer ask(const std::string &Id, soak_kind Kind, std::size_t Host) {
-    http_call Call = Kind == soak_kind::Draft
-                         ? Fleet.draft(Id, Host)
-                         : Fleet.call(Kind == soak_kind::Once ? "once" : "read",
-                                      Id, "key-1", Host);
+    http_call Call;
+    switch (Kind) {
+    case soak_kind::Read:
+      Call = Fleet.call("read", Id, "key-1", Host);
+      break;
+    case soak_kind::Once:
+      Call = Fleet.call("once", Id, "key-1", Host);
+      break;
+    case soak_kind::Draft:
+      Call = Fleet.draft(Id, Host);
+      break;
+    case soak_kind::Note:
+      Call = Fleet.stream("note", Id, Host);
+      break;
+    }
     return {Id, Kind, processes::exchange(Call, Bound)};
   }
 
@@ -265,7 +333,7 @@
       if (Own() % ProbeShare == 0)
         probeVersion("p" + Id, Own() % Options.Hosts, Own);
       soak_answer Answer =
-          ask(Id, static_cast<soak_kind>(Own() % 3), Own() % Options.Hosts);
+          ask(Id, static_cast<soak_kind>(Own() % Kinds), Own() % Options.Hosts);
       {
         std::lock_guard<std::mutex> Lock(AnswersMutex);
         Answers.push_back(std::move(Answer));
@@ -279,7 +347,7 @@
       for (std::size_t I = 0; I < CalmRequests; ++I) {
         std::string Id =
             "calm-" + std::to_string(Host) + "-" + std::to_string(I);
-        soak_answer Answer = ask(Id, static_cast<soak_kind>(I % 3), Host);
+        soak_answer Answer = ask(Id, static_cast<soak_kind>(I % Kinds), Host);
         if (Answer.Reply.Status != StatusOk)
           broken(Id + " gets " + std::to_string(Answer.Reply.Status) +
                  " after the faults ended");
@@ -303,11 +371,18 @@
       Report.Served += Status == StatusOk ? 1 : 0;
       Report.Refused += guaranteesNotRun(Status) ? 1 : 0;
       Report.Unanswered += Status == 0 ? 1 : 0;
-      if (Answer.Kind == soak_kind::Once && Times > 1)
-        broken(Answer.Id + " ran " + std::to_string(Times) + " times");
+      if (!mayRepeat(Answer.Kind)) {
+        ++Report.AtMostOnce;
+        if (Times > 1) {
+          ++Report.RanTwice;
+          broken(Answer.Id + " ran " + std::to_string(Times) + " times");
+        }
+      }
       if (Answer.Kind != soak_kind::Read && guaranteesNotRun(Status) &&
-          Times > 0)
+          Times > 0) {
+        Report.RefusedAndRan += mayRepeat(Answer.Kind) ? 0 : 1;
         broken(Answer.Id + " got " + std::to_string(Status) + ", but ran");
+      }
       if (Status == StatusOk)
         judgeServed(Answer, Times);
     }
@@ -317,7 +392,7 @@
     if (Ran == 0)
       broken(Answer.Id + " was served, but ran nowhere");
     const std::string &Body = Answer.Reply.Body;
-    if (Answer.Kind != soak_kind::Draft) {
+    if (!isStream(Answer.Kind)) {
       if (Body.find("\"id\":\"" + Answer.Id + "\"") == std::string::npos)
         broken(Answer.Id + " got another answer: " + Body);
       return;
@@ -337,6 +412,7 @@
 
   soak_options Options;
   std::mt19937_64 Random;
+  troubled_servers Servers;
   users_fleet Fleet;
   std::atomic<std::uint64_t> Version = 1;
   /// Changes at each end and each start of a host.
--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <unistd.h>
@@ -31,6 +32,11 @@
   {"name":"draft","hostname":"localhost","path_prefix":"/draft/",
    "type":"stream","timeout_ms":8000,"goal_ms":5000,"priority":0,
    "service":"engine","attempts":2,"public":false,"resumable":true,
+   "stages":[{"service":"stage","after":[],"bytes":8000},
+             {"service":"stage","after":[0],"bytes":6000}]},
+  {"name":"note","hostname":"localhost","path_prefix":"/note/",
+   "type":"stream","timeout_ms":8000,"goal_ms":5000,"priority":0,
+   "service":"engine","attempts":1,"public":false,"resumable":false,
    "stages":[{"service":"stage","after":[],"bytes":8000},
              {"service":"stage","after":[0],"bytes":6000}]}],
  "services":[{"name":"plain","max_conns":48},
@@ -44,6 +50,13 @@
 
 std::atomic<int> Fleets = 0;
 
+// Another build can be put to the same tests.
+std::string daemonPath() {
+  const char *Chosen = std::getenv("JASMINECROFT_DAEMON");
+  return Chosen ? Chosen
+                : JASMINECROFT_BINARY_DIR "/packages/entry/jasminecroftd";
+}
+
 std::string textOf(const std::string &File) {
   std::ifstream Text(File);
   return {std::istreambuf_iterator<char>(Text),
@@ -54,7 +67,8 @@
 
 const char *usersConfig() { return ConfigText; }
 
-users_fleet::users_fleet(std::size_t Hosts, bool Proxied) : Proxied(Proxied) {
+users_fleet::users_fleet(std::size_t Hosts, bool Proxied, act_chooser Act)
+    : Proxied(Proxied), Act(std::move(Act)) {
   Thread = std::thread([this] { Context.run(); });
   on([this, Hosts] {
     Store = std::make_unique<users_store>(Context, "127.0.0.1:0");
@@ -66,10 +80,10 @@
       Proxies[storeProxy(Host)] =
           std::make_unique<fault_proxy>(Context, Proxies["store"]->port());
   });
-  add("plain", {"plain-0"});
-  add("plain", {"plain-1"});
-  add("engine", {"engine-0"});
-  add("stage", {"stage-0"});
+  for (const char *Id : {"plain-0", "plain-1"})
+    add("plain", backendOptions(Id));
+  add("engine", backendOptions("engine-0"));
+  add("stage", backendOptions("stage-0"));
   Folder = std::filesystem::temp_directory_path() /
            ("jasminecroft-serving-" + std::to_string(::getpid()) + "-" +
             std::to_string(++Fleets));
@@ -98,6 +112,13 @@
   std::filesystem::remove_all(Folder);
 }
 
+users_backend_options users_fleet::backendOptions(const std::string &Id) const {
+  users_backend_options Options;
+  Options.Id = Id;
+  Options.Act = Act;
+  return Options;
+}
+
 users_backend &users_fleet::add(const std::string &Pool,
                                 users_backend_options Options) {
   users_backend *Added = nullptr;
@@ -155,8 +176,7 @@
 
 void users_fleet::startHost(std::size_t Host) {
   Processes[Host] = std::make_unique<child_process>(
-      JASMINECROFT_BINARY_DIR "/packages/entry/jasminecroftd",
-      std::vector<std::string>{"--serve", file(Host, ".json")},
+      daemonPath(), std::vector<std::string>{"--serve", file(Host, ".json")},
       file(Host, ".err"), file(Host, ".log"));
 }
 
@@ -187,7 +207,12 @@
 }
 
 http_call users_fleet::draft(const std::string &Id, std::size_t Host) const {
-  http_call Call = call("draft", Id, "key-1", Host);
+  return stream("draft", Id, Host);
+}
+
+http_call users_fleet::stream(const std::string &Path, const std::string &Id,
+                              std::size_t Host) const {
+  http_call Call = call(Path, Id, "key-1", Host);
   // Each request is of a session of its own.
   std::string Session = std::to_string(std::hash<std::string>()(Id) % 9'973);
   Call.Headers +=
--- /dev/null
+++ b/packages/testing/processes/test/promised-statuses-test.cc
@@ -0,0 +1,121 @@
+// Servers that run a request and answer with a status that would tell its
+// caller that it has not run.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/raw_server.h"
+#include "jasminecroft/processes/users_fleet.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace jasminecroft::processes;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::seconds Bound{12};
+const std::vector<std::string> Statuses = {
+    "503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"};
+
+bool promisesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+/// Runs each request and answers with its signature and one status.
+class running_server {
+public:
+  running_server()
+      : Server([this](const raw_request &Request, int,
+                      const raw_server::writer &Write) {
+          std::lock_guard<std::mutex> Lock(Guard);
+          Ran.push_back(Request.Id);
+          Write("HTTP/1.1 " + Status + "\r\n" + signature(Request.Id) + More +
+                "Content-Length: 4\r\n\r\nbusy");
+        }) {}
+
+  void answerWith(const std::string &Line, const std::string &Headers = "") {
+    std::lock_guard<std::mutex> Lock(Guard);
+    Status = Line;
+    More = Headers;
+  }
+  std::uint16_t port() const { return Server.port(); }
+  std::size_t ranTimes(const std::string &Id) {
+    std::lock_guard<std::mutex> Lock(Guard);
+    return static_cast<std::size_t>(std::count(Ran.begin(), Ran.end(), Id));
+  }
+
+private:
+  std::mutex Guard;
+  std::string Status;
+  std::string More;
+  std::vector<std::string> Ran;
+  raw_server Server;
+};
+
+/// A fleet whose plain pool and engines are entries of one running server.
+class running_fleet {
+public:
+  running_fleet() {
+    REQUIRE(Fleet.waitReady());
+    Fleet.on([this] {
+      for (const char *Pool : {"plain", "engine"})
+        for (const char *Number : {"-raw-1", "-raw-2"})
+          Fleet.listAt(Pool, Pool + std::string(Number), Server.port());
+      for (const char *Old : {"plain-0", "plain-1", "engine-0"})
+        Fleet.Store->remove("servers", Old);
+    });
+    std::this_thread::sleep_for(milliseconds(1'500));
+  }
+
+  running_server Server;
+  users_fleet Fleet{1};
+};
+
+} // namespace
+
+TEST_CASE("a request that a server ran is not refused with that server's own "
+          "503, 429 or 408") {
+  running_fleet Running;
+  int Number = 0;
+  for (const std::string &Status : Statuses) {
+    CAPTURE(Status);
+    Running.Server.answerWith(Status);
+    for (const std::string &Route :
+         std::vector<std::string>{"once", "read", "note", "draft"}) {
+      CAPTURE(Route);
+      std::string Id = "p" + std::to_string(++Number);
+      bool Streamed = Route == "note" || Route == "draft";
+      http_reply Reply = exchange(Streamed ? Running.Fleet.stream(Route, Id)
+                                           : Running.Fleet.call(Route, Id),
+                                  Bound);
+      REQUIRE(Running.Server.ranTimes(Id) > 0);
+      CHECK(Reply.Status != 0);
+      CHECK_FALSE(promisesNotRun(Reply.Status));
+      // A status that is not the server's own must not bear its signature.
+      CHECK(Reply.Head.find("X-Replica-Stamp") == std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("the log of a promise names each server that was called and what "
+          "became of the call") {
+  running_fleet Running;
+  Running.Server.answerWith("503 Service Unavailable", "X-Not-Executed: 1\r\n");
+  CHECK(exchange(Running.Fleet.call("once", "refused"), Bound).Status == 503);
+  std::string Log;
+  bool Logged = waitUntil([&] {
+    Log = Running.Fleet.logOf(0);
+    return Log.find("\"event\":215") != std::string::npos;
+  });
+  CAPTURE(Log);
+  REQUIRE(Logged);
+  CHECK(Log.find("\"request\":\"refused\",\"outcome\":\"overloaded\"") !=
+        std::string::npos);
+  CHECK(Log.find("plain-raw-1=refused_503_named_new") != std::string::npos);
+  CHECK(Log.find("plain-raw-2=refused_503_named_") != std::string::npos);
+  CHECK(Log.find("\"proved\":\"yes\"") != std::string::npos);
+}
--- a/packages/testing/standins/include/jasminecroft/standins/http_server.h
+++ b/packages/testing/standins/include/jasminecroft/standins/http_server.h
@@ -33,6 +33,10 @@
   virtual void sendText(std::string_view Text) = 0;
   virtual void sendEvent(std::string_view Event, std::string_view Data) = 0;
   virtual void endEvents() = 0;
+  /// Sends bytes as they are, before any answer.
+  virtual void sendRaw(std::string Bytes) = 0;
+  /// The same for all requests of one connection, and for no other.
+  virtual std::uint64_t connectionNumber() const = 0;
   /// Closes the connection without (the rest of) an answer.
   virtual void breakConnection() = 0;
 };
--- a/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -73,6 +73,38 @@
   std::unique_ptr<http_server> Server;
 };
 
+/// What a backend server does with one request or call for pieces.
+enum class backend_act {
+  Run,
+  /// States that it has not run it: 503, naming the request or not, or 429.
+  Refuse,
+  RefuseUnnamed,
+  RefuseTooMany,
+  /// The same, and asks for a pause.
+  RefuseWithPause,
+  /// Runs it and then answers, with its signature, 500, 503, 429 or 408.
+  RunAndFail,
+  RunAndAnswerBusy,
+  RunAndAnswerTooMany,
+  RunAndAnswerTimeout,
+  /// Runs it and answers 503 without its signature.
+  RunAndAnswerUnsigned,
+  /// Runs it, answers, and writes the answer once more where the next one on
+  /// the connection is due (not of streams); the same of a refusal, named or
+  /// not.
+  RunAndRepeat,
+  RefuseAndRepeat,
+  RefuseUnnamedAndRepeat,
+  /// Closes the connection, before or after it has run it.
+  Close,
+  RunAndClose,
+  /// Runs it and ends in the middle of the answer's head or body.
+  RunAndCutHead,
+  RunAndCutBody,
+  /// Runs it and never answers.
+  RunAndHang,
+};
+
 /// What a backend server of the users does with requests.
 struct users_backend_options {
   std::string Id;
@@ -84,6 +116,8 @@
   unsigned CutAfter = 0;
   /// Refuses every request as not run.
   bool Full = false;
+  /// Chooses what is done with each request; absent: all are run.
+  std::function<backend_act()> Act = nullptr;
 };
 
 /// A backend server: plain requests, pieces of stages, and streams, which need
@@ -105,6 +139,10 @@
 
 private:
   void onRequest(const exchange_ptr &Exchange);
+  bool refuse(const exchange_ptr &Exchange, backend_act Act);
+  void failAfterRun(const exchange_ptr &Exchange, backend_act Act,
+                    const std::string &Headers, const std::string &Body);
+  void repeat(const exchange_ptr &Exchange, std::string Answer);
   void makePieces(const exchange_ptr &Exchange);
   void runRequest(const exchange_ptr &Exchange);
   void stream(const exchange_ptr &Exchange, const std::string &Headers);
@@ -117,6 +155,8 @@
   std::set<std::string> Workspaces;
   std::size_t PieceCalls = 0;
   bool Forbidden = false;
+  /// Answers that are written once more, by connection.
+  std::map<std::uint64_t, std::string> Repeated;
   std::unique_ptr<http_server> Server;
 };
 
--- a/packages/testing/standins/src/http_server.cc
+++ b/packages/testing/standins/src/http_server.cc
@@ -22,8 +22,11 @@
 /// One connection; serves its requests one after the other.
 class connection final : public std::enable_shared_from_this<connection> {
 public:
-  connection(tcp::socket Socket, const http_handler &Handler)
-      : Stream(std::move(Socket)), Handler(Handler) {}
+  connection(tcp::socket Socket, const http_handler &Handler,
+             std::uint64_t Number)
+      : Stream(std::move(Socket)), Handler(Handler), Number(Number) {}
+
+  std::uint64_t number() const { return Number; }
 
   void read();
   void send(std::string Bytes, bool Last);
@@ -43,6 +46,7 @@
 
   beast::tcp_stream Stream;
   const http_handler &Handler;
+  std::uint64_t Number;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   std::deque<pending_write> Writes;
@@ -83,6 +87,10 @@
                    Headers + "\r\n",
                false);
   }
+  void sendRaw(std::string Bytes) override {
+    Link->send(std::move(Bytes), false);
+  }
+  std::uint64_t connectionNumber() const override { return Link->number(); }
   void sendText(std::string_view Text) override {
     char Size[20];
     std::snprintf(Size, sizeof Size, "%zx\r\n", Text.size());
@@ -168,7 +176,8 @@
       if (!Error) {
         beast::error_code Ignored;
         Socket.set_option(tcp::no_delay(true), Ignored);
-        std::make_shared<connection>(std::move(Socket), Handler)->read();
+        std::make_shared<connection>(std::move(Socket), Handler, ++Connections)
+            ->read();
       }
       accept();
     });
@@ -176,6 +185,7 @@
 
   tcp::acceptor Acceptor;
   http_handler Handler;
+  std::uint64_t Connections = 0;
 };
 
 } // namespace
--- a/packages/testing/standins/src/serving_platform.cc
+++ b/packages/testing/standins/src/serving_platform.cc
@@ -190,7 +190,48 @@
                         boost::system::error_code) { Action(); });
 }
 
+// Returns whether the request was turned away without being run.
+bool users_backend::refuse(const exchange_ptr &Exchange, backend_act Act) {
+  std::string Headers = "X-Not-Executed: 1\r\nX-Replica-Load: 6,24,6\r\n";
+  int Status = Act == backend_act::RefuseTooMany ? 429 : 503;
+  switch (Act) {
+  case backend_act::Refuse:
+  case backend_act::RefuseTooMany:
+  case backend_act::RefuseAndRepeat:
+    Headers +=
+        "X-Request-Id: " + std::string(Exchange->header("X-Request-Id")) +
+        "\r\n";
+    break;
+  case backend_act::RefuseWithPause:
+    Headers += "Retry-After: 0.2\r\n";
+    break;
+  case backend_act::RefuseUnnamed:
+  case backend_act::RefuseUnnamedAndRepeat:
+    break;
+  case backend_act::Close:
+    Exchange->breakConnection();
+    return true;
+  default:
+    return false;
+  }
+  if (Act == backend_act::RefuseAndRepeat ||
+      Act == backend_act::RefuseUnnamedAndRepeat)
+    repeat(Exchange,
+           "HTTP/1.1 503 \r\n" + Headers + "Content-Length: 0\r\n\r\n");
+  Exchange->respond(Status, "", Headers);
+  return true;
+}
+
+void users_backend::repeat(const exchange_ptr &Exchange, std::string Answer) {
+  Repeated[Exchange->connectionNumber()] = std::move(Answer);
+}
+
 void users_backend::onRequest(const exchange_ptr &Exchange) {
+  auto Copy = Repeated.find(Exchange->connectionNumber());
+  if (Copy != Repeated.end()) {
+    Exchange->sendRaw(Copy->second);
+    Repeated.erase(Copy);
+  }
   std::string_view Expected = Exchange->header("X-Expect-Replica");
   if (!Expected.empty() && Expected != Options.Id)
     Exchange->respond(421, "", "X-Replica-Id: " + Options.Id + "\r\n");
@@ -207,6 +248,8 @@
 }
 
 void users_backend::makePieces(const exchange_ptr &Exchange) {
+  if (Options.Act && refuse(Exchange, Options.Act()))
+    return;
   ++PieceCalls;
   json::value Body = json::parse(Exchange->body());
   json::array Entries;
@@ -229,18 +272,72 @@
   for (const char *Name : {"Authorization", "X-Hold", "X-Pin-Ms"})
     Forbidden = Forbidden || !Exchange->header(Name).empty();
   Workspaces.insert(std::string(Exchange->header("X-Tenant")));
+  backend_act Act = Options.Act ? Options.Act() : backend_act::Run;
+  if (refuse(Exchange, Act))
+    return;
   Ran.push_back(Id);
   std::string Headers = "X-Request-Id: " + Id +
                         "\r\nX-Replica-Stamp: " + Options.Id + "." + Id +
                         "\r\nX-Replica-Load: 1,0,6\r\n";
-  if (!Exchange->header("X-Model").empty()) {
+  std::string Body = "{\"by\":\"" + Options.Id + "\",\"id\":\"" + Id + "\"}";
+  bool Streamed = !Exchange->header("X-Model").empty();
+  if (Streamed && Act == backend_act::RunAndRepeat)
+    Act = backend_act::Run;
+  if (Act != backend_act::Run) {
+    failAfterRun(Exchange, Act, Headers, Body);
+    return;
+  }
+  if (Streamed) {
     stream(Exchange, Headers);
     return;
   }
-  std::string Body = "{\"by\":\"" + Options.Id + "\",\"id\":\"" + Id + "\"}";
   later([Exchange, Body, Headers] { Exchange->respond(200, Body, Headers); });
 }
 
+void users_backend::failAfterRun(const exchange_ptr &Exchange, backend_act Act,
+                                 const std::string &Headers,
+                                 const std::string &Body) {
+  std::string Head =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+      "\r\n" + Headers + "\r\n";
+  later([this, Exchange, Act, Headers, Body, Head] {
+    switch (Act) {
+    case backend_act::RunAndFail:
+      Exchange->respond(500, Body, Headers);
+      return;
+    case backend_act::RunAndAnswerBusy:
+      Exchange->respond(503, Body, Headers);
+      return;
+    case backend_act::RunAndAnswerTooMany:
+      Exchange->respond(429, Body, Headers);
+      return;
+    case backend_act::RunAndAnswerTimeout:
+      Exchange->respond(408, Body, Headers);
+      return;
+    case backend_act::RunAndAnswerUnsigned:
+      Exchange->respond(503, Body);
+      return;
+    case backend_act::RunAndRepeat:
+      repeat(Exchange, Head + Body);
+      Exchange->respond(200, Body, Headers);
+      return;
+    case backend_act::RunAndCutHead:
+      Exchange->sendRaw(Head.substr(0, Head.size() / 2));
+      later([Exchange] { Exchange->breakConnection(); });
+      return;
+    case backend_act::RunAndCutBody:
+      Exchange->sendRaw(Head + Body.substr(0, Body.size() / 2));
+      later([Exchange] { Exchange->breakConnection(); });
+      return;
+    case backend_act::RunAndHang:
+      return;
+    default:
+      Exchange->breakConnection();
+      return;
+    }
+  });
+}
+
 void users_backend::stream(const exchange_ptr &Exchange,
                            const std::string &Headers) {
   std::string After(Exchange->header("Last-Event-Id"));
