Print the hosts' lines about a broken request in the soak

Cause: the soak named a request that was refused and had run, but its hosts' logs went with their folder. Change: all lines with the request's id follow it.

--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -12,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <sstream>
 
 namespace jasminecroft::processes {
 
@@ -160,6 +161,18 @@
     return Text;
   }
 
+  /// The lines of all hosts that name a request.
+  std::string linesAbout(const std::string &Id) {
+    std::string Text;
+    for (std::size_t Host = 0; Host < Options.Hosts; ++Host) {
+      std::istringstream Log(Fleet.logOf(Host));
+      for (std::string Line; std::getline(Log, Line);)
+        if (Line.find("\"request\":\"" + Id + "\"") != std::string::npos)
+          Text += "\n    " + Line;
+    }
+    return Text;
+  }
+
   std::string anyProxy() {
     auto Chosen = Fleet.Proxies.begin();
     std::advance(Chosen, Random() % Fleet.Proxies.size());
@@ -375,13 +388,15 @@
         ++Report.AtMostOnce;
         if (Times > 1) {
           ++Report.RanTwice;
-          broken(Answer.Id + " ran " + std::to_string(Times) + " times");
+          broken(Answer.Id + " ran " + std::to_string(Times) + " times" +
+                 linesAbout(Answer.Id));
         }
       }
       if (Answer.Kind != soak_kind::Read && guaranteesNotRun(Status) &&
           Times > 0) {
         Report.RefusedAndRan += mayRepeat(Answer.Kind) ? 0 : 1;
-        broken(Answer.Id + " got " + std::to_string(Status) + ", but ran");
+        broken(Answer.Id + " got " + std::to_string(Status) + ", but ran" +
+               linesAbout(Answer.Id));
       }
       if (Status == StatusOk)
         judgeServed(Answer, Times);
