Pass on no server's status that promises 'not run' without its statement

Callers saw 503, 429 or 408 for requests that had run, whatever their kind. Cause: a signed answer was passed on with its status, also one of those that promise 'not run' towards callers; a server means its own trouble with them unless it states that it did not run the request (X-Not-Executed). Class: a status means one thing between server and host, another between host and caller. Change: such an answer counts as a failure: repeatable requests go on at another server, others get 502 without the server's signature. A success that states that nothing ran is no answer.

Why it works: every answer that reaches a caller with one of the four statuses is now this host's own, and those lead through failRequest.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -288,7 +288,7 @@
   }
   State->MayHaveRun = true;
   State->Ledger.end(call_fate::Answered, evidenceOf(Head));
-  bool Succeeded = Head.Status < FirstFailureStatus;
+  bool Succeeded = Head.Status < FirstFailureStatus && !Head.PromisesNotRun;
   if (Succeeded)
     Servers.onCallSucceeded(Server,
                             static_cast<double>((Now - State->SentAt).count()));
@@ -303,7 +303,9 @@
     sendCall(*State);
     return;
   }
-  if (State->HeadRelayed) {
+  // The server has not stated that it did not run the request, but its status
+  // would tell the caller so.
+  if (State->HeadRelayed || Head.PromisesNotRun) {
     failRequest(*State, refusal_kind::Failed, core_duration{0});
     return;
   }
@@ -311,8 +313,6 @@
     onPartsServed(*State);
   ++Counters.Complete;
   State->FirstByteAt = Now;
-  if (Head.PromisesNotRun)
-    logPromise(*State, "server_reply");
   logOutcome(*State, Succeeded ? "complete" : "server_error", Head.Status);
   request_id Request = State->Request.Number;
   Actions.relayReply(Request, Head, std::move(Body));
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -316,8 +316,7 @@
       {{"request", State.Request.CallerId.Value},
        {"outcome", std::string(Outcome)},
        {"route", State.Route->Name.Value},
-       {"calls", State.Ledger.describe()},
-       {"proved", State.Ledger.provesNotRun() ? "yes" : "no"}});
+       {"calls", State.Ledger.describe()}});
 }
 
 void serving_impl::finish(request_id Request) {
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -148,6 +148,39 @@
   CHECK(refusalOf(Test, Request) == refusal_kind::Failed);
 }
 
+// The users' REFUSED: the caller was told that the request had not run.
+TEST_CASE("a server's status that promises 'not run' is not relayed unless it "
+          "stated that") {
+  serving_fixture Test;
+  Test.addAllPools();
+  for (unsigned Status : {408U, 429U, 503U})
+    for (const char *Route : {"once", "stream", "resumable"}) {
+      CAPTURE(Status);
+      CAPTURE(Route);
+      request_id Request = Test.sendRequest(Route);
+      backend_reply_head Busy = serving_fixture::successHead(Status);
+      Busy.PromisesNotRun = true;
+      Test.Core.onCompleteReply(Test.Actions.LastForward, Busy, "busy",
+                                Test.Now);
+      CHECK(Test.Actions.Replies[Request].empty());
+      CHECK(refusalOf(Test, Request) == refusal_kind::Failed);
+    }
+}
+
+TEST_CASE("a repeatable request goes on after a status that promises 'not run' "
+          "without a statement, and is never refused as not run") {
+  serving_fixture Test;
+  Test.addAllPools();
+  request_id Request = Test.sendRequest("plain");
+  backend_reply_head Busy = serving_fixture::successHead(429);
+  Busy.PromisesNotRun = true;
+  Test.Core.onCompleteReply(Test.Actions.LastForward, Busy, "busy", Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == 2);
+  Test.Core.onCompleteReply(Test.Actions.LastForward, Busy, "busy", Test.Now);
+  CHECK(Test.Actions.Replies[Request].empty());
+  CHECK(refusalOf(Test, Request) == refusal_kind::Failed);
+}
+
 TEST_CASE("a server with an unexpected identity gets no more calls") {
   serving_fixture Test;
   Test.addAllPools();
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -47,7 +47,7 @@
 
   // What callers see.
   void onRefused(const caller_request_id &Id, refusal_kind Kind, core_time Now);
-  void onWhole(const caller_request_id &Id, unsigned Status,
+  void onWhole(const caller_request_id &Id, const backend_reply_head &Head,
                const std::string &Body, core_time Now);
   void onHead(const caller_request_id &Id, core_time Now);
   void onEvent(const caller_request_id &Id, std::uint64_t Event, core_time Now);
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -166,14 +166,18 @@
         Id.Value + " is said not to have run, but ran");
 }
 
-void serving_book::onWhole(const caller_request_id &Id, unsigned Status,
+void serving_book::onWhole(const caller_request_id &Id,
+                           const backend_reply_head &Head,
                            const std::string &Body, core_time Now) {
   booked_request *Request = find(Id);
   if (!Request)
     return;
   answerOnce(*Request, Now);
-  Request->Status = Status;
+  Request->Status = Head.Status;
   Request->FirstByteAt = Now;
+  if (Head.PromisesNotRun && !Request->Runs.empty())
+    add(promise::TruthfulOutcomes, Now,
+        Id.Value + " gets a status that says that it has not run, but ran");
   bool Own = !Request->Runs.empty() &&
              Body == Id.Value + "@" + Request->Runs.back().Value;
   if (!Own)
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -3,6 +3,7 @@
 #include "serving_world_parts.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace jasminecroft::testing {
 
@@ -27,6 +28,12 @@
   return Head;
 }
 
+// Whether a server answers a request that it ran with the status of a refusal.
+bool contradicts(const caller_request_id &Id) {
+  constexpr std::size_t Share = 24;
+  return XXH3_64bits(Id.Value.data(), Id.Value.size()) % Share == 0;
+}
+
 class plain_server final : public world_server {
 public:
   using world_server::world_server;
@@ -34,10 +41,16 @@
   void forward(const world_link &Link, const forward_call &Call) override {
     World.book().onRun(Call.CallerId, Entry.Id, World.now());
     std::string Body = Call.CallerId.Value + "@" + Entry.Id.Value;
-    after(slowed(PlainTime), [this, Link, Body] {
-      answerHead(Link, true, [Link, Body](serving_core &Core, core_time Now) {
-        Core.onCompleteReply(Link.Call, signedHead(), Body, Now);
-      });
+    backend_reply_head Head = signedHead();
+    if (contradicts(Call.CallerId)) {
+      Head.Status = StatusUnavailable;
+      Head.PromisesNotRun = true;
+    }
+    after(slowed(PlainTime), [this, Link, Head, Body] {
+      answerHead(Link, true,
+                 [Link, Head, Body](serving_core &Core, core_time Now) {
+                   Core.onCompleteReply(Link.Call, Head, Body, Now);
+                 });
     });
   }
 };
