Decide by the ledger of calls whether a request has not run

Cause: whether a request may have run was a flag that each place which ends a call or a request had to set; a place that ended a request with a call in flight and forgot it would have promised 'not run'. None was found that forgot it. Class: a promise that rests on the memory of many places. Change: MayHaveRun is gone. failRequest, the only way to a refusal after admission, asks call_ledger: every call not connected or refused, none in flight.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -78,7 +78,8 @@
     failRequest(State, refusal_kind::TimedOutNotRun, milliseconds(0));
     return;
   }
-  if (!State.MayHaveRun && !endsBeforeDrain(State, firstByteTime(State))) {
+  if (State.Ledger.provesNotRun() &&
+      !endsBeforeDrain(State, firstByteTime(State))) {
     failRequest(State, refusal_kind::ShuttingDown, core_duration{0});
     return;
   }
@@ -216,7 +217,6 @@
 // Handles a call that broke or timed out: the request may have run.
 void serving_impl::handleBrokenCall(active_request &State, bool Timed) {
   State.Ledger.end(Timed ? call_fate::TimedOut : call_fate::Broken);
-  State.MayHaveRun = true;
   if (State.HeadRelayed) {
     resumeStream(State);
     return;
@@ -286,7 +286,6 @@
     handleBrokenCall(*State, false);
     return;
   }
-  State->MayHaveRun = true;
   State->Ledger.end(call_fate::Answered, evidenceOf(Head));
   bool Succeeded = Head.Status < FirstFailureStatus && !Head.PromisesNotRun;
   if (Succeeded)
@@ -326,7 +325,6 @@
     return;
   if (Head.Load)
     Servers.onLoad(State->Server.Id, *Head.Load, Now);
-  State->MayHaveRun = true;
   if (!Head.Signed) {
     endCall(Call);
     Actions.cancelCall(Call);
@@ -439,7 +437,6 @@
       {{"request", State->Request.CallerId.Value},
        {"server", State->Server.Id.Value}});
   Servers.onCallFailed(State->Server.Id, Now);
-  State->MayHaveRun = true;
   State->Ledger.end(call_fate::GivenUp);
   endCall(Call);
   Actions.cancelCall(Call);
--- a/packages/core/src/serving/serving_quarantine.cc
+++ b/packages/core/src/serving/serving_quarantine.cc
@@ -219,7 +219,6 @@
     active_request *State = find(Request);
     if (!State)
       continue;
-    State->MayHaveRun = State->MayHaveRun || State->CurrentCall;
     refuseQuarantined(*State);
   }
 }
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -230,11 +230,11 @@
 }
 
 // Ends a request with a refusal, or aborts the response if its head has been
-// relayed. A kind that guarantees 'not run' is replaced if a backend server
-// may have run the request.
+// relayed. A kind that guarantees 'not run' is replaced unless each call of the
+// request is proved not to have run: all such answers lead through here.
 void serving_impl::failRequest(active_request &State, refusal_kind Kind,
                                core_duration RetryAfter) {
-  if (State.MayHaveRun && guaranteesNotRun(Kind))
+  if (!State.Ledger.provesNotRun() && guaranteesNotRun(Kind))
     Kind = Kind == refusal_kind::TimedOutNotRun ? refusal_kind::TimedOut
                                                 : refusal_kind::Failed;
   request_id Request = State.Request.Number;
@@ -339,10 +339,8 @@
   active_request *State = find(Request);
   if (!State)
     return;
-  bool Sent = State->MayHaveRun || State->CurrentCall;
+  bool Sent = !State->Ledger.provesNotRun();
   bool Draining = cutByDrain(*State);
-  if (Sent)
-    State->MayHaveRun = true;
   if (State->CurrentCall && !Draining)
     Servers.onCallFailed(State->Server.Id, Now);
   refusal_kind Kind = refusal_kind::TimedOutNotRun;
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -87,8 +87,6 @@
   /// Number of calls whose first byte may have been sent.
   std::uint32_t Attempts = 0;
   call_ledger Ledger;
-  /// True once a call was sent that a server may have run.
-  bool MayHaveRun = false;
   bool HeadRelayed = false;
   call_progress Progress = call_progress::Sent;
   std::optional<core_time> FirstByteAt;
