Refuse plain requests late in a stop whose server would take too long

Here: passed on, run, and answered 502 at the end of the grace, which a caller of a request that must not repeat can't use. Cause: the time that a plain request needs was taken from the pool's first bytes of streams, 150 ms before there is one; how long its server takes was known and not asked. Change: while the stop bounds a request, its server's usual time counts, and how long its unanswered calls have lasted, twice over; a request that can't end in time is refused with shutting_down, as not run, before it is sent.

Streams keep the bound by their usual time.

--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -15,6 +15,9 @@
 constexpr double AttemptTimeoutFactor = 4;
 constexpr core_duration MinPlainAttemptTimeout = milliseconds(120);
 constexpr core_duration MinEngineAttemptTimeout = milliseconds(1'200);
+/// While this host drains, a plain request needs this multiple of the expected
+/// time: a refusal lets its caller go elsewhere, a cut reply does not.
+constexpr int PlainReplyMargin = 2;
 /// Minimum time to the deadline for which a call is sent.
 constexpr core_duration MinTimeLeft = milliseconds(30);
 /// Weight of a new sample in the smoothed times of streams.
@@ -78,8 +81,8 @@
     failRequest(State, refusal_kind::TimedOutNotRun, milliseconds(0));
     return;
   }
-  if (State.Ledger.provesNotRun() &&
-      !endsBeforeDrain(State, firstByteTime(State))) {
+  if (cutByDrain(State) && State.Ledger.provesNotRun() &&
+      !endsBeforeDrain(State, expectedReplyTime(State, *Server))) {
     failRequest(State, refusal_kind::ShuttingDown, core_duration{0});
     return;
   }
@@ -112,6 +115,24 @@
   Actions.forward(Id, Forward);
 }
 
+// Returns the expected time from sending the request to Server until the first
+// byte of its reply. Calls that Server has not answered yet count as long as
+// they have lasted: replies alone would not show that it has become slow.
+core_duration
+serving_impl::expectedReplyTime(const active_request &State,
+                                const backend_state &Server) const {
+  if (State.Route->Streamed)
+    return firstByteTime(State);
+  core_duration Expected = firstByteTime(State);
+  if (Server.CallMicros > 0)
+    Expected = core_duration(static_cast<std::int64_t>(Server.CallMicros));
+  for (const std::pair<const call_id, call_state> &Call : Calls)
+    if (Call.second.Kind == call_kind::Forward &&
+        Call.second.Server.Id == Server.Entry.Id)
+      Expected = std::max(Expected, Now - Call.second.SentAt);
+  return PlainReplyMargin * Expected;
+}
+
 core_duration serving_impl::attemptTimeout(const active_request &State,
                                            const backend_state &Server) const {
   if (!State.Route->Streamed) {
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -350,6 +350,8 @@
   // Calls.
   void sendCall(active_request &State);
   backend_state *chooseServer(const active_request &State);
+  core_duration expectedReplyTime(const active_request &State,
+                                  const backend_state &Server) const;
   core_duration attemptTimeout(const active_request &State,
                                const backend_state &Server) const;
   void onAttemptTimeout(call_id Call);
--- a/packages/core/test/serving-drain-test.cc
+++ b/packages/core/test/serving-drain-test.cc
@@ -112,6 +112,47 @@
   CHECK(Test.Actions.Forwards.size() == Before);
 }
 
+// A report of other operators: such requests were passed on and cut.
+TEST_CASE("a draining host refuses a plain request whose server's replies take "
+          "too long") {
+  serving_fixture Test;
+  Test.addAllPools();
+  std::vector<call_id> Calls;
+  for (int I = 0; I < 3; ++I) {
+    Test.sendRequest("once");
+    Calls.push_back(Test.Actions.LastForward);
+  }
+  SUBCASE("as those before show") {
+    Test.advance(milliseconds(700));
+    for (call_id Call : Calls)
+      Test.Core.onCompleteReply(Call, serving_fixture::successHead(), "",
+                                Test.Now);
+    drain(Test);
+  }
+  SUBCASE("as calls without a reply show") {
+    drain(Test);
+    Test.advance(milliseconds(400));
+  }
+  request_id Late = Test.sendRequest("once");
+  CHECK(refusalOf(Test, Late) == refusal_kind::ShuttingDown);
+  CHECK(Test.Actions.Forwards.size() == Calls.size());
+}
+
+TEST_CASE("a draining host takes a plain request that can end in time") {
+  serving_fixture Test;
+  Test.addAllPools();
+  Test.sendRequest("once");
+  call_id First = Test.Actions.LastForward;
+  Test.advance(milliseconds(30));
+  Test.Core.onCompleteReply(First, serving_fixture::successHead(), "",
+                            Test.Now);
+  drain(Test);
+  Test.advance(DrainTime - milliseconds(350));
+  request_id Late = Test.sendRequest("once");
+  CHECK(Test.Actions.Refusals[Late].empty());
+  CHECK(Test.Actions.Forwards.size() == 2);
+}
+
 TEST_CASE("results lost during a drain are not recomputed if the request "
           "cannot end in time") {
   serving_fixture Test;
--- a/packages/testing/processes/test/serving-stop-test.cc
+++ b/packages/testing/processes/test/serving-stop-test.cc
@@ -73,6 +73,31 @@
   CHECK(Fleet.Processes[0]->waitExit(Grace) == 0);
 }
 
+// A report of other operators: such requests were passed on and cut.
+TEST_CASE("a request that comes late in the grace to a slow server is refused "
+          "at once and not passed on") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  lengthenTimeouts(Fleet);
+  slowDown(Fleet, "plain", {"plain-0", "plain-1"});
+  http_connection Early(Fleet.CallerPorts[0]);
+  http_connection Late(Fleet.CallerPorts[0]);
+  REQUIRE(Early.send(requestText(patient(Fleet.call("once", "early")))));
+  REQUIRE(waitUntil([&Fleet] { return Fleet.ranTimes("early") == 1; }));
+  std::this_thread::sleep_for(milliseconds(1'500));
+  Fleet.Processes[0]->signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2'400));
+  std::chrono::steady_clock::time_point Begin =
+      std::chrono::steady_clock::now();
+  REQUIRE(Late.send(requestText(patient(Fleet.call("once", "late")))));
+  http_reply Reply = Late.readReply(Bound);
+  CHECK(Reply.Status == 503);
+  CHECK(std::chrono::steady_clock::now() - Begin < seconds(1));
+  CHECK(Fleet.ranTimes("late") == 0);
+  CHECK(Early.readReply(Bound).Status == 502);
+  CHECK(Fleet.Processes[0]->waitExit(Grace) == 0);
+}
+
 TEST_CASE("a request that waits for a slow stage when the grace ends is "
           "refused as not run") {
   users_fleet Fleet(1);
