Print whose requests an endless server still answers

Cause: endless-answers-test failed once, and nothing it printed told whose calls were still open after 60 s. Change: the heads of their requests are captured; the check and its bound are the same. Conclusion: open; ports that another test run uses again are one way that fits 60 s (this host's calls end within 3.25 s), the heads will show it.

--- a/packages/testing/processes/include/jasminecroft/processes/endless_server.h
+++ b/packages/testing/processes/include/jasminecroft/processes/endless_server.h
@@ -7,9 +7,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jasminecroft::processes {
 
@@ -47,13 +49,16 @@
 
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
   /// Connections on which it is still sending.
-  std::size_t sending() const { return State->Sending; }
+  std::size_t sending() const { return State->Sending.size(); }
+  /// Heads of the requests that these connections brought.
+  std::vector<std::string> sendingTo() const;
   std::size_t requests() const { return State->Requests; }
 
 private:
   struct state {
-    endless_part Part;
-    std::size_t Sending = 0;
+    endless_part Part = endless_part::Line;
+    /// Head of its request by connection.
+    std::map<const void *, std::string> Sending;
     std::size_t Requests = 0;
     bool Stopped = false;
   };
--- a/packages/testing/processes/src/endless_server.cc
+++ b/packages/testing/processes/src/endless_server.cc
@@ -79,7 +79,7 @@
 private:
   void answer() {
     ++State->Requests;
-    ++State->Sending;
+    State->Sending[this] = Request.substr(0, Request.find("\r\n\r\n"));
     std::pair<std::string, std::string> Texts = textsOf(State->Part);
     Block = std::move(Texts.second);
     First = std::move(Texts.first);
@@ -107,7 +107,7 @@
   }
 
   void end() {
-    --State->Sending;
+    State->Sending.erase(this);
     error Ignored;
     Socket.close(Ignored);
   }
@@ -123,7 +123,8 @@
 endless_server::endless_server(asio::io_context &Context, endless_part Part)
     : Context(Context),
       Acceptor(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      State(std::make_shared<state>(state{Part})) {
+      State(std::make_shared<state>()) {
+  State->Part = Part;
   accept();
 }
 
@@ -133,6 +134,13 @@
   Acceptor.close(Ignored);
 }
 
+std::vector<std::string> endless_server::sendingTo() const {
+  std::vector<std::string> Heads;
+  for (const std::pair<const void *const, std::string> &Open : State->Sending)
+    Heads.push_back(Open.second);
+  return Heads;
+}
+
 void endless_server::accept() {
   Acceptor.async_accept([this](const error &Error, tcp::socket Socket) {
     if (Error)
--- a/packages/testing/processes/test/endless-answers-test.cc
+++ b/packages/testing/processes/test/endless-answers-test.cc
@@ -94,17 +94,24 @@
     CHECK(Heard.Longest < Timeout + Slack);
   }
   std::size_t Met = 0;
-  CHECK(waitUntil([&] {
+  std::string SendingTo;
+  bool Ended = waitUntil([&] {
     std::size_t Sending = 0;
     Met = 0;
+    SendingTo.clear();
     Fleet.on([&] {
       for (const std::unique_ptr<endless_server> &Server : Servers) {
         Sending += Server->sending();
         Met += Server->requests();
+        for (const std::string &Head : Server->sendingTo())
+          SendingTo += Head + "\n--\n";
       }
     });
     return Sending == 0;
-  }));
+  });
+  // Whose calls they were: the host's own name an endless server.
+  CAPTURE(SendingTo);
+  CHECK(Ended);
   CHECK(Met >= ManyServers / 2);
   std::size_t Memory = highestMemory(*Fleet.Processes[0]);
   CAPTURE(Memory);
