Believe no refusal without a name on a connection that has served another request

Callers saw 503 for requests that ran, or they ran twice: a refusal that names no request and stood where the answer to the next call was due was taken for it. Cause: the proof rested on what the server had done before on the connection. Change: call_ledger counts a refusal as proof only if it names the request or its connection is new; other requests that must not repeat get 502. The pool remembers for 60 s, for 1,024 servers at most, who answers without a name, and gives calls to them connections of their own, so that this costs one 502.

--- a/packages/core/include/jasminecroft/core/serving/call_ledger.h
+++ b/packages/core/include/jasminecroft/core/serving/call_ledger.h
@@ -27,10 +27,6 @@
   GivenUp,
 };
 
-/// Returns whether the fate proves that the server has not run the request and
-/// never will because of this call.
-bool provesNotRun(call_fate Fate);
-
 /// What an answer said of itself; part of the evidence.
 struct answer_evidence {
   unsigned Status = 0;
@@ -60,6 +56,11 @@
     backend_id Server;
     call_fate Fate = call_fate::InFlight;
     answer_evidence Answer;
+
+    /// Whether its server has not run the request and never will because of
+    /// it. A refusal that names no request may be a leftover of an earlier one
+    /// on the same connection.
+    bool provesNotRun() const;
   };
 
   std::deque<call> Calls;
--- a/packages/core/src/serving/call_ledger.cc
+++ b/packages/core/src/serving/call_ledger.cc
@@ -31,14 +31,15 @@
 
 } // namespace
 
-bool provesNotRun(call_fate Fate) {
-  return Fate == call_fate::NotConnected || Fate == call_fate::Refused;
+bool call_ledger::call::provesNotRun() const {
+  bool RefusalIsOwn = Answer.NamesRequest || !Answer.ConnectionReused;
+  return Fate == call_fate::NotConnected ||
+         (Fate == call_fate::Refused && RefusalIsOwn);
 }
 
 void call_ledger::begin(const backend_id &Server) {
   if (Calls.size() == MaxCallsKept) {
-    DroppedMayHaveRun =
-        DroppedMayHaveRun || !jasminecroft::provesNotRun(Calls.front().Fate);
+    DroppedMayHaveRun = DroppedMayHaveRun || !Calls.front().provesNotRun();
     Calls.pop_front();
     ++Dropped;
   }
@@ -54,9 +55,8 @@
 
 bool call_ledger::provesNotRun() const {
   return !DroppedMayHaveRun &&
-         std::all_of(Calls.begin(), Calls.end(), [](const call &Call) {
-           return jasminecroft::provesNotRun(Call.Fate);
-         });
+         std::all_of(Calls.begin(), Calls.end(),
+                     [](const call &Call) { return Call.provesNotRun(); });
 }
 
 std::string call_ledger::describe() const {
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -194,6 +194,17 @@
 void serving_impl::handleNotRun(active_request &State,
                                 const backend_reply_head &Head) {
   State.Ledger.end(call_fate::Refused, evidenceOf(Head));
+  bool MayRepeat = State.Route->Repeatable || State.Route->Resumable;
+  if (!MayRepeat && !State.Ledger.provesNotRun()) {
+    log(event_number::CallFailed, event_severity::Warning,
+        "refusal does not show which request it belongs to",
+        {{"request", State.Request.CallerId.Value},
+         {"server", State.Server.Id.Value},
+         {"status", std::to_string(Head.Status)},
+         {"again", "no"}});
+    failRequest(State, refusal_kind::Failed, core_duration{0});
+    return;
+  }
   if (Head.InputGone) {
     --State.Attempts;
     if (!recomputeResults(State, finalStages(State)))
--- a/packages/core/test/call-ledger-test.cc
+++ b/packages/core/test/call-ledger-test.cc
@@ -49,6 +49,16 @@
   CHECK(Ledger.describe() == "i-1=timed_out,i-2=refused_429_unnamed_reused");
 }
 
+TEST_CASE("a refusal without a name counts only on a new connection") {
+  for (bool Named : {false, true})
+    for (bool Reused : {false, true}) {
+      call_ledger Ledger;
+      Ledger.begin(First);
+      Ledger.end(call_fate::Refused, {503, Named, Reused});
+      CHECK(Ledger.provesNotRun() == (Named || !Reused));
+    }
+}
+
 TEST_CASE("a call that may have run counts also when its record is dropped") {
   call_ledger Ledger;
   Ledger.begin(First);
--- a/packages/entry/src/connection_pool.cc
+++ b/packages/entry/src/connection_pool.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t MaxIdlePerServer = 64;
+constexpr std::chrono::seconds UsedOnceTime{60};
+constexpr std::size_t MaxUsedOnce = 1'024;
 /// Probes begin after a second of silence; with two lost, the connection ends.
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
@@ -37,7 +39,8 @@
 std::optional<tcp_socket> connection_pool::take(const endpoint &Address,
                                                 answer_naming Naming) {
   auto Found = Idle.find({Address, Naming});
-  if (Found == Idle.end())
+  if (Found == Idle.end() ||
+      (Naming == answer_naming::Named && isUsedOnce(Address)))
     return std::nullopt;
   std::deque<idle_connection> &Connections = Found->second;
   while (!Connections.empty()) {
@@ -66,6 +69,25 @@
   Connections.push_back({std::move(Socket), Until});
 }
 
+void connection_pool::onUnnamedAnswer(const endpoint &Address) {
+  clock::time_point Now = clock::now();
+  if (UsedOnceUntil.size() >= MaxUsedOnce)
+    std::erase_if(
+        UsedOnceUntil,
+        [Now](const std::pair<const endpoint, clock::time_point> &Server) {
+          return Server.second <= Now;
+        });
+  if (UsedOnceUntil.size() >= MaxUsedOnce)
+    UsedOnceUntil.erase(UsedOnceUntil.begin());
+  UsedOnceUntil[Address] = Now + UsedOnceTime;
+  Idle.erase({Address, answer_naming::Named});
+}
+
+bool connection_pool::isUsedOnce(const endpoint &Address) const {
+  auto Found = UsedOnceUntil.find(Address);
+  return Found != UsedOnceUntil.end() && clock::now() < Found->second;
+}
+
 void connection_pool::drop(const endpoint &Address) {
   Idle.erase({Address, answer_naming::Named});
   Idle.erase({Address, answer_naming::Unnamed});
--- a/packages/entry/src/connection_pool.h
+++ b/packages/entry/src/connection_pool.h
@@ -40,6 +40,9 @@
   /// Lifetime: how long the server keeps idle connections, if it is known.
   void give(const endpoint &Address, answer_naming Naming, tcp_socket Socket,
             std::optional<std::chrono::milliseconds> Lifetime);
+  /// A server answered without naming the request: until UsedOnceTime has
+  /// passed, no connection to it serves two calls that have to be named.
+  void onUnnamedAnswer(const endpoint &Address);
   /// Closes what is idle towards one server, or towards all.
   void drop(const endpoint &Address);
   void clear() { Idle.clear(); }
@@ -48,12 +51,17 @@
   answer_memory Memory{MaxAnswersBytes};
 
 private:
+  bool isUsedOnce(const endpoint &Address) const;
+
   struct idle_connection {
     tcp_socket Socket;
     std::optional<clock::time_point> UsableUntil;
   };
   std::map<std::pair<endpoint, answer_naming>, std::deque<idle_connection>>
       Idle;
+  /// Servers that answered without naming the request, and until when that
+  /// counts; at most MaxUsedOnce.
+  std::map<endpoint, clock::time_point> UsedOnceUntil;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -160,8 +160,11 @@
         platform::subjectOf(Head, Wanted.CallerId);
     Foreign = Interim || (naming() == answer_naming::Named &&
                           Subject == platform::reply_subject::OtherRequest);
-    AllNamed =
-        AllNamed && (Interim || Subject != platform::reply_subject::Unnamed);
+    if (!Interim && Subject == platform::reply_subject::Unnamed) {
+      AllNamed = false;
+      if (naming() == answer_naming::Named)
+        Pool->onUnnamedAnswer(Wanted.Address);
+    }
     if (Foreign && ++EarlierAnswers > MaxEarlierAnswers) {
       fail(call_failure::Broken);
       return;
--- a/packages/testing/processes/test/repeated-refusals-test.cc
+++ b/packages/testing/processes/test/repeated-refusals-test.cc
@@ -66,6 +66,34 @@
   raw_server Server;
 };
 
+/// Runs each request, and writes a refusal that names none before the answer
+/// to any but the first of a connection.
+class foreign_refusals {
+public:
+  foreign_refusals()
+      : Server([this](const raw_request &Request, int Number,
+                      const raw_server::writer &Write) {
+          if (Number > 0)
+            Write(refusal(""));
+          {
+            std::lock_guard<std::mutex> Lock(Guard);
+            Ran.push_back(Request.Id);
+          }
+          Write(answer(signature(Request.Id), Request.Id));
+        }) {}
+
+  std::uint16_t port() const { return Server.port(); }
+  std::size_t ranTimes(const std::string &Id) {
+    std::lock_guard<std::mutex> Lock(Guard);
+    return static_cast<std::size_t>(std::count(Ran.begin(), Ran.end(), Id));
+  }
+
+private:
+  std::mutex Guard;
+  std::vector<std::string> Ran;
+  raw_server Server;
+};
+
 struct verdict {
   int Served = 0;
   /// Answered with a promise of "not run" though a server ran it.
@@ -73,8 +101,8 @@
   int RanTwice = 0;
 };
 
-verdict callAll(users_fleet &Fleet,
-                const std::vector<repeating_server *> &Servers) {
+template <typename Server>
+verdict callAll(users_fleet &Fleet, const std::vector<Server *> &Servers) {
   verdict Result;
   std::vector<http_reply> Replies;
   Replies.reserve(Calls);
@@ -84,8 +112,8 @@
   for (int I = 0; I < Calls; ++I) {
     std::string Id = "r" + std::to_string(I);
     std::size_t Ran = 0;
-    for (repeating_server *Server : Servers)
-      Ran += Server->ranTimes(Id);
+    for (Server *One : Servers)
+      Ran += One->ranTimes(Id);
     const http_reply &Reply = Replies[static_cast<std::size_t>(I)];
     Result.Served += Reply.Status == 200 ? 1 : 0;
     Result.RefusedAndRan += Reply.Status == Promise && Ran > 0 ? 1 : 0;
@@ -118,7 +146,7 @@
   REQUIRE(Fleet.waitReady());
   // A server that cannot be reached keeps a second try open.
   listOnly(Fleet, {{"raw", Server.port()}, {"away", freePorts(1).front()}});
-  verdict Result = callAll(Fleet, {&Server});
+  verdict Result = callAll<repeating_server>(Fleet, {&Server});
   CHECK(Result.RefusedAndRan == 0);
   CHECK(Result.RanTwice == 0);
   CHECK(Result.Served > Calls / 2);
@@ -132,7 +160,7 @@
   users_fleet Fleet(1);
   REQUIRE(Fleet.waitReady());
   listOnly(Fleet, {{"raw-1", One.port()}, {"raw-2", Other.port()}});
-  verdict Result = callAll(Fleet, {&One, &Other});
+  verdict Result = callAll<repeating_server>(Fleet, {&One, &Other});
   CHECK(Result.RefusedAndRan == 0);
   CHECK(Result.RanTwice == 0);
   CHECK(Result.Served > Calls / 2);
@@ -144,8 +172,22 @@
   users_fleet Fleet(1);
   REQUIRE(Fleet.waitReady());
   listOnly(Fleet, {{"raw-1", One.port()}, {"raw-2", Other.port()}});
-  verdict Result = callAll(Fleet, {&One, &Other});
+  verdict Result = callAll<repeating_server>(Fleet, {&One, &Other});
   CHECK(Result.RefusedAndRan == 0);
   CHECK(Result.RanTwice == 0);
   CHECK(Result.Served > Calls / 2);
 }
+
+TEST_CASE("a refusal that names no request proves nothing on a connection that "
+          "has carried another one") {
+  foreign_refusals One;
+  foreign_refusals Other;
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  listOnly(Fleet, {{"raw-1", One.port()}, {"raw-2", Other.port()}});
+  verdict Result = callAll<foreign_refusals>(Fleet, {&One, &Other});
+  CHECK(Result.RefusedAndRan == 0);
+  CHECK(Result.RanTwice == 0);
+  // Such a server gets connections of their own from then on.
+  CHECK(Result.Served >= Calls - 2);
+}
