--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -2,7 +2,7 @@
 #include "jasminecroft/processes/serving_soak.h"
 
 #include "jasminecroft/processes/local_fleet.h"
-#include "jasminecroft/processes/raw_server.h"
+#include "jasminecroft/processes/soak_caller.h"
 #include "jasminecroft/processes/users_fleet.h"
 
 #include <boost/json/parse.hpp>
@@ -69,47 +69,6 @@
     backend_act::RunAndAnswerBusy, backend_act::RunAndAnswerTooMany,
     backend_act::RunAndAnswerTimeout, backend_act::RunAndAnswerUnsigned};
 
-std::string chunked(const http_call &Call) {
-  std::string Text = Call.Method + ' ' + Call.Target +
-                     " HTTP/1.1\r\nHost: localhost\r\n" + Call.Headers +
-                     "Transfer-Encoding: chunked\r\n\r\n";
-  std::size_t Half = Call.Body.size() / 2;
-  for (const std::string &Part :
-       {Call.Body.substr(0, Half), Call.Body.substr(Half)})
-    if (!Part.empty())
-      Text += chunkOf(Part);
-  return Text + "0\r\n\r\n";
-}
-
-/// One caller's ways to send a request: on a connection of its own, on an open
-/// one, with its body in chunks, and leaving before the answer.
-class soak_caller {
-public:
-  http_reply send(const http_call &Call, std::mt19937_64 &Random) {
-    constexpr std::uint64_t LeavingShare = 12;
-    std::string Text = Random() % 3 == 0 ? chunked(Call) : requestText(Call);
-    if (Random() % LeavingShare == 0) {
-      http_connection Leaving(Call.Port);
-      if (Leaving.connected() && Leaving.send(Text))
-        std::this_thread::sleep_for(milliseconds(Random() % 20));
-      return {};
-    }
-    std::unique_ptr<http_connection> &Open = Connections[Call.Port];
-    if (!Open || Random() % 2 == 0)
-      Open = std::make_unique<http_connection>(Call.Port);
-    http_reply Reply;
-    if (Open->connected() && Open->send(Text))
-      Reply = Open->readReply(Bound);
-    if (!Reply.whole() ||
-        Reply.Head.find("Connection: close") != std::string::npos)
-      Open.reset();
-    return Reply;
-  }
-
-private:
-  std::map<std::uint16_t, std::unique_ptr<http_connection>> Connections;
-};
-
 /// Chooses what servers do; used on their thread only.
 class troubled_servers {
 public:
@@ -387,7 +346,7 @@
 
   void callUntilStopped(std::size_t Caller) {
     std::mt19937_64 Own(Options.Seed * 1'000 + Caller);
-    soak_caller Sender;
+    soak_caller Sender(Bound);
     for (std::size_t Number = 0; !Stopping; ++Number) {
       std::string Id =
           "c" + std::to_string(Caller) + "-" + std::to_string(Number);
