--- a/packages/testing/processes/test/cut-heads-test.cc
+++ b/packages/testing/processes/test/cut-heads-test.cc
@@ -1,8 +1,10 @@
-// Answers whose head ends at any byte, with an end or a reset of the
-// connection, on each reader of answers.
+// Heads that end at any byte, with an end or a reset of the connection, on each
+// reader of answers and on that of requests.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "../../../entry/src/http_exchange.h"
 #include "../../../entry/src/serving/serving_backends.h"
+#include "jasminecroft/platform/object_api.h"
+#include "jasminecroft/processes/users_fleet.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -309,3 +311,51 @@
   CHECK(Listener->Whole == 0);
   CHECK(Listener->Failed == Asked);
 }
+
+// jasminecroftctl and the product's own path read the platform by it.
+TEST_CASE("a call to the object API whose answer's head is cut at any byte has "
+          "no answer") {
+  asio::io_context Context;
+  cutting_server Server(Context);
+  std::unique_ptr<object_api> Api =
+      makeHttpObjectApi(Context, Server.address());
+  int Asked = 0;
+  int Unanswered = 0;
+  int Answered = 0;
+  playCuts(
+      Context, Server,
+      framings("Content-Type: application/json\r\n", R"({"objects":[]})"),
+      [&] {
+        ++Asked;
+        Api->call(get_object{object_key("config")}, Timeout,
+                  [&](const platform_result &Result) {
+                    bool None =
+                        std::holds_alternative<platform_no_answer>(Result);
+                    Unanswered += None ? 1 : 0;
+                    Answered += None ? 0 : 1;
+                  });
+      },
+      [&] { return Unanswered + Answered == Asked; });
+  CHECK(Answered == 0);
+  CHECK(Unanswered == Asked);
+}
+
+TEST_CASE("a caller's request that is cut at any byte runs nowhere") {
+  processes::users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  std::string Text = processes::requestText(Fleet.call("once", "cut-caller"));
+  for (cut_by Cut : {cut_by::End, cut_by::Reset})
+    for (std::size_t Bytes = 0; Bytes < Text.size(); ++Bytes) {
+      processes::http_connection Caller(Fleet.CallerPorts[0]);
+      REQUIRE(Caller.send(Text.substr(0, Bytes)));
+      if (Cut == cut_by::Reset) {
+        Caller.reset();
+        continue;
+      }
+      Caller.closeSending();
+      CHECK(Caller.readReply(Timeout).Status != 200);
+    }
+  // Whatever the host has read by then, it has handled.
+  CHECK(exchange(Fleet.call("once", "whole")).Status == 200);
+  CHECK(Fleet.ranTimes("cut-caller") == 0);
+}
