Let a host listen for other hosts at another address than the one they use

Cause: the address that a host listens at was the one that it tells others, so that no proxy or address translation could stand between hosts, and no cut between hosts could be played with real processes. Change: setting `peers_listen`; without it `peers`, as before. Conclusion: cuts between hosts can be played.

--- a/packages/entry/include/jasminecroft/entry/serving_settings.h
+++ b/packages/entry/include/jasminecroft/entry/serving_settings.h
@@ -24,6 +24,9 @@
   endpoint Readiness;
   /// Where other entry hosts reach this host.
   endpoint Peers;
+  /// Where it listens for them; the same unless a proxy or an address
+  /// translation stands between.
+  endpoint PeersListen;
   endpoint Store;
   std::vector<endpoint> Seeds;
   /// Thousandths of a core.
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -114,7 +114,7 @@
     nng_transport_settings Transport;
     Transport.Fleet = Settings.Fleet;
     Transport.Self = Self;
-    Transport.Listen = Settings.Peers;
+    Transport.Listen = Settings.PeersListen;
     transport_result Result = makeNngTransport(Context, Transport, *this);
     if (std::holds_alternative<transport_problem>(Result))
       return cannotListen("peers");
--- a/packages/entry/src/serving/serving_settings.cc
+++ b/packages/entry/src/serving/serving_settings.cc
@@ -34,9 +34,10 @@
     return std::string(Value->get_string().data(), Value->get_string().size());
   }
 
-  endpoint address(std::string_view Key) {
-    endpoint Address(text(Key));
-    if (!Error && !splitEndpoint(Address))
+  endpoint address(std::string_view Key, bool Required = true) {
+    endpoint Address(text(Key, Required));
+    bool Given = Required || !Address.empty();
+    if (!Error && Given && !splitEndpoint(Address))
       note(settings_problem::InvalidValue, Key, ExpectedAddress);
     return Address;
   }
@@ -131,6 +132,9 @@
   Settings.Callers = Reader.address("callers");
   Settings.Readiness = Reader.address("readiness");
   Settings.Peers = Reader.address("peers");
+  Settings.PeersListen = Reader.address("peers_listen", false);
+  if (Settings.PeersListen.empty())
+    Settings.PeersListen = Settings.Peers;
   Settings.Store = Reader.address("store");
   Settings.Seeds = Reader.addresses("seeds");
   double Share = Reader.real("cpu_share", 1, 0, MaxCapacity);
