Play staged engines, leaving servers, cuts between hosts and false refusals

Cause: the soak had one engine, one stage server and direct peers, and its servers contradicted themselves with three statuses only. Change: engines queue, let requests expire and preempt; calls for pieces fail by reason; servers drain, leave without a word and pass their addresses on to other pools; hosts reach each other through proxies that are cut; two hosts are released in a row; every other configuration splits a route; eleven kinds of answers say that a request which ran did not. Endless servers listen at a loopback address of their process.

--- a/packages/testing/processes/include/jasminecroft/processes/child_process.h
+++ b/packages/testing/processes/include/jasminecroft/processes/child_process.h
@@ -22,6 +22,8 @@
   child_process(const child_process &) = delete;
   child_process &operator=(const child_process &) = delete;
 
+  /// Most memory that it has had, in bytes; 0 once it has ended.
+  std::size_t highestMemory() const;
   void signal(int Number) const;
   pid_t pid() const { return Pid; }
   /// Exit code, or 128 and the signal's number; absent if it still runs.
--- a/packages/testing/processes/include/jasminecroft/processes/endless_server.h
+++ b/packages/testing/processes/include/jasminecroft/processes/endless_server.h
@@ -39,15 +39,20 @@
   Foreign,
 };
 
-/// Used on the thread of its context only.
+/// Used on the thread of its context only. Listens on a loopback address of
+/// this process, which no other process can call by a port that was used again.
 class endless_server {
 public:
-  endless_server(boost::asio::io_context &Context, endless_part Part);
+  /// Only: requests for other targets are refused as not run; empty: none.
+  endless_server(boost::asio::io_context &Context, endless_part Part,
+                 std::string Only = {});
   ~endless_server();
   endless_server(const endless_server &) = delete;
   endless_server &operator=(const endless_server &) = delete;
 
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+  /// "IP:port".
+  std::string address() const;
   /// Connections on which it is still sending.
   std::size_t sending() const { return State->Sending.size(); }
   /// Heads of the requests that these connections brought.
@@ -57,6 +62,7 @@
 private:
   struct state {
     endless_part Part = endless_part::Line;
+    std::string Only;
     /// Head of its request by connection.
     std::map<const void *, std::string> Sending;
     std::size_t Requests = 0;
--- a/packages/testing/processes/include/jasminecroft/processes/fault_proxy.h
+++ b/packages/testing/processes/include/jasminecroft/processes/fault_proxy.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace jasminecroft::processes {
 
@@ -28,6 +29,10 @@
   void setDelay(std::chrono::milliseconds Delay) { Settings->Delay = Delay; }
   /// A connection that has lost something stays silent for good.
   void setLoss(proxy_loss Loss) { Settings->Loss = Loss; }
+  /// Where new connections lead from now on.
+  void setTarget(std::uint16_t Port);
+  /// "IP:port".
+  void setTarget(const std::string &Address);
   /// Resets all connections.
   void resetAll();
 
@@ -41,7 +46,7 @@
   void accept();
 
   boost::asio::io_context &Context;
-  std::uint16_t Target;
+  boost::asio::ip::tcp::endpoint Target;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::shared_ptr<settings> Settings = std::make_shared<settings>();
   std::set<std::shared_ptr<link>> Links;
--- a/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
+++ b/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
@@ -57,6 +57,12 @@
   /// The same for a server at a port.
   void listAt(const std::string &Pool, const std::string &Id,
               std::uint16_t Port, const std::string &State = "ready");
+  void listAt(const std::string &Pool, const std::string &Id,
+              const std::string &Address, const std::string &State = "ready");
+  /// A server that has left ends, and a new one of Pool takes its address; its
+  /// entry is still to be removed. Only for proxied fleets.
+  void reuseAddress(const std::string &Left, const std::string &Pool,
+                    standins::users_backend_options Options);
   /// Starts the process of a host that does not run.
   void startHost(std::size_t Host);
 
@@ -71,6 +77,8 @@
   standins::users_backend_options backendOptions(const std::string &Id) const;
   /// Name of the proxy between a host and the store.
   static std::string storeProxy(std::size_t Host);
+  /// Name of the proxy through which other hosts reach a host.
+  static std::string peerProxy(std::size_t Host);
   std::size_t ranTimes(const std::string &Id);
   std::string logOf(std::size_t Host) const;
   /// What the host wrote on standard error.
@@ -85,6 +93,8 @@
   std::vector<std::unique_ptr<child_process>> Processes;
   std::vector<std::uint16_t> CallerPorts;
   std::vector<std::uint16_t> ReadyPorts;
+  /// Where hosts listen for each other.
+  std::vector<std::uint16_t> PeerPorts;
 
 private:
   std::string file(std::size_t Host, const char *Ending) const;
--- a/packages/testing/processes/src/child_process.cc
+++ b/packages/testing/processes/src/child_process.cc
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -48,6 +49,18 @@
   waitpid(Pid, &Status, 0);
 }
 
+std::size_t child_process::highestMemory() const {
+  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
+  std::string Word;
+  while (Status >> Word)
+    if (Word == "VmHWM:") {
+      std::size_t Kilobytes = 0;
+      Status >> Kilobytes;
+      return Kilobytes << 10U;
+    }
+  return 0;
+}
+
 void child_process::signal(int Number) const {
   if (!ExitCode)
     kill(Pid, Number);
--- a/packages/testing/processes/src/endless_server.cc
+++ b/packages/testing/processes/src/endless_server.cc
@@ -6,6 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <unistd.h>
+#include <utility>
+
 namespace jasminecroft::processes {
 
 namespace asio = boost::asio;
@@ -19,6 +22,18 @@
 constexpr std::string_view SignedHead =
     "HTTP/1.1 200 OK\r\nX-Replica-Stamp: endless.1\r\n";
 
+const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                            "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                            "Connection: close\r\n\r\n";
+
+// One address for each process, in 127.0.0.0/8 without 127.0.0.1.
+asio::ip::address_v4 ownLoopback() {
+  constexpr std::uint32_t First = 0x7f400000;
+  constexpr std::uint32_t Mask = 0x003fffff;
+  return asio::ip::address_v4(First |
+                              (static_cast<std::uint32_t>(::getpid()) & Mask));
+}
+
 std::string repeated(std::string_view Text) {
   std::string Result;
   while (Result.size() < BlockBytes)
@@ -78,6 +93,13 @@
 
 private:
   void answer() {
+    std::size_t Target = Request.find(' ') + 1;
+    if (Request.compare(Target, State->Only.size(), State->Only) != 0) {
+      asio::async_write(Socket, asio::buffer(Refusal),
+                        [Self = shared_from_this()](
+                            const error &, std::size_t) { Self->end(); });
+      return;
+    }
     ++State->Requests;
     State->Sending[this] = Request.substr(0, Request.find("\r\n\r\n"));
     std::pair<std::string, std::string> Texts = textsOf(State->Part);
@@ -120,11 +142,12 @@
   std::string Block;
 };
 
-endless_server::endless_server(asio::io_context &Context, endless_part Part)
-    : Context(Context),
-      Acceptor(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+endless_server::endless_server(asio::io_context &Context, endless_part Part,
+                               std::string Only)
+    : Context(Context), Acceptor(Context, tcp::endpoint(ownLoopback(), 0)),
       State(std::make_shared<state>()) {
   State->Part = Part;
+  State->Only = std::move(Only);
   accept();
 }
 
@@ -134,6 +157,11 @@
   Acceptor.close(Ignored);
 }
 
+std::string endless_server::address() const {
+  return Acceptor.local_endpoint().address().to_string() + ':' +
+         std::to_string(port());
+}
+
 std::vector<std::string> endless_server::sendingTo() const {
   std::vector<std::string> Heads;
   for (const std::pair<const void *const, std::string> &Open : State->Sending)
--- a/packages/testing/processes/src/fault_proxy.cc
+++ b/packages/testing/processes/src/fault_proxy.cc
@@ -23,10 +23,9 @@
         Settings(std::move(Settings)), Sides{side{std::move(Caller)},
                                              side{tcp::socket(Context)}} {}
 
-  void start(std::uint16_t Target) {
+  void start(const tcp::endpoint &Target) {
     Sides[1].Socket.async_connect(
-        tcp::endpoint(asio::ip::address_v4::loopback(), Target),
-        [Self = shared_from_this()](const error &Error) {
+        Target, [Self = shared_from_this()](const error &Error) {
           if (Error) {
             Self->end(true);
             return;
@@ -110,7 +109,7 @@
 };
 
 fault_proxy::fault_proxy(asio::io_context &Context, std::uint16_t Target)
-    : Context(Context), Target(Target),
+    : Context(Context), Target(asio::ip::address_v4::loopback(), Target),
       Acceptor(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
   accept();
 }
@@ -125,6 +124,17 @@
   return Acceptor.local_endpoint().port();
 }
 
+void fault_proxy::setTarget(std::uint16_t Port) {
+  Target = tcp::endpoint(asio::ip::address_v4::loopback(), Port);
+}
+
+void fault_proxy::setTarget(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  Target = tcp::endpoint(
+      asio::ip::make_address(Address.substr(0, Colon)),
+      static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1))));
+}
+
 void fault_proxy::accept() {
   Acceptor.async_accept([this](const error &Error, tcp::socket Socket) {
     if (Error)
--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -2,11 +2,11 @@
 #include "jasminecroft/processes/serving_soak.h"
 
 #include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/soak_acts.h"
 #include "jasminecroft/processes/soak_caller.h"
+#include "jasminecroft/processes/soak_changes.h"
 #include "jasminecroft/processes/users_fleet.h"
 
-#include <boost/json/parse.hpp>
-
 #include <atomic>
 #include <csignal>
 #include <functional>
@@ -17,7 +17,6 @@
 
 namespace jasminecroft::processes {
 
-namespace json = boost::json;
 using std::chrono::milliseconds;
 using steady = std::chrono::steady_clock;
 
@@ -42,9 +41,10 @@
   return Status == 429 || Status == 503 || Status == 408 || Status == 421;
 }
 
-/// Draft: a stream that may be resumed; Note: one that may not.
-enum class soak_kind { Read, Once, Draft, Note };
-constexpr std::size_t Kinds = 4;
+/// Task: as Once, and may be sent to more than one server. Draft: a stream that
+/// may be resumed; Note: one that may not.
+enum class soak_kind { Read, Once, Task, Draft, Note };
+constexpr std::size_t Kinds = 5;
 
 bool isStream(soak_kind Kind) {
   return Kind == soak_kind::Draft || Kind == soak_kind::Note;
@@ -54,50 +54,6 @@
   return Kind == soak_kind::Read || Kind == soak_kind::Draft;
 }
 
-using standins::backend_act;
-
-const std::vector<backend_act> TroubledActs = {
-    backend_act::Refuse,          backend_act::RefuseTooMany,
-    backend_act::RunAndFail,      backend_act::RunAndRepeat,
-    backend_act::RefuseAndRepeat, backend_act::Close,
-    backend_act::RunAndClose,     backend_act::RunAndCutHead,
-    backend_act::RunAndCutBody,   backend_act::RunAndHang};
-const std::vector<backend_act> UnnamedActs = {
-    backend_act::RefuseUnnamed, backend_act::RefuseUnnamedAndRepeat,
-    backend_act::RefuseUnnamedAndRepeat, backend_act::RefuseWithPause};
-const std::vector<backend_act> ContradictingActs = {
-    backend_act::RunAndAnswerBusy, backend_act::RunAndAnswerTooMany,
-    backend_act::RunAndAnswerTimeout, backend_act::RunAndAnswerUnsigned};
-
-/// Chooses what servers do; used on their thread only.
-class troubled_servers {
-public:
-  troubled_servers(std::uint64_t Seed, soak_servers Servers) : Random(Seed) {
-    if (Servers == soak_servers::Sound)
-      return;
-    Acts = TroubledActs;
-    if (Servers == soak_servers::Unnamed)
-      Acts.insert(Acts.end(), UnnamedActs.begin(), UnnamedActs.end());
-    if (Servers == soak_servers::Contradicting)
-      Acts.insert(Acts.end(), ContradictingActs.begin(),
-                  ContradictingActs.end());
-  }
-
-  backend_act choose() {
-    constexpr std::uint64_t TroubledShare = 4;
-    if (Acts.empty() || Calm || Random() % TroubledShare != 0)
-      return backend_act::Run;
-    return Acts[Random() % Acts.size()];
-  }
-
-  void calm() { Calm = true; }
-
-private:
-  std::mt19937_64 Random;
-  std::vector<backend_act> Acts;
-  bool Calm = false;
-};
-
 struct soak_answer {
   std::string Id;
   soak_kind Kind = soak_kind::Read;
@@ -110,10 +66,8 @@
       : Options(Options), Random(Options.Seed),
         Servers(Options.Seed, Options.Servers),
         Fleet(Options.Hosts, true, [this] { return Servers.choose(); }),
-        Runs(Options.Hosts), Served(Options.Hosts) {
-    Fleet.add("engine", Fleet.backendOptions("engine-1"));
-    Fleet.add("stage", Fleet.backendOptions("stage-1"));
-  }
+        Changes(Fleet, Options.Seed), Runs(Options.Hosts),
+        Served(Options.Hosts) {}
 
   soak_report run() {
     if (!Fleet.waitReady()) {
@@ -124,10 +78,12 @@
     for (std::size_t Caller = 0; Caller < Options.Callers; ++Caller)
       Callers.emplace_back([this, Caller] { callUntilStopped(Caller); });
     steady::time_point End = steady::now() + Options.FaultTime;
+    std::thread Changing([this, End] { changeUntil(End); });
     while (steady::now() < End) {
       faultOne();
       std::this_thread::sleep_for(pause(LongestPause));
     }
+    Changing.join();
     calm();
     Stopping = true;
     for (std::thread &Caller : Callers)
@@ -175,9 +131,40 @@
   }
 
   std::string anyProxy() {
-    auto Chosen = Fleet.Proxies.begin();
-    std::advance(Chosen, Random() % Fleet.Proxies.size());
-    return Chosen->first;
+    std::uint64_t Number = Random();
+    std::string Name;
+    Fleet.on([&] {
+      auto Chosen = Fleet.Proxies.begin();
+      std::advance(Chosen, Number % Fleet.Proxies.size());
+      Name = Chosen->first;
+    });
+    return Name;
+  }
+
+  // A proxy whose server has left has another name.
+  void onProxy(const std::string &Name,
+               const std::function<void(fault_proxy &)> &Act) {
+    Fleet.on([&] {
+      auto Found = Fleet.Proxies.find(Name);
+      if (Found != Fleet.Proxies.end())
+        Act(*Found->second);
+    });
+  }
+
+  void addFault(std::string What) {
+    std::lock_guard<std::mutex> Lock(FaultsMutex);
+    Report.Faults.push_back(std::move(What));
+  }
+
+  // Planned changes overlap with faults.
+  void changeUntil(steady::time_point End) {
+    std::mt19937_64 Own(Options.Seed + 1);
+    while (steady::now() < End) {
+      addFault(Changes.step());
+      std::this_thread::sleep_for(milliseconds(
+          Own() % static_cast<std::uint64_t>(LongestPause.count())));
+    }
+    Changes.finish();
   }
 
   void faultOne() {
@@ -188,26 +175,36 @@
         {"kill", [&] { restartHost(Host, SIGKILL); }},
         {"stop", [&] { restartHost(Host, SIGTERM); }},
         {"hang up", [&] { Fleet.Processes[Host]->signal(SIGHUP); }},
-        {"reset", [&] { Fleet.on([&] { Fleet.Proxies[Name]->resetAll(); }); }},
+        {"release", [&] { releaseHosts(Host); }},
+        {"reset",
+         [&] { onProxy(Name, [](fault_proxy &Proxy) { Proxy.resetAll(); }); }},
         {"silence",
          [&] {
-           Fleet.on([&] { Fleet.Proxies[Name]->setLoss(proxy_loss::Both); });
+           onProxy(Name,
+                   [](fault_proxy &Proxy) { Proxy.setLoss(proxy_loss::Both); });
          }},
         {"one way",
          [&] {
-           Fleet.on(
-               [&] { Fleet.Proxies[Name]->setLoss(proxy_loss::FromServer); });
+           onProxy(Name, [](fault_proxy &Proxy) {
+             Proxy.setLoss(proxy_loss::FromServer);
+           });
          }},
         {"delay",
          [&] {
-           Fleet.on([&] { Fleet.Proxies[Name]->setDelay(milliseconds(60)); });
+           onProxy(Name, [](fault_proxy &Proxy) {
+             Proxy.setDelay(milliseconds(60));
+           });
+         }},
+        {"cut between hosts",
+         [&] {
+           onProxy(users_fleet::peerProxy(Host),
+                   [](fault_proxy &Proxy) { Proxy.setLoss(proxy_loss::Both); });
          }},
         {"heal", [&] { healProxies(); }},
-        {"heal", [&] { healProxies(); }},
-        {"new configuration", [&] { changeConfig(); }}};
+        {"heal", [&] { healProxies(); }}};
     const fault &Chosen = Faults[Random() % Faults.size()];
-    Report.Faults.push_back(std::string(Chosen.Name) + " (host " +
-                            std::to_string(Host) + ", proxy of " + Name + ")");
+    addFault(std::string(Chosen.Name) + " (host " + std::to_string(Host) +
+             ", proxy of " + Name + ")");
     Chosen.Act();
   }
 
@@ -229,6 +226,12 @@
     Fleet.startHost(Host);
   }
 
+  // Two hosts, one after the other.
+  void releaseHosts(std::size_t First) {
+    restartHost(First, SIGTERM);
+    restartHost((First + 1) % Options.Hosts, SIGTERM);
+  }
+
   void healProxies() {
     Fleet.on([this] {
       for (const std::pair<const std::string, std::unique_ptr<fault_proxy>>
@@ -239,30 +242,11 @@
     });
   }
 
-  // Each version has a route of its own and keeps those of earlier ones.
-  void changeConfig() {
-    json::value Config = json::parse(usersConfig());
-    std::uint64_t Newest = Version + 1;
-    Config.as_object()["version"] = Newest;
-    json::array &Routes = Config.at("routes").as_array();
-    for (std::uint64_t Earlier = 2; Earlier <= Newest; ++Earlier) {
-      json::value Route = Routes[0];
-      Route.as_object()["name"] = versionRoute(Earlier);
-      Route.as_object()["path_prefix"] = "/" + versionRoute(Earlier) + "/";
-      Routes.push_back(std::move(Route));
-    }
-    Fleet.on([&] { Fleet.Store->put("config", "main", Config); });
-    Version = Newest;
-  }
-
-  static std::string versionRoute(std::uint64_t Number) {
-    return "v" + std::to_string(Number);
-  }
-
   unsigned probe(const std::string &Id, std::uint64_t Number,
                  std::size_t Host) {
     return processes::exchange(
-               Fleet.call(versionRoute(Number), Id, "key-1", Host), Bound)
+               Fleet.call(soak_changes::routeOf(Number), Id, "key-1", Host),
+               Bound)
         .Status;
   }
 
@@ -270,7 +254,7 @@
   // as its process lives.
   void probeVersion(const std::string &Id, std::size_t Host,
                     std::mt19937_64 &Own) {
-    std::uint64_t Newest = Version;
+    std::uint64_t Newest = Changes.version();
     if (Newest < 2)
       return;
     std::uint64_t Number = 2 + Own() % (Newest - 1);
@@ -286,7 +270,7 @@
     std::lock_guard<std::mutex> Lock(AnswersMutex);
     if (Status == StatusNotFound && WasServed)
       broken(Id + ": host " + std::to_string(Host) + " refuses route " +
-             versionRoute(Number) + " by an older configuration");
+             soak_changes::routeOf(Number) + " by an older configuration");
     if (Status != StatusOk)
       return;
     if (Served[Host].Run != Run)
@@ -296,11 +280,11 @@
 
   void checkVersions(const char *When) {
     for (std::size_t Host = 0; Host < Options.Hosts; ++Host) {
-      unsigned Status =
-          probe(std::string(When) + std::to_string(Host), Version, Host);
+      unsigned Status = probe(std::string(When) + std::to_string(Host),
+                              Changes.version(), Host);
       if (Status == StatusNotFound)
         broken("host " + std::to_string(Host) + " is behind version " +
-               std::to_string(Version) + " " + When + logs());
+               std::to_string(Changes.version()) + " " + When + logs());
     }
   }
 
@@ -308,12 +292,12 @@
     healProxies();
     Fleet.on([this] { Servers.calm(); });
     steady::time_point Healed = steady::now();
-    changeConfig();
+    Changes.changeConfig();
     std::this_thread::sleep_until(Healed + StableTime);
     checkVersions("after-faults-");
     // Connections that went silent are found out by now.
     std::this_thread::sleep_until(Healed + std::chrono::seconds(5));
-    changeConfig();
+    Changes.changeConfig();
     std::this_thread::sleep_for(ConfigTime);
     checkVersions("in-calm-");
     if (!Fleet.waitReady())
@@ -330,6 +314,9 @@
     case soak_kind::Once:
       Call = Fleet.call("once", Id, "key-1", Host);
       break;
+    case soak_kind::Task:
+      Call = Fleet.call("task", Id, "key-1", Host);
+      break;
     case soak_kind::Draft:
       Call = Fleet.draft(Id, Host);
       break;
@@ -435,9 +422,9 @@
 
   soak_options Options;
   std::mt19937_64 Random;
-  troubled_servers Servers;
+  soak_acts Servers;
   users_fleet Fleet;
-  std::atomic<std::uint64_t> Version = 1;
+  soak_changes Changes;
   /// Changes at each end and each start of a host.
   std::vector<std::atomic<std::uint64_t>> Runs;
   struct served_version {
@@ -448,6 +435,7 @@
   std::vector<served_version> Served;
   std::atomic<bool> Stopping = false;
   std::mutex AnswersMutex;
+  std::mutex FaultsMutex;
   std::vector<soak_answer> Answers;
   soak_report Report;
 };
--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -90,9 +90,16 @@
   std::filesystem::create_directories(Folder);
   std::vector<std::uint16_t> Ports = freePorts(3 * Hosts);
   Processes.resize(Hosts);
+  if (Proxied)
+    on([&] {
+      for (std::size_t Host = 0; Host < Hosts; ++Host)
+        Proxies[peerProxy(Host)] =
+            std::make_unique<fault_proxy>(Context, Ports[3 * Host + 2]);
+    });
   for (std::size_t Host = 0; Host < Hosts; ++Host) {
     CallerPorts.push_back(Ports[3 * Host]);
     ReadyPorts.push_back(Ports[3 * Host + 1]);
+    PeerPorts.push_back(Ports[3 * Host + 2]);
     writeSettings(Host, Ports[3 * Host + 2]);
     startHost(Host);
   }
@@ -134,6 +141,20 @@
   return *Added;
 }
 
+void users_fleet::reuseAddress(const std::string &Left, const std::string &Pool,
+                               users_backend_options Options) {
+  on([&] {
+    std::string Id = Options.Id;
+    Backends[Id] = std::make_unique<users_backend>(Context, "127.0.0.1:0",
+                                                   std::move(Options));
+    Proxies[Id] = std::move(Proxies.at(Left));
+    Proxies.erase(Left);
+    Proxies[Id]->setTarget(Backends[Id]->port());
+    Proxies[Id]->resetAll();
+    list(Pool, Id, "ready");
+  });
+}
+
 void users_fleet::list(const std::string &Pool, const std::string &Id,
                        const std::string &State) {
   listAt(Pool, Id, Proxied ? Proxies[Id]->port() : Backends[Id]->port(), State);
@@ -141,9 +162,14 @@
 
 void users_fleet::listAt(const std::string &Pool, const std::string &Id,
                          std::uint16_t Port, const std::string &State) {
+  listAt(Pool, Id, "127.0.0.1:" + std::to_string(Port), State);
+}
+
+void users_fleet::listAt(const std::string &Pool, const std::string &Id,
+                         const std::string &Address, const std::string &State) {
   Store->put("servers", Id,
              json::object{{"service", Pool},
-                          {"address", "127.0.0.1:" + std::to_string(Port)},
+                          {"address", Address},
                           {"az", "z"},
                           {"version", "v1"},
                           {"slots", 6},
@@ -156,6 +182,10 @@
   return "store-" + std::to_string(Host);
 }
 
+std::string users_fleet::peerProxy(std::size_t Host) {
+  return "peers-" + std::to_string(Host);
+}
+
 std::string users_fleet::file(std::size_t Host, const char *Ending) const {
   return (Folder / ("host-" + std::to_string(Host) + Ending)).string();
 }
@@ -168,7 +198,9 @@
       << "\",\"zone\":\"z\",\"region\":\"r\","
       << "\"callers\":\"127.0.0.1:" << CallerPorts[Host]
       << "\",\"readiness\":\"127.0.0.1:" << ReadyPorts[Host]
-      << "\",\"peers\":\"127.0.0.1:" << Peers
+      << "\",\"peers_listen\":\"127.0.0.1:" << Peers
+      << "\",\"peers\":\"127.0.0.1:"
+      << (Proxied ? Proxies.at(peerProxy(Host))->port() : Peers)
       << "\",\"store\":\"127.0.0.1:" << StorePort
       << "\",\"seeds\":[],\"retry_ratio\":0.2,"
       << "\"retry_slack\":50,\"grace_s\":8}";
--- a/packages/testing/processes/test/endless-answers-test.cc
+++ b/packages/testing/processes/test/endless-answers-test.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <atomic>
 #include <doctest/doctest.h>
-#include <fstream>
 #include <mutex>
 #include <thread>
 
@@ -28,18 +27,6 @@
 constexpr milliseconds Timeout{3'000};
 constexpr milliseconds Slack{500};
 
-std::size_t highestMemory(const child_process &Process) {
-  std::ifstream Status("/proc/" + std::to_string(Process.pid()) + "/status");
-  std::string Word;
-  while (Status >> Word)
-    if (Word == "VmHWM:") {
-      std::size_t Kilobytes = 0;
-      Status >> Kilobytes;
-      return Kilobytes << 10U;
-    }
-  return 0;
-}
-
 struct heard_answers {
   std::size_t Whole = 0;
   milliseconds Longest{0};
@@ -84,7 +71,7 @@
     for (std::size_t I = 0; I < ManyServers; ++I) {
       Servers.push_back(std::make_unique<endless_server>(Fleet.Context, Part));
       Fleet.listAt(Troubled, "endless-" + std::to_string(I),
-                   Servers.back()->port());
+                   Servers.back()->address());
     }
   });
   std::this_thread::sleep_for(milliseconds(900));
@@ -113,7 +100,7 @@
   CAPTURE(SendingTo);
   CHECK(Ended);
   CHECK(Met >= ManyServers / 2);
-  std::size_t Memory = highestMemory(*Fleet.Processes[0]);
+  std::size_t Memory = Fleet.Processes[0]->highestMemory();
   CAPTURE(Memory);
   CHECK(Memory > 0);
   CHECK(Memory < MemoryBound);
@@ -126,7 +113,7 @@
   std::unique_ptr<endless_server> Server;
   Fleet.on([&] {
     Server = std::make_unique<endless_server>(Fleet.Context, Part);
-    Fleet.listAt(Streams ? "engine" : "plain", "endless", Server->port());
+    Fleet.listAt(Streams ? "engine" : "plain", "endless", Server->address());
   });
   std::this_thread::sleep_for(milliseconds(900));
   std::size_t Met = 0;
@@ -144,7 +131,7 @@
     Fleet.on([&] { Sending = Server->sending(); });
     return Sending == 0;
   }));
-  std::size_t Memory = highestMemory(*Fleet.Processes[0]);
+  std::size_t Memory = Fleet.Processes[0]->highestMemory();
   CAPTURE(Memory);
   CHECK(Memory > 0);
   CHECK(Memory < MemoryBound);
--- a/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -9,7 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/value.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -103,6 +105,31 @@
   RunAndCutBody,
   /// Runs it and never answers.
   RunAndHang,
+  /// States that a result that it needs is gone: 409, not run.
+  RefuseInputsGone,
+  /// Runs it, and the answer says that it was not run and contradicts that:
+  /// 421 with the signature, with the id of the server that was asked for, or
+  /// with nothing else.
+  RunAndMisdirectSigned,
+  RunAndMisdirectAsExpected,
+  RunAndMisdirectBarely,
+  /// The statement with the signature, on 500, on 504, without a value, twice,
+  /// and in an answer that names two requests.
+  RunAndStateSigned,
+  RunAndStateOnError,
+  RunAndStateOnTimeout,
+  RunAndStateNothing,
+  RunAndStateTwice,
+  RunAndStateForTwo,
+  /// The statement after an interim answer with the signature, and without a
+  /// name behind an answer to another request.
+  RunAndStateAfterInterim,
+  RunAndStateBehindOther,
+  /// Of calls for pieces: one of them fails for this reason.
+  PieceLate,
+  PieceGone,
+  PieceNoRoom,
+  PieceError,
 };
 
 /// What a backend server of the users does with requests.
@@ -116,6 +143,11 @@
   unsigned CutAfter = 0;
   /// Refuses every request as not run.
   bool Full = false;
+  /// Requests that run at the same time, and that may wait; 0 slots: no bound.
+  std::size_t Slots = 0;
+  std::size_t Queue = 0;
+  /// Every so many streams one is interrupted for a while; 0: none.
+  std::size_t PreemptEvery = 0;
   /// Chooses what is done with each request; absent: all are run.
   std::function<backend_act()> Act = nullptr;
 };
@@ -138,7 +170,19 @@
   bool sawForbiddenHeader() const { return Forbidden; }
 
 private:
+  struct waiting_request {
+    exchange_ptr Exchange;
+    backend_act Act = backend_act::Run;
+    std::chrono::steady_clock::time_point Expires;
+  };
+
   void onRequest(const exchange_ptr &Exchange);
+  void admit(const waiting_request &Request);
+  void run(const exchange_ptr &Exchange, backend_act Act);
+  void endRun();
+  void refuseNamed(const exchange_ptr &Exchange, int Status);
+  void sendEvent(const exchange_ptr &Exchange, unsigned Event,
+                 const std::string &Inputs);
   bool refuse(const exchange_ptr &Exchange, backend_act Act);
   void failAfterRun(const exchange_ptr &Exchange, backend_act Act,
                     const std::string &Headers, const std::string &Body);
@@ -155,6 +199,9 @@
   std::set<std::string> Workspaces;
   std::size_t PieceCalls = 0;
   bool Forbidden = false;
+  std::size_t Active = 0;
+  std::size_t Streams = 0;
+  std::deque<waiting_request> Waiting;
   /// Answers that are written once more, by connection.
   std::map<std::uint64_t, std::string> Repeated;
   std::unique_ptr<http_server> Server;
