Decide at one place whether an answer proves that its request has not run

Callers saw 503 for requests that had run, and registries ran requests twice, if a server answered 421 with its signature or with the id of the server that was asked for, or stated that it had not run a request and contradicted that. A sound server that did so once got no work any more. Cause: a status alone (421) or a header alone (X-Not-Executed) was taken for a proof, at three places: decodeReply, decodePieces and the ledger. An answer that claims without proof that nothing ran counts as a run: 502 for what must not repeat, one of its attempts otherwise. Only a 421 that names another server takes the expected one off the list.

--- a/packages/core/include/jasminecroft/core/serving/call_ledger.h
+++ b/packages/core/include/jasminecroft/core/serving/call_ledger.h
@@ -50,8 +50,7 @@
     answer_evidence Answer;
 
     /// Whether its server has not run the request and never will because of
-    /// it. A refusal that names no request may be a leftover of an earlier one
-    /// on the same connection.
+    /// it.
     bool provesNotRun() const;
   };
 
--- a/packages/core/include/jasminecroft/core/serving/run_evidence.h
+++ b/packages/core/include/jasminecroft/core/serving/run_evidence.h
@@ -12,6 +12,9 @@
   ThisRequest,
   /// It names more than one request, or one more than once.
   Unclear,
+  /// Answers to calls of this kind name nothing, and the call had its
+  /// connection for itself.
+  NotNamed,
 };
 
 /// The statement that the server did not run the request.
@@ -52,6 +55,29 @@
   answer_source Source = answer_source::Unsaid;
 };
 
+/// What an answer is worth.
+enum class answer_verdict {
+  /// A server's own answer to the request, which it ran.
+  Answered,
+  /// Its server has not run the request and never will because of this call.
+  NotRun,
+  /// As NotRun; another server has the expected one's address.
+  WrongServer,
+  /// It says that the request was not run, and its evidence does not prove it.
+  Unproven,
+  /// None of these: no answer to the request.
+  Unusable,
+};
+
+/// The only place that decides whether an answer proves that its request has
+/// not run. docs/PROTOCOLS.md lists the proofs and what contradicts them.
+answer_verdict judge(const answer_evidence &Answer);
+
+bool provesNotRun(answer_verdict Verdict);
+
+/// Whether a status tells a caller that its request has not run and never will.
+bool promisesNotRun(unsigned Status);
+
 /// One word for logs, as in "503_named_new_stated".
 std::string describe(const answer_evidence &Answer);
 
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -108,18 +108,10 @@
   unsigned Status = 0;
   /// Headers to forward to the caller.
   std::vector<message_header> Headers;
-  /// The reply carries the server's signature and the id of the request.
-  bool Signed = false;
-  /// The server states that it did not run the request.
-  bool NotRun = false;
-  /// Its status tells a caller that the request has not run and never will.
-  bool PromisesNotRun = false;
-  /// The reply comes from another server than the expected one.
-  bool WrongServer = false;
-  /// A stage result that the request needs no longer exists.
-  bool InputGone = false;
   answer_evidence Evidence;
   std::optional<backend_load> Load;
+
+  answer_verdict verdict() const { return judge(Evidence); }
 };
 
 /// How long a server wants nothing from this host.
--- a/packages/core/src/serving/call_ledger.cc
+++ b/packages/core/src/serving/call_ledger.cc
@@ -32,10 +32,9 @@
 } // namespace
 
 bool call_ledger::call::provesNotRun() const {
-  bool RefusalIsOwn = Answer.Subject == answer_subject::ThisRequest ||
-                      !Answer.Connection.Reused;
   return Fate == call_fate::NotConnected ||
-         (Fate == call_fate::Refused && RefusalIsOwn);
+         (Fate == call_fate::Refused &&
+          jasminecroft::provesNotRun(judge(Answer)));
 }
 
 void call_ledger::begin(const backend_id &Server) {
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -25,6 +25,9 @@
 /// Retry-After if the servers are overloaded: about the time of a few calls.
 constexpr core_duration OverloadRetryAfter = milliseconds(250);
 constexpr unsigned FirstFailureStatus = 500;
+/// With the statement that nothing ran: a stage result that the request needs
+/// no longer exists.
+constexpr unsigned StatusInputGone = 409;
 /// Bound of the prompt parts in one log line.
 constexpr std::size_t MaxLoggedParts = 8;
 
@@ -186,22 +189,31 @@
   Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
 }
 
-// Handles a reply that states that the server did not run the request.
+// Handles a reply that claims without proof that the server did not run the
+// request: it may have run.
+void serving_impl::handleUnproven(active_request &State,
+                                  const backend_reply_head &Head) {
+  State.Ledger.end(call_fate::Refused, Head.Evidence);
+  bool Repeatable = State.Route->Repeatable || State.Route->Resumable;
+  bool WillRetry = Repeatable && reserveRetry(State);
+  log(event_number::CallFailed, event_severity::Warning,
+      "refusal does not prove that the request has not run",
+      {{"request", State.Request.CallerId.Value},
+       {"server", State.Server.Id.Value},
+       {"status", std::to_string(Head.Status)},
+       {"evidence", describe(Head.Evidence)},
+       {"again", WillRetry ? "yes" : "no"}});
+  if (WillRetry)
+    sendCall(State);
+  else
+    failRequest(State, refusal_kind::Failed, core_duration{0});
+}
+
+// Handles a reply that proves that the server did not run the request.
 void serving_impl::handleNotRun(active_request &State,
                                 const backend_reply_head &Head) {
   State.Ledger.end(call_fate::Refused, Head.Evidence);
-  bool MayRepeat = State.Route->Repeatable || State.Route->Resumable;
-  if (!MayRepeat && !State.Ledger.provesNotRun()) {
-    log(event_number::CallFailed, event_severity::Warning,
-        "refusal does not show which request it belongs to",
-        {{"request", State.Request.CallerId.Value},
-         {"server", State.Server.Id.Value},
-         {"status", std::to_string(Head.Status)},
-         {"again", "no"}});
-    failRequest(State, refusal_kind::Failed, core_duration{0});
-    return;
-  }
-  if (Head.InputGone) {
+  if (Head.Status == StatusInputGone) {
     --State.Attempts;
     if (!recomputeResults(State, finalStages(State)))
       failRequest(State, refusal_kind::NoBackend, OverloadRetryAfter);
@@ -300,22 +312,27 @@
   endCall(Call);
   if (!State)
     return;
-  if (Head.WrongServer) {
+  switch (Head.verdict()) {
+  case answer_verdict::WrongServer:
     Servers.markLeaving(Server);
     handleNotRun(*State, Head);
     return;
-  }
-  if (Head.NotRun) {
+  case answer_verdict::NotRun:
     handleNotRun(*State, Head);
     return;
-  }
-  if (!Head.Signed) {
+  case answer_verdict::Unproven:
+    handleUnproven(*State, Head);
+    return;
+  case answer_verdict::Unusable:
     Servers.onCallFailed(Server, Now);
     handleBrokenCall(*State, false);
     return;
+  case answer_verdict::Answered:
+    break;
   }
   State->Ledger.end(call_fate::Answered, Head.Evidence);
-  bool Succeeded = Head.Status < FirstFailureStatus && !Head.PromisesNotRun;
+  bool Promises = promisesNotRun(Head.Status);
+  bool Succeeded = Head.Status < FirstFailureStatus && !Promises;
   if (Succeeded)
     Servers.onCallSucceeded(Server,
                             static_cast<double>((Now - State->SentAt).count()));
@@ -332,7 +349,7 @@
   }
   // The server has not stated that it did not run the request, but its status
   // would tell the caller so.
-  if (State->HeadRelayed || Head.PromisesNotRun) {
+  if (State->HeadRelayed || Promises) {
     failRequest(*State, refusal_kind::Failed, core_duration{0});
     return;
   }
@@ -353,7 +370,7 @@
     return;
   if (Head.Load)
     Servers.onLoad(State->Server.Id, *Head.Load, Now);
-  if (!Head.Signed) {
+  if (Head.verdict() != answer_verdict::Answered) {
     endCall(Call);
     Actions.cancelCall(Call);
     Servers.onCallFailed(State->Server.Id, Now);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -361,6 +361,7 @@
   void endCall(call_id Call);
   bool reserveRetry(const active_request &State);
   void handleNotRun(active_request &State, const backend_reply_head &Head);
+  void handleUnproven(active_request &State, const backend_reply_head &Head);
   void handleBrokenCall(active_request &State, bool Timed);
   void addPartFields(const active_request &State,
                      std::vector<event_field> &Fields) const;
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -141,7 +141,7 @@
   Test.addAllPools();
   request_id Request = Test.sendRequest("once");
   backend_reply_head Unsigned = serving_fixture::successHead();
-  Unsigned.Signed = false;
+  Unsigned.Evidence.Signed = false;
   Test.Core.onCompleteReply(Test.Actions.LastForward, Unsigned, "spoilt",
                             Test.Now);
   CHECK(Test.Actions.Replies[Request].empty());
@@ -159,7 +159,6 @@
       CAPTURE(Route);
       request_id Request = Test.sendRequest(Route);
       backend_reply_head Busy = serving_fixture::successHead(Status);
-      Busy.PromisesNotRun = true;
       Test.Core.onCompleteReply(Test.Actions.LastForward, Busy, "busy",
                                 Test.Now);
       CHECK(Test.Actions.Replies[Request].empty());
@@ -173,7 +172,6 @@
   Test.addAllPools();
   request_id Request = Test.sendRequest("plain");
   backend_reply_head Busy = serving_fixture::successHead(429);
-  Busy.PromisesNotRun = true;
   Test.Core.onCompleteReply(Test.Actions.LastForward, Busy, "busy", Test.Now);
   REQUIRE(Test.Actions.Forwards.size() == 2);
   Test.Core.onCompleteReply(Test.Actions.LastForward, Busy, "busy", Test.Now);
@@ -187,12 +185,31 @@
   Test.sendRequest("once");
   backend_id First = Test.lastForward().Server.Id;
   backend_reply_head Wrong = serving_fixture::notRunHead(421);
-  Wrong.WrongServer = true;
+  Wrong.Evidence.Source = answer_source::OtherServer;
   Test.Core.onCompleteReply(Test.Actions.LastForward, Wrong, "", Test.Now);
   CHECK(Test.lastForward().Server.Id != First);
   CHECK(Test.Core.backends().isLeaving(First));
 }
 
+TEST_CASE("a refusal without proof takes one of the request's attempts") {
+  serving_fixture Test;
+  Test.addAllPools();
+  request_id Request = Test.sendRequest("plain");
+  backend_reply_head Unproven = serving_fixture::successHead(503);
+  Unproven.Evidence.Statement = not_run_statement::Plain;
+  Test.Core.onCompleteReply(Test.Actions.LastForward, Unproven, "", Test.Now);
+  REQUIRE(Test.Actions.Forwards.size() == 2);
+  Test.Core.onCompleteReply(Test.Actions.LastForward, Unproven, "", Test.Now);
+  CHECK(Test.Actions.Forwards.size() == 2);
+  CHECK(refusalOf(Test, Request) == refusal_kind::Failed);
+  request_id Once = Test.sendRequest("once");
+  Test.Core.onCompleteReply(Test.Actions.LastForward, Unproven, "", Test.Now);
+  CHECK(Test.Actions.Forwards.size() == 3);
+  CHECK(refusalOf(Test, Once) == refusal_kind::Failed);
+  // It is no news of the server either.
+  CHECK_FALSE(Test.Core.backends().isLeaving(Test.lastForward().Server.Id));
+}
+
 TEST_CASE("a request without a reply ends at the route's timeout") {
   serving_fixture Test;
   Test.addAllPools();
--- a/packages/core/test/serving-drain-test.cc
+++ b/packages/core/test/serving-drain-test.cc
@@ -163,7 +163,6 @@
   drain(Test);
   Test.advance(milliseconds(700));
   backend_reply_head Gone = serving_fixture::notRunHead(409);
-  Gone.InputGone = true;
   Test.Core.onCompleteReply(Test.Actions.LastForward, Gone, "", Test.Now);
   CHECK(guaranteesNotRun(refusalOf(Test, Request)));
   CHECK(Test.Actions.Pieces.empty());
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -207,14 +207,17 @@
   static backend_reply_head successHead(unsigned Status = 200) {
     backend_reply_head Head;
     Head.Status = Status;
-    Head.Signed = true;
+    Head.Evidence.Status = Status;
+    Head.Evidence.Subject = answer_subject::ThisRequest;
+    Head.Evidence.Signed = true;
     return Head;
   }
 
   static backend_reply_head notRunHead(unsigned Status = 503) {
     backend_reply_head Head;
     Head.Status = Status;
-    Head.NotRun = true;
+    Head.Evidence.Status = Status;
+    Head.Evidence.Statement = not_run_statement::Plain;
     return Head;
   }
 
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -49,7 +49,6 @@
   Test.completePieces();
   REQUIRE(Test.Actions.Forwards.size() == 1);
   backend_reply_head Gone = serving_fixture::notRunHead(409);
-  Gone.InputGone = true;
   Test.Core.onCompleteReply(Test.Actions.LastForward, Gone, "", Test.Now);
   CHECK(Test.Actions.Forwards.size() == 1);
   // The first stage's result was not lost.
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -146,7 +146,7 @@
     tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
     platform::decoded_pieces Decoded =
-        platform::decodePieces(Head, Body, Expected);
+        platform::decodePieces(Head, Body, Server.Id, Expected);
     if (platform::pieces_reply *Reply =
             std::get_if<platform::pieces_reply>(&Decoded))
       Results.onPiecesAnswered(Call, Reply->Results, Reply->Load);
--- a/packages/testing/processes/src/soak_changes.cc
+++ b/packages/testing/processes/src/soak_changes.cc
@@ -78,7 +78,7 @@
 std::string soak_changes::retire() {
   std::size_t Chosen = Random() % Serving.size();
   server Server = Serving[Chosen];
-  auto InPool = std::count_if(
+  std::ptrdiff_t InPool = std::count_if(
       Serving.begin(), Serving.end(),
       [&Server](const server &Other) { return Other.Pool == Server.Pool; });
   if (static_cast<std::size_t>(InPool) <= MinPerPool)
--- a/packages/testing/processes/test/promised-statuses-test.cc
+++ b/packages/testing/processes/test/promised-statuses-test.cc
@@ -32,15 +32,25 @@
       : Server([this](const raw_request &Request, int,
                       const raw_server::writer &Write) {
           std::lock_guard<std::mutex> Lock(Guard);
+          if (Refusing) {
+            Write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                  "X-Request-Id: " +
+                  Request.Id + "\r\nContent-Length: 4\r\n\r\nbusy");
+            return;
+          }
           Ran.push_back(Request.Id);
-          Write("HTTP/1.1 " + Status + "\r\n" + signature(Request.Id) + More +
+          Write("HTTP/1.1 " + Status + "\r\n" + signature(Request.Id) +
                 "Content-Length: 4\r\n\r\nbusy");
         }) {}
 
-  void answerWith(const std::string &Line, const std::string &Headers = "") {
+  void answerWith(const std::string &Line) {
     std::lock_guard<std::mutex> Lock(Guard);
     Status = Line;
-    More = Headers;
+  }
+  /// From now on requests are refused and not run.
+  void refuse() {
+    std::lock_guard<std::mutex> Lock(Guard);
+    Refusing = true;
   }
   std::uint16_t port() const { return Server.port(); }
   std::size_t ranTimes(const std::string &Id) {
@@ -51,7 +61,7 @@
 private:
   std::mutex Guard;
   std::string Status;
-  std::string More;
+  bool Refusing = false;
   std::vector<std::string> Ran;
   raw_server Server;
 };
@@ -104,7 +114,7 @@
 TEST_CASE("the log of a promise names each server that was called and what "
           "became of the call") {
   running_fleet Running;
-  Running.Server.answerWith("503 Service Unavailable", "X-Not-Executed: 1\r\n");
+  Running.Server.refuse();
   CHECK(exchange(Running.Fleet.call("once", "refused"), Bound).Status == 503);
   std::string Log;
   bool Logged = waitUntil([&] {
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -175,7 +175,7 @@
   answerOnce(*Request, Now);
   Request->Status = Head.Status;
   Request->FirstByteAt = Now;
-  if (Head.PromisesNotRun && !Request->Runs.empty())
+  if (promisesNotRun(Head.Status) && !Request->Runs.empty())
     add(promise::TruthfulOutcomes, Now,
         Id.Value + " gets a status that says that it has not run, but ran");
   bool Own = !Request->Runs.empty() &&
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -19,19 +19,48 @@
 constexpr std::size_t CallsWaiting = 2;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusInputGone = 409;
+constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusUnavailable = 503;
 
 backend_reply_head signedHead() {
   backend_reply_head Head;
   Head.Status = StatusOk;
-  Head.Signed = true;
+  Head.Evidence.Status = StatusOk;
+  Head.Evidence.Subject = answer_subject::ThisRequest;
+  Head.Evidence.Signed = true;
   return Head;
 }
 
-// Whether a server answers a request that it ran with the status of a refusal.
-bool contradicts(const caller_request_id &Id) {
-  constexpr std::size_t Share = 24;
-  return XXH3_64bits(Id.Value.data(), Id.Value.size()) % Share == 0;
+backend_reply_head refusalHead(unsigned Status) {
+  backend_reply_head Head;
+  Head.Status = Status;
+  Head.Evidence.Status = Status;
+  Head.Evidence.Subject = answer_subject::ThisRequest;
+  Head.Evidence.Statement = not_run_statement::Plain;
+  return Head;
+}
+
+// The signed answer to a request that was run; of some requests it says that
+// it was not.
+backend_reply_head answerHeadTo(const caller_request_id &Id) {
+  constexpr std::size_t Share = 36;
+  backend_reply_head Head = signedHead();
+  switch (XXH3_64bits(Id.Value.data(), Id.Value.size()) % Share) {
+  case 0:
+    Head.Status = StatusUnavailable;
+    break;
+  case 1:
+    Head.Status = StatusUnavailable;
+    Head.Evidence.Statement = not_run_statement::Plain;
+    break;
+  case 2:
+    Head.Status = StatusMisdirected;
+    break;
+  default:
+    break;
+  }
+  Head.Evidence.Status = Head.Status;
+  return Head;
 }
 
 class plain_server final : public world_server {
@@ -41,11 +70,8 @@
   void forward(const world_link &Link, const forward_call &Call) override {
     World.book().onRun(Call.CallerId, Entry.Id, World.now());
     std::string Body = Call.CallerId.Value + "@" + Entry.Id.Value;
-    backend_reply_head Head = signedHead();
-    if (!World.isCalm() && contradicts(Call.CallerId)) {
-      Head.Status = StatusUnavailable;
-      Head.PromisesNotRun = true;
-    }
+    backend_reply_head Head =
+        World.isCalm() ? signedHead() : answerHeadTo(Call.CallerId);
     after(slowed(PlainTime), [this, Link, Head, Body] {
       answerHead(Link, true,
                  [Link, Head, Body](serving_core &Core, core_time Now) {
@@ -91,10 +117,7 @@
 
 private:
   void refuseGone(const world_link &Link) {
-    backend_reply_head Head;
-    Head.Status = StatusInputGone;
-    Head.NotRun = true;
-    Head.InputGone = true;
+    backend_reply_head Head = refusalHead(StatusInputGone);
     answerHead(Link, true, [Link, Head](serving_core &Core, core_time Now) {
       Core.onCompleteReply(Link.Call, Head, "", Now);
     });
@@ -316,9 +339,7 @@
 }
 
 void world_server::refuse(const world_link &Link) {
-  backend_reply_head Head;
-  Head.Status = StatusUnavailable;
-  Head.NotRun = true;
+  backend_reply_head Head = refusalHead(StatusUnavailable);
   answerHead(Link, true, [Link, Head](serving_core &Core, core_time Now) {
     Core.onCompleteReply(Link.Call, Head, "", Now);
   });
--- a/packages/testing/standins/src/users_backend.cc
+++ b/packages/testing/standins/src/users_backend.cc
@@ -320,8 +320,9 @@
     ++Streams;
     bool Preempted =
         Options.PreemptEvery > 0 && Streams % Options.PreemptEvery == 0;
-    auto Timer = std::make_shared<asio::steady_timer>(
-        Context, Preempted ? PreemptedTime : Options.Work);
+    std::shared_ptr<asio::steady_timer> Timer =
+        std::make_shared<asio::steady_timer>(Context, Preempted ? PreemptedTime
+                                                                : Options.Work);
     Timer->async_wait(
         [this, Timer, Exchange, First, Inputs](boost::system::error_code) {
           sendEvent(Exchange, First, Inputs);
