Close kept connections in time, used again or not

Cause: connections to backend servers, and to the store, were looked at only when the next call took them. A server could go on sending into the kernel's windows, and a server that had left kept a descriptor until it closed. Change: the pool looks at idle connections once a second and closes those whose stated lifetime has run out or that are closed or have bytes nobody asked for; without a stated lifetime they last 30 s. Conclusion: no connection outlasts its stated lifetime by more than a second.

--- a/packages/entry/src/connection_pool.cc
+++ b/packages/entry/src/connection_pool.cc
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::size_t MaxIdlePerServer = 64;
+/// Idle connections are looked at this often.
+constexpr std::chrono::seconds CheckInterval{1};
+/// For servers that do not say how long they keep idle connections.
+constexpr std::chrono::seconds UnstatedLifetime{30};
 constexpr std::chrono::seconds UsedOnceTime{60};
 constexpr std::size_t MaxUsedOnce = 1'024;
 /// Probes begin after a second of silence; with two lost, the connection ends.
@@ -46,9 +50,7 @@
   while (!Connections.empty()) {
     idle_connection Connection = std::move(Connections.back());
     Connections.pop_back();
-    bool InTime =
-        !Connection.UsableUntil || clock::now() < *Connection.UsableUntil;
-    if (InTime && isQuiet(Connection.Socket.native_handle())) {
+    if (Connection.usable(clock::now())) {
       ++Counters.Reused;
       return std::move(Connection.Socket);
     }
@@ -63,10 +65,39 @@
   // The oldest is the first that its server closes.
   if (Connections.size() >= MaxIdlePerServer)
     Connections.pop_front();
-  std::optional<clock::time_point> Until;
-  if (Lifetime)
-    Until = clock::now() + *Lifetime;
-  Connections.push_back({std::move(Socket), Until});
+  Connections.push_back(
+      {std::move(Socket), clock::now() + Lifetime.value_or(UnstatedLifetime)});
+  startTimer();
+}
+
+bool connection_pool::idle_connection::usable(clock::time_point Now) {
+  return Now < UsableUntil && isQuiet(Socket.native_handle());
+}
+
+void connection_pool::startTimer() {
+  if (TimerRuns)
+    return;
+  TimerRuns = true;
+  Timer.expires_after(CheckInterval);
+  Timer.async_wait(
+      [Self = weak_from_this()](const boost::system::error_code &Error) {
+        std::shared_ptr<connection_pool> Pool = Self.lock();
+        if (!Error && Pool)
+          Pool->closeUnusable();
+      });
+}
+
+void connection_pool::closeUnusable() {
+  clock::time_point Now = clock::now();
+  for (auto It = Idle.begin(); It != Idle.end();) {
+    std::erase_if(It->second, [Now](idle_connection &Connection) {
+      return !Connection.usable(Now);
+    });
+    It = It->second.empty() ? Idle.erase(It) : std::next(It);
+  }
+  TimerRuns = false;
+  if (!Idle.empty())
+    startTimer();
 }
 
 void connection_pool::onUnnamedAnswer(const endpoint &Address) {
--- a/packages/entry/src/connection_pool.h
+++ b/packages/entry/src/connection_pool.h
@@ -5,9 +5,12 @@
 #include "http_exchange.h"
 #include "io_types.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <chrono>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -29,11 +32,14 @@
 /// copy of one that did not could be taken for the answer to any later call.
 enum class answer_naming { Named, Unnamed };
 
-/// Used from one thread.
-class connection_pool {
+/// Used from one thread. Connections that are not used again are closed in
+/// time, and so are those on which a server sends what nobody asked for.
+class connection_pool : public std::enable_shared_from_this<connection_pool> {
 public:
   using clock = std::chrono::steady_clock;
 
+  explicit connection_pool(boost::asio::io_context &Context) : Timer(Context) {}
+
   /// The connection used last that is neither closed nor about to be closed by
   /// its server.
   std::optional<tcp_socket> take(const endpoint &Address, answer_naming Naming);
@@ -51,17 +57,24 @@
   answer_memory Memory{MaxAnswersBytes};
 
 private:
-  bool isUsedOnce(const endpoint &Address) const;
-
   struct idle_connection {
     tcp_socket Socket;
-    std::optional<clock::time_point> UsableUntil;
+    clock::time_point UsableUntil;
+
+    bool usable(clock::time_point Now);
   };
+
+  bool isUsedOnce(const endpoint &Address) const;
+  void startTimer();
+  void closeUnusable();
+
   std::map<std::pair<endpoint, answer_naming>, std::deque<idle_connection>>
       Idle;
   /// Servers that answered without naming the request, and until when that
   /// counts; at most MaxUsedOnce.
   std::map<endpoint, clock::time_point> UsedOnceUntil;
+  io_timer Timer;
+  bool TimerRuns = false;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -295,7 +295,8 @@
 
 class http_client_impl final : public http_client {
 public:
-  explicit http_client_impl(asio::io_context &Context) : Context(Context) {}
+  explicit http_client_impl(asio::io_context &Context)
+      : Context(Context), Pool(std::make_shared<connection_pool>(Context)) {}
 
   std::shared_ptr<http_exchange>
   start(exchange_request Request,
@@ -311,7 +312,7 @@
 
 private:
   asio::io_context &Context;
-  std::shared_ptr<connection_pool> Pool = std::make_shared<connection_pool>();
+  std::shared_ptr<connection_pool> Pool;
 };
 
 } // namespace
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -35,7 +35,8 @@
 class serving_backends {
 public:
   serving_backends(boost::asio::io_context &Context, backend_results &Results)
-      : Context(Context), Results(Results) {}
+      : Context(Context), Results(Results),
+        Pool(std::make_shared<connection_pool>(Context)) {}
 
   void forward(call_id Call, const forward_call &Forward);
   void runPieces(call_id Call, const backend_entry &Server,
@@ -51,7 +52,7 @@
 private:
   boost::asio::io_context &Context;
   backend_results &Results;
-  std::shared_ptr<connection_pool> Pool = std::make_shared<connection_pool>();
+  std::shared_ptr<connection_pool> Pool;
   std::unordered_map<call_id, std::shared_ptr<backend_call>> Calls;
 };
 
