Bound what a host keeps of a request that cannot be parsed

Other callers of a host lost their requests when it ran out of memory. Cause: a caller's buffer had no bound. A chunk's size line that does not end is never parsed, and the body's bound does not count it; a host took 1,845 MB from six such callers in ten seconds. Class: a bound on what is parsed, none on what is received. The page of readiness and metrics had no bound either. Change: a buffer holds one head and 64 KiB; more is 400. Elsewhere: answers of servers and of the store had such a bound, and so had the product's own callers. Conclusion: mended; answers that callers do not read are next.

--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -25,6 +25,9 @@
 /// Text of one stream that its caller has not read yet.
 constexpr std::size_t MaxUnsentBytes = 2'097'152;
 constexpr std::size_t ReadBytes = 8'192;
+/// Room beside a head for what is received and not parsed yet, such as the size
+/// line of a chunk.
+constexpr std::size_t MaxUnparsedBytes = 65'536;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned TooLarge = 413;
@@ -62,7 +65,7 @@
 } // namespace
 
 caller_session::caller_session(tcp_socket Socket, caller_session_owner &Owner)
-    : Socket(std::move(Socket)), Owner(Owner) {
+    : Socket(std::move(Socket)), Owner(Owner), Buffer(MaxUnparsedBytes) {
   error Ignored;
   this->Socket.set_option(tcp::no_delay(true), Ignored);
 }
@@ -125,6 +128,7 @@
 void caller_session::readHeader() {
   caller_bounds Bounds = Owner.bounds();
   setDeadline(Bounds.HeaderTimeout);
+  Buffer.max_size(Bounds.MaxHeaderBytes + MaxUnparsedBytes);
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Bounds.MaxHeaderBytes));
   Parser->body_limit(Bounds.MaxBodyBytes);
--- a/packages/entry/src/serving/page_listener.cc
+++ b/packages/entry/src/serving/page_listener.cc
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr std::size_t MaxPageRequestBytes = 16'384;
+
 constexpr std::uint32_t MaxHeaderBytes = 8'192;
 
 class page_session : public std::enable_shared_from_this<page_session> {
@@ -59,7 +61,7 @@
 
   tcp_socket Socket;
   std::shared_ptr<page_listener::handler> Pages;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxPageRequestBytes};
   std::optional<http::request_parser<http::empty_body>> Parser;
   std::string Text;
   bool Close = false;
