Bound the answers that callers have not read, all together

Other callers of a host lost their requests when it ran out of memory. Change: the sessions of a host share 32 MB; beyond it the answer that has waited for longest without being read is given up and its connection closed. The largest would be wrong: it may be the one that a caller reads right now (tried first: the reading caller of the test was cut).

--- a/packages/entry/src/answer_memory.cc
+++ b/packages/entry/src/answer_memory.cc
@@ -1,4 +1,4 @@
-// Counts what is held; the largest holder goes first.
+// Counts what is held, and lets holders give up.
 #include "answer_memory.h"
 
 #include <algorithm>
@@ -6,24 +6,33 @@
 namespace jasminecroft::detail {
 
 void answer_memory::hold(holder &Holder, std::size_t Bytes) {
-  std::size_t &Own = Held[&Holder];
-  Total = Total - Own + Bytes;
-  Own = Bytes;
+  held_bytes &Own = Held[&Holder];
+  if (Own.Begun == 0)
+    Own.Begun = ++LastBegun;
+  Total = Total - Own.Bytes + Bytes;
+  Own.Bytes = Bytes;
   while (Total > Limit && !Held.empty()) {
-    auto Largest = std::max_element(
-        Held.begin(), Held.end(),
-        [](const auto &A, const auto &B) { return A.second < B.second; });
-    holder *GivesUp = Largest->first;
+    holder *GivesUp = nextToGiveUp()->first;
     release(*GivesUp);
     GivesUp->giveUpAnswer();
   }
 }
 
+answer_memory::table::iterator answer_memory::nextToGiveUp() {
+  return std::max_element(
+      Held.begin(), Held.end(),
+      [this](const table::value_type &A, const table::value_type &B) {
+        return Order == give_up_order::Largest
+                   ? A.second.Bytes < B.second.Bytes
+                   : A.second.Begun > B.second.Begun;
+      });
+}
+
 void answer_memory::release(holder &Holder) {
   auto Found = Held.find(&Holder);
   if (Found == Held.end())
     return;
-  Total -= Found->second;
+  Total -= Found->second.Bytes;
   Held.erase(Found);
 }
 
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -4,6 +4,7 @@
 #include "jasminecroft/wire/http_framing.h"
 #include "platform/front/caller_requests.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -296,9 +297,23 @@
   if (Unsent.size() <= MaxUnsentBytes || !Request)
     return;
   // The caller reads too slowly to keep the rest in memory.
-  request_id Gone = *Request;
+  closeUnread();
+}
+
+void caller_session::closeUnread() {
+  std::optional<request_id> Gone = std::exchange(Request, std::nullopt);
   close();
-  Owner.onCallerDisconnected(Gone);
+  if (Gone)
+    Owner.onCallerDisconnected(*Gone);
+}
+
+// The owner may be in the middle of another request.
+void caller_session::giveUpAnswer() {
+  Unsent.clear();
+  boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+    if (Self->Phase != phase::Closed)
+      Self->closeUnread();
+  });
 }
 
 void caller_session::relayStreamEnd() {
@@ -322,6 +337,15 @@
   Unsent += Text;
   if (Writing.empty())
     writeNext();
+  countUnread();
+}
+
+void caller_session::countUnread() {
+  std::size_t Bytes = Unsent.size() + Writing.size();
+  if (Phase == phase::Closed || Bytes == 0)
+    Owner.unreadAnswers().release(*this);
+  else
+    Owner.unreadAnswers().hold(*this, Bytes);
 }
 
 void caller_session::writeNext() {
@@ -341,15 +365,13 @@
 }
 
 void caller_session::onWritten(const error &Error) {
-  Writing.clear();
-  if (!Error) {
-    writeNext();
+  Writing = {};
+  if (Error) {
+    closeUnread();
     return;
   }
-  std::optional<request_id> Gone = std::exchange(Request, std::nullopt);
-  close();
-  if (Gone)
-    Owner.onCallerDisconnected(*Gone);
+  writeNext();
+  countUnread();
 }
 
 void caller_session::onAnswerOut() {
@@ -386,6 +408,7 @@
     return;
   Phase = phase::Closed;
   Deadline.reset();
+  Owner.unreadAnswers().release(*this);
   error Ignored;
   Socket.close(Ignored);
   Owner.onClosed(*this);
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -2,6 +2,7 @@
 // streams out.
 #pragma once
 
+#include "../answer_memory.h"
 #include "../io_types.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "platform/http_text.h"
@@ -36,10 +37,13 @@
   virtual void onRefusedEarly(std::string_view CallerId, unsigned Status,
                               std::string_view Why) = 0;
   virtual void onClosed(const caller_session &Session) = 0;
+  /// Counts the answers that callers have not read yet.
+  virtual answer_memory &unreadAnswers() = 0;
 };
 
 /// Lives as long as an operation of its socket or the owner's table holds it.
-class caller_session : public std::enable_shared_from_this<caller_session> {
+class caller_session : public std::enable_shared_from_this<caller_session>,
+                       private answer_memory::holder {
 public:
   using clock = std::chrono::steady_clock;
 
@@ -96,6 +100,9 @@
   void onAnswerOut();
   void linger();
   void close();
+  void giveUpAnswer() override;
+  void closeUnread();
+  void countUnread();
   bool willClose() const;
   void setDeadline(std::chrono::microseconds Time);
 
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -9,6 +9,9 @@
 
 namespace jasminecroft::detail {
 
+/// Bytes of answers that callers have not read, all together.
+inline constexpr std::size_t MaxUnreadBytes = 33'554'432;
+
 /// Hears what callers want.
 class serving_front_listener {
 public:
@@ -56,11 +59,13 @@
   void onRefusedEarly(std::string_view CallerId, unsigned Status,
                       std::string_view Why) override;
   void onClosed(const caller_session &Session) override;
+  answer_memory &unreadAnswers() override { return Unread; }
 
   serving_front_listener &Listener;
   std::size_t MaxConnections;
   tcp_acceptor Acceptor;
   io_timer Sweeper;
+  answer_memory Unread{MaxUnreadBytes, give_up_order::Oldest};
   session_table Sessions;
   std::unordered_map<request_id, std::weak_ptr<caller_session>> Waiting;
   std::uint64_t LastRequest = 0;
--- a/packages/entry/test/shell-parts-test.cc
+++ b/packages/entry/test/shell-parts-test.cc
@@ -182,16 +182,38 @@
                                "by=\"Ana \\\"A\\\" B\"");
 }
 
+namespace {
+
+class reader final : public answer_memory::holder {
+public:
+  explicit reader(answer_memory &Memory) : Memory(Memory) {}
+  ~reader() override { Memory.release(*this); }
+  void giveUpAnswer() override { GaveUp = true; }
+  answer_memory &Memory;
+  bool GaveUp = false;
+};
+
+} // namespace
+
+TEST_CASE("the answer that has not been read for longest gives up when all "
+          "together are too large") {
+  answer_memory Memory(100, give_up_order::Oldest);
+  reader First(Memory);
+  reader Second(Memory);
+  reader Third(Memory);
+  Memory.hold(First, 20);
+  Memory.hold(Second, 30);
+  Memory.release(First);
+  Memory.hold(First, 20);
+  Memory.hold(Third, 60);
+  CHECK(Second.GaveUp);
+  CHECK_FALSE(First.GaveUp);
+  CHECK_FALSE(Third.GaveUp);
+  CHECK(Memory.total() == 80);
+}
+
 TEST_CASE("the largest of the answers that are read gives up when all together "
           "are too large") {
-  class reader final : public answer_memory::holder {
-  public:
-    explicit reader(answer_memory &Memory) : Memory(Memory) {}
-    ~reader() override { Memory.release(*this); }
-    void giveUpAnswer() override { GaveUp = true; }
-    answer_memory &Memory;
-    bool GaveUp = false;
-  };
   answer_memory Memory(100);
   reader Small(Memory);
   reader Large(Memory);
