Let no test client read an answer without end, and trace an endless one

The test clients read an answer until it is whole, with a bound for each read and none for all, so that one such call lasts for ever. The check is unchanged.

--- a/packages/testing/processes/src/http_call.cc
+++ b/packages/testing/processes/src/http_call.cc
@@ -124,10 +124,12 @@
 }
 
 http_reply http_connection::readReply(std::chrono::seconds Bound) const {
+  std::chrono::steady_clock::time_point End =
+      std::chrono::steady_clock::now() + Bound;
   std::string Text;
   while (true) {
     std::string More = receive(Bound);
-    if (More.empty())
+    if (More.empty() || std::chrono::steady_clock::now() >= End)
       return {};
     Text += More;
     if (std::optional<http_reply> Reply = parseReply(Text))
