Bound the bodies of requests in progress, all together, and hold each once

Other callers of a host lost their requests when it ran out of memory. Change: a call writes its head and then the message's body. Bodies in progress take at most a quarter of the machine's memory (setting `memory_mb`, from the platform's settings; 256 without it); what does not fit is refused by 503 when its head has arrived.

--- a/packages/entry/include/jasminecroft/entry/serving_settings.h
+++ b/packages/entry/include/jasminecroft/entry/serving_settings.h
@@ -31,6 +31,8 @@
   std::vector<endpoint> Seeds;
   /// Thousandths of a core.
   std::uint32_t Capacity = 1000;
+  /// Memory of the machine.
+  std::size_t MemoryBytes = 0;
   retry_limits Retries;
   /// Time between the signal to stop and the end by force.
   std::chrono::milliseconds Grace{8'000};
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <optional>
 
 namespace jasminecroft::detail {
@@ -118,8 +119,11 @@
   void write() {
     MayHaveLeft = true;
     setTimer(Wanted.Timeout);
+    std::array<asio::const_buffer, 2> Buffers = {asio::buffer(Wanted.Text)};
+    if (Wanted.Message)
+      Buffers[1] = asio::buffer(Wanted.Message->Body);
     asio::async_write(
-        Socket, asio::buffer(Wanted.Text),
+        Socket, Buffers,
         [Self = shared_from_this()](const error &Error, std::size_t) {
           Self->onWritten(Error);
         });
--- a/packages/entry/src/serving/backend_call.h
+++ b/packages/entry/src/serving/backend_call.h
@@ -15,6 +15,8 @@
 struct backend_call_request {
   endpoint Address;
   std::string Text;
+  /// Its body follows Text; absent: Text is all.
+  std::shared_ptr<const caller_message> Message;
   /// The answer has to name it; empty if answers name nothing.
   caller_request_id CallerId;
   std::chrono::microseconds Timeout{0};
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -33,6 +33,7 @@
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned TooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned Unavailable = 503;
 
 platform::http_head headOf(const http::request_header<> &Header) {
   platform::http_head Head;
@@ -170,12 +171,30 @@
   }
   if (beast::iequals(Parser->get()[http::field::expect], "100-continue"))
     send("HTTP/1.1 100 Continue\r\n\r\n");
+  if (!reserveBody(Parser->content_length().value_or(0)))
+    return;
   setDeadline(BodyTime);
   readBody();
 }
 
+// Refuses the request and returns false if there is no room for Bytes of it.
+bool caller_session::reserveBody(std::size_t Bytes) {
+  if (Bytes <= ReservedBody)
+    return true;
+  if (!Owner.reserveBody(ReservedBody, Bytes)) {
+    refuseEarly(Unavailable, "no memory for the request's body");
+    return false;
+  }
+  ReservedBody = Bytes;
+  return true;
+}
+
+void caller_session::releaseBody() {
+  Owner.releaseBody(std::exchange(ReservedBody, 0));
+}
+
 void caller_session::readBody() {
-  http::async_read(
+  http::async_read_some(
       Socket, Buffer, *Parser,
       [Self = shared_from_this()](const error &Error, std::size_t) {
         Self->onBody(Error);
@@ -185,8 +204,12 @@
 void caller_session::onBody(const error &Error) {
   if (Phase != phase::Reading)
     return;
-  if (!Error)
+  if (!Error && Parser->is_done())
     dispatch();
+  else if (!Error && reserveBody(Parser->get().body().size()))
+    readBody();
+  else if (!Error)
+    return;
   else if (Error == http::error::body_limit)
     refuseEarly(TooLarge, "body too large");
   else if (isUnreadable(Error))
@@ -254,6 +277,7 @@
 
 void caller_session::refuseEarly(unsigned Status, std::string_view Why) {
   Owner.onRefusedEarly(CallerId, Status, Why);
+  releaseBody();
   Phase = phase::Finishing;
   CloseWhenWritten = true;
   LingerWhenWritten = true;
@@ -327,6 +351,7 @@
 
 void caller_session::finishAnswer(bool Close) {
   Phase = phase::Finishing;
+  releaseBody();
   Request.reset();
   CloseWhenWritten = Close;
   LingerWhenWritten = false;
@@ -409,6 +434,7 @@
   Phase = phase::Closed;
   Deadline.reset();
   Owner.unreadAnswers().release(*this);
+  releaseBody();
   error Ignored;
   Socket.close(Ignored);
   Owner.onClosed(*this);
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -39,6 +39,10 @@
   virtual void onClosed(const caller_session &Session) = 0;
   /// Counts the answers that callers have not read yet.
   virtual answer_memory &unreadAnswers() = 0;
+  /// Counts Bytes instead of Before for the body of a request in progress;
+  /// false if all together would be too many.
+  virtual bool reserveBody(std::size_t Before, std::size_t Bytes) = 0;
+  virtual void releaseBody(std::size_t Bytes) = 0;
 };
 
 /// Lives as long as an operation of its socket or the owner's table holds it.
@@ -89,6 +93,8 @@
   void onHeader(const error &Error);
   void readBody();
   void onBody(const error &Error);
+  bool reserveBody(std::size_t Bytes);
+  void releaseBody();
   void dispatch();
   void refuseEarly(unsigned Status, std::string_view Why);
   void watchCaller();
@@ -118,6 +124,8 @@
   std::optional<request_id> Request;
   /// Of the present request; empty until its head has arrived.
   std::string CallerId;
+  /// Counted by the owner for the body of the request in progress.
+  std::size_t ReservedBody = 0;
   bool KeepAlive = true;
   bool HeadOnly = false;
   bool CloseWhenWritten = false;
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -220,6 +220,7 @@
   backend_call_request Request;
   Request.Address = Forward.Server.Address;
   Request.Text = platform::encodeForward(Forward);
+  Request.Message = Forward.Message;
   Request.CallerId = Forward.CallerId;
   Request.Timeout = Forward.TimeLeft + AnswerSlack;
   Request.MayReuseConnection = Forward.MayReuseConnection;
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -26,7 +26,8 @@
 class serving_front final : private caller_session_owner {
 public:
   serving_front(boost::asio::io_context &Context,
-                serving_front_listener &Listener, std::size_t MaxConnections);
+                serving_front_listener &Listener, std::size_t MaxConnections,
+                std::size_t MaxBodyBytes);
   ~serving_front() override;
 
   /// False if the address cannot be listened on.
@@ -60,9 +61,14 @@
                       std::string_view Why) override;
   void onClosed(const caller_session &Session) override;
   answer_memory &unreadAnswers() override { return Unread; }
+  bool reserveBody(std::size_t Before, std::size_t Bytes) override;
+  void releaseBody(std::size_t Bytes) override { BodyBytes -= Bytes; }
 
   serving_front_listener &Listener;
   std::size_t MaxConnections;
+  /// Bodies of requests in progress, all together.
+  std::size_t MaxBodyBytes;
+  std::size_t BodyBytes = 0;
   tcp_acceptor Acceptor;
   io_timer Sweeper;
   answer_memory Unread{MaxUnreadBytes, give_up_order::Oldest};
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -27,6 +27,9 @@
 
 namespace {
 
+/// Of the machine's memory, one part in so many is for requests' bodies.
+constexpr std::size_t BodyShare = 4;
+
 /// The balancer sends new connections until it has missed two answers, one a
 /// second.
 constexpr milliseconds BalancerLag{2'600};
@@ -77,7 +80,8 @@
         File(std::move(File)), Self{Settings.Host, thisRun()},
         Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
-        Core(coreSettings(), *this), Front(Context, *this, maxCallers()),
+        Core(coreSettings(), *this),
+        Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
         Backends(Context, *this),
         Store(Context, Settings.Store, Core, Log, [this] { arm(); }) {}
 
--- a/packages/entry/src/serving/serving_settings.cc
+++ b/packages/entry/src/serving/serving_settings.cc
@@ -14,6 +14,10 @@
 
 namespace {
 
+constexpr double DefaultMemoryMb = 256;
+constexpr double MaxMemoryMb = 1e7;
+constexpr double BytesPerMegabyte = 1e6;
+
 constexpr double MaxCapacity = 1'000'000;
 constexpr std::string_view ExpectedAddress = "an address such as "
                                              "\"10.1.0.41:8625\"";
@@ -141,6 +145,9 @@
   double Cores = Reader.real("cores", 1, 0, MaxCapacity);
   Settings.Capacity =
       static_cast<std::uint32_t>(std::lround(Share * Cores * 1000));
+  Settings.MemoryBytes = static_cast<std::size_t>(
+      Reader.real("memory_mb", DefaultMemoryMb, 1, MaxMemoryMb) *
+      BytesPerMegabyte);
   Settings.Retries.Ratio = Reader.real("retry_ratio", 0, 0, 1);
   Settings.Retries.Slack =
       static_cast<std::uint32_t>(Reader.real("retry_slack", 0, 0, 1e6));
--- a/packages/entry/test/serving-parts-test.cc
+++ b/packages/entry/test/serving-parts-test.cc
@@ -18,6 +18,7 @@
   "callers": "10.1.0.41:8625", "readiness": "10.1.0.41:8621",
   "peers": "10.1.0.41:8628", "store": "10.200.1.7:8624",
   "seeds": ["10.2.0.25:8628"], "cpu_share": 0.25, "cores": 2,
+  "memory_mb": 260,
   "retry_ratio": 0.2, "retry_slack": 52, "retry_window_s": 10,
   "grace_s": 8, "added_later": {"x": 1}
 })";
@@ -42,6 +43,7 @@
   const serving_host_settings &Settings =
       std::get<serving_host_settings>(Result);
   CHECK(Settings.Capacity == 500);
+  CHECK(Settings.MemoryBytes == 260'000'000);
   CHECK(Settings.Retries.Slack == 52);
   CHECK(Settings.Grace == std::chrono::seconds(8));
   CHECK(Settings.Seeds.size() == 1);
@@ -72,8 +74,8 @@
   Text << File.rdbuf();
   for (const char *Key :
        {"fleet", "host", "zone", "callers", "readiness", "peers", "store",
-        "seeds", "cpu_share", "cores", "retry_ratio", "retry_slack",
-        "retry_window_s", "grace_s"})
+        "seeds", "cpu_share", "cores", "memory_mb", "retry_ratio",
+        "retry_slack", "retry_window_s", "grace_s"})
     CHECK(Text.str().find("\"" + std::string(Key) + "\":") !=
           std::string::npos);
 }
--- a/packages/testing/processes/test/endless-readers-test.cc
+++ b/packages/testing/processes/test/endless-readers-test.cc
@@ -7,6 +7,8 @@
 #include "jasminecroft/processes/users_fleet.h"
 
 #include <algorithm>
+#include <atomic>
+#include <boost/json/parse.hpp>
 #include <doctest/doctest.h>
 #include <functional>
 #include <memory>
@@ -202,6 +204,53 @@
   });
 }
 
+TEST_CASE("large bodies of requests in progress take bounded memory") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  constexpr std::size_t LargeBytes = 4'000'000;
+  std::atomic<bool> Released = false;
+  raw_server Plain(
+      [&](const raw_request &Request, int, const raw_server::writer &Write) {
+        while (Request.Body.size() == LargeBytes && !Released)
+          std::this_thread::sleep_for(milliseconds(20));
+        Write(answer(signature(Request.Id),
+                     "{\"by\":\"plain-raw\",\"id\":\"" + Request.Id + "\"}"));
+      });
+  std::string Config = usersConfig();
+  const std::string Bound = "\"max_body_bytes\":100000";
+  Config.replace(Config.find(Bound), Bound.size(),
+                 "\"max_body_bytes\":5000000");
+  Config.replace(Config.find("\"version\":1"), 11, "\"version\":2");
+  Fleet.on([&] {
+    Fleet.Store->put("config", "main", boost::json::parse(Config));
+    Fleet.listAt("plain", "plain-raw", Plain.port());
+    for (const char *Old : {"plain-0", "plain-1"})
+      Fleet.Store->remove("servers", Old);
+  });
+  std::this_thread::sleep_for(milliseconds(1'500));
+  constexpr std::size_t LargeCallers = 40;
+  std::atomic<std::size_t> Served = 0;
+  std::atomic<std::size_t> Refused = 0;
+  std::vector<std::thread> Threads;
+  for (std::size_t I = 0; I < LargeCallers; ++I)
+    Threads.emplace_back([&, I] {
+      http_call Call = Fleet.call("once", "large" + std::to_string(I));
+      Call.Body.assign(LargeBytes, 'x');
+      unsigned Status =
+          jasminecroft::processes::exchange(Call, CallBound).Status;
+      Served += Status == 200 ? 1 : 0;
+      Refused += Status == 503 ? 1 : 0;
+    });
+  std::this_thread::sleep_for(milliseconds(1'500));
+  checkServed(Fleet, "small");
+  Released = true;
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  checkMemory(Fleet);
+  CHECK(Served > 0);
+  CHECK(Served + Refused == LargeCallers);
+}
+
 TEST_CASE("whole answers and streams that their callers do not read take "
           "bounded memory") {
   users_fleet Fleet(1);
