Keep no connection whose answer has two names, and ask for no body without room

Cause: an answer that names two requests counted neither as named nor as unnamed, so that its connection was kept; and 100 Continue went out before the room for the body was reserved. Change: such an answer counts as unnamed; room first. Conclusion: found by reading the change; mended.

--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -166,7 +166,9 @@
                           Subject == platform::reply_subject::OtherRequest);
     Connection.OtherAnswers |= Foreign && !Interim;
     Connection.InterimSpoke |= Interim && platform::speaksOfRun(Head);
-    if (!Interim && Subject == platform::reply_subject::Unnamed) {
+    bool Nameless = Subject == platform::reply_subject::Unnamed ||
+                    Subject == platform::reply_subject::Unclear;
+    if (!Interim && Nameless) {
       AllNamed = false;
       if (naming() == answer_naming::Named)
         Pool->onUnnamedAnswer(Wanted.Address);
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -169,10 +169,10 @@
     dispatch();
     return;
   }
-  if (beast::iequals(Parser->get()[http::field::expect], "100-continue"))
-    send("HTTP/1.1 100 Continue\r\n\r\n");
   if (!reserveBody(Parser->content_length().value_or(0)))
     return;
+  if (beast::iequals(Parser->get()[http::field::expect], "100-continue"))
+    send("HTTP/1.1 100 Continue\r\n\r\n");
   setDeadline(BodyTime);
   readBody();
 }
--- a/packages/testing/processes/test/kept-connections-test.cc
+++ b/packages/testing/processes/test/kept-connections-test.cc
@@ -124,3 +124,18 @@
   CAPTURE(Lasted.count());
   CHECK(Lasted < StatedLifetime + Slack);
 }
+
+TEST_CASE("a connection whose answer has two names is not kept") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  raw_server Server(
+      [](const raw_request &Request, int, const raw_server::writer &Write) {
+        Write("HTTP/1.1 200 OK\r\n" + Lifetime + signature(Request.Id) +
+              "X-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody");
+      });
+  useOnly(Fleet, Server.port());
+  for (int I = 0; I < 4; ++I)
+    CHECK(exchange(Fleet.call("once", "n" + std::to_string(I)), Bound).Status ==
+          502);
+  CHECK(Server.reused() == 0);
+}
