Test that the log of a refused request has the status that its caller got

Cause: mended status 0 in 207 without a check. Change: promised-statuses-test reads the 207 line too, and the statement in `calls`. Conclusion: guarded.

--- a/packages/testing/processes/test/promised-statuses-test.cc
+++ b/packages/testing/processes/test/promised-statuses-test.cc
@@ -119,12 +119,17 @@
   std::string Log;
   bool Logged = waitUntil([&] {
     Log = Running.Fleet.logOf(0);
-    return Log.find("\"event\":215") != std::string::npos;
+    return Log.find("\"event\":215") != std::string::npos &&
+           Log.find("\"event\":207") != std::string::npos;
   });
   CAPTURE(Log);
   REQUIRE(Logged);
   CHECK(Log.find("\"request\":\"refused\",\"outcome\":\"overloaded\"") !=
         std::string::npos);
-  CHECK(Log.find("plain-raw-1=refused_503_named_new") != std::string::npos);
+  // What the caller got.
+  CHECK(Log.find("\"outcome\":\"overloaded\",\"status\":\"503\"") !=
+        std::string::npos);
+  CHECK(Log.find("plain-raw-1=refused_503_named_new_stated") !=
+        std::string::npos);
   CHECK(Log.find("plain-raw-2=refused_503_named_") != std::string::npos);
 }
