Restore the check of which statuses promise that nothing ran

Cause: moved `promisesNotRun` to the core and dropped its two checks in replica-calls-test (four statuses yes, five no) without replacing them. Change: run-evidence-test checks it for every status from 100 to 599. Conclusion: stricter than before; found by reading the removed lines.

--- a/packages/core/test/run-evidence-test.cc
+++ b/packages/core/test/run-evidence-test.cc
@@ -106,3 +106,12 @@
     CHECK(judge(Answer) == answer_verdict::Answered);
   }
 }
+
+TEST_CASE("four statuses tell a caller that its request has not run") {
+  for (unsigned Status = 100; Status < 600; ++Status) {
+    CAPTURE(Status);
+    bool Listed =
+        Status == 408 || Status == 421 || Status == 429 || Status == 503;
+    CHECK(promisesNotRun(Status) == Listed);
+  }
+}
