--- a/packages/testing/processes/test/serving-path-test.cc
+++ b/packages/testing/processes/test/serving-path-test.cc
@@ -2,6 +2,7 @@
 // users' store and backend servers.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/raw_server.h"
 #include "jasminecroft/processes/users_fleet.h"
 
 #include <boost/json/parse.hpp>
@@ -225,3 +226,24 @@
   });
   CHECK(Fleet.ranTimes("t1") == 1);
 }
+
+TEST_CASE("a request's body reaches its server unchanged") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  raw_server Server(
+      [](const raw_request &Request, int, const raw_server::writer &Write) {
+        Write(answer(signature(Request.Id), Request.Body));
+      });
+  Fleet.on([&] {
+    Fleet.listAt("plain", "plain-raw", Server.port());
+    for (const char *Old : {"plain-0", "plain-1"})
+      Fleet.Store->remove("servers", Old);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+  http_call Call = Fleet.call("once", "echoed");
+  for (std::size_t I = 0; I < 90'000; ++I)
+    Call.Body += static_cast<char>(I % 251);
+  http_reply Reply = jasminecroft::processes::exchange(Call, Bound);
+  CHECK(Reply.Status == 200);
+  CHECK(Reply.Body == Call.Body);
+}
