--- a/packages/testing/processes/include/jasminecroft/processes/serving_soak.h
+++ b/packages/testing/processes/include/jasminecroft/processes/serving_soak.h
@@ -18,6 +18,8 @@
   Troubled,
   /// The same, and half of the refusals name none.
   Unnamed,
+  /// As Troubled, and servers name limits and pauses.
+  Wishing,
   /// As Troubled, and servers answer with statuses of a refusal what they ran.
   Contradicting,
 };
@@ -25,6 +27,7 @@
 struct soak_options {
   std::uint64_t Seed = 1;
   std::size_t Hosts = 4;
+  std::size_t Zones = 1;
   std::size_t Callers = 8;
   std::chrono::milliseconds FaultTime{6'000};
   soak_servers Servers = soak_servers::Sound;
--- a/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
+++ b/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
@@ -32,9 +32,10 @@
   using act_chooser = std::function<standins::backend_act()>;
 
   /// Proxied: hosts reach the store and the backend servers through proxies.
-  /// Act: what the first backend servers do with each request.
+  /// Act: what the first backend servers do with each request. Hosts and
+  /// servers are spread over the zones.
   explicit users_fleet(std::size_t Hosts, bool Proxied = false,
-                       act_chooser Act = nullptr);
+                       act_chooser Act = nullptr, std::size_t Zones = 1);
   ~users_fleet();
   users_fleet(const users_fleet &) = delete;
   users_fleet &operator=(const users_fleet &) = delete;
@@ -99,8 +100,10 @@
 private:
   std::string file(std::size_t Host, const char *Ending) const;
   void writeSettings(std::size_t Host, std::uint16_t Peers) const;
+  std::string zoneOf(std::size_t Number) const;
 
   bool Proxied;
+  std::size_t Zones;
   act_chooser Act;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard{Context.get_executor()};
--- a/packages/testing/processes/src/serving-soak-main.cc
+++ b/packages/testing/processes/src/serving-soak-main.cc
@@ -19,6 +19,7 @@
     {"sound", soak_servers::Sound},
     {"troubled", soak_servers::Troubled},
     {"unnamed", soak_servers::Unnamed},
+    {"wishing", soak_servers::Wishing},
     {"contradicting", soak_servers::Contradicting}};
 
 void print(std::uint64_t Seed, const soak_report &Report) {
@@ -51,11 +52,14 @@
       "seconds", po::value(&Seconds)->default_value(Seconds),
       "time with faults")(
       "hosts", po::value(&Options.Hosts)->default_value(Options.Hosts),
-      "entry hosts")(
+      "entry hosts")("zones",
+                     po::value(&Options.Zones)->default_value(Options.Zones),
+                     "availability zones")(
       "callers", po::value(&Options.Callers)->default_value(Options.Callers),
       "callers at once")(
       "servers", po::value(&Servers)->default_value("troubled"),
-      "sound, troubled, unnamed (refusals without an id) or contradicting "
+      "sound, troubled, unnamed (refusals without an id), wishing (limits and "
+      "pauses) or contradicting "
       "(answers with the status of a refusal to what they ran)");
   po::positional_options_description Seeds;
   Seeds.add("first", 1).add("last", 1).add("seconds", 1);
--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -65,7 +65,9 @@
   explicit soak(const soak_options &Options)
       : Options(Options), Random(Options.Seed),
         Servers(Options.Seed, Options.Servers),
-        Fleet(Options.Hosts, true, [this] { return Servers.choose(); }),
+        Fleet(
+            Options.Hosts, true, [this] { return Servers.choose(); },
+            Options.Zones),
         Changes(Fleet, Options.Seed), Runs(Options.Hosts),
         Served(Options.Hosts) {}
 
--- a/packages/testing/processes/src/soak_acts.cc
+++ b/packages/testing/processes/src/soak_acts.cc
@@ -22,6 +22,9 @@
 const std::vector<backend_act> UnnamedActs = {
     backend_act::RefuseUnnamed, backend_act::RefuseUnnamedAndRepeat,
     backend_act::RefuseUnnamedAndRepeat, backend_act::RefuseWithPause};
+const std::vector<backend_act> WishingActs = {
+    backend_act::RunAndStateLimit, backend_act::RunAndStateLimit,
+    backend_act::RefuseNamedWithPause, backend_act::RefuseNamedWithPause};
 const std::vector<backend_act> ContradictingActs = {
     backend_act::RunAndAnswerBusy,      backend_act::RunAndAnswerTooMany,
     backend_act::RunAndAnswerTimeout,   backend_act::RunAndAnswerUnsigned,
@@ -40,6 +43,8 @@
   Acts = TroubledActs;
   if (Servers == soak_servers::Unnamed)
     Acts.insert(Acts.end(), UnnamedActs.begin(), UnnamedActs.end());
+  if (Servers == soak_servers::Wishing)
+    Acts.insert(Acts.end(), WishingActs.begin(), WishingActs.end());
   if (Servers == soak_servers::Contradicting)
     Acts.insert(Acts.end(), ContradictingActs.begin(), ContradictingActs.end());
 }
--- a/packages/testing/processes/src/soak_changes.cc
+++ b/packages/testing/processes/src/soak_changes.cc
@@ -74,7 +74,7 @@
   }
 }
 
-// A server leaves; half of them say so in their entry.
+// A server leaves; it says so in its entry, in its answers, or not at all.
 std::string soak_changes::retire() {
   std::size_t Chosen = Random() % Serving.size();
   server Server = Serving[Chosen];
@@ -85,14 +85,19 @@
     add(Server.Pool);
   Serving.erase(Serving.begin() + static_cast<std::ptrdiff_t>(Chosen));
   Leaving.push_back(Server);
-  bool Says = Random() % 2 == 0;
+  constexpr std::uint64_t Ways = 3;
+  std::uint64_t Way = Random() % Ways;
   Fleet.on([&] {
-    if (Says)
+    if (Way == 0)
       Fleet.list(Server.Pool, Server.Id, "draining");
+    else if (Way == 1)
+      Fleet.Backends.at(Server.Id)->leave();
     else
       Fleet.Store->remove("servers", Server.Id);
   });
-  return Server.Id + (Says ? " drains" : " is taken off the list");
+  const char *Said[Ways] = {" drains", " says that it leaves",
+                            " is taken off the list"};
+  return Server.Id + Said[Way];
 }
 
 // The server that has been leaving for longest ends. Another one gets its
--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -67,8 +67,9 @@
 
 const char *usersConfig() { return ConfigText; }
 
-users_fleet::users_fleet(std::size_t Hosts, bool Proxied, act_chooser Act)
-    : Proxied(Proxied), Act(std::move(Act)) {
+users_fleet::users_fleet(std::size_t Hosts, bool Proxied, act_chooser Act,
+                         std::size_t Zones)
+    : Proxied(Proxied), Zones(Zones), Act(std::move(Act)) {
   Thread = std::thread([this] { Context.run(); });
   on([this, Hosts] {
     Store = std::make_unique<users_store>(Context, "127.0.0.1:0");
@@ -170,7 +171,7 @@
   Store->put("servers", Id,
              json::object{{"service", Pool},
                           {"address", Address},
-                          {"az", "z"},
+                          {"az", zoneOf(std::hash<std::string>()(Id))},
                           {"version", "v1"},
                           {"slots", 6},
                           {"state", State},
@@ -186,6 +187,10 @@
   return "peers-" + std::to_string(Host);
 }
 
+std::string users_fleet::zoneOf(std::size_t Number) const {
+  return Zones == 1 ? "z" : "z" + std::to_string(Number % Zones);
+}
+
 std::string users_fleet::file(std::size_t Host, const char *Ending) const {
   return (Folder / ("host-" + std::to_string(Host) + Ending)).string();
 }
@@ -194,8 +199,8 @@
   std::uint16_t StorePort =
       Proxied ? Proxies.at(storeProxy(Host))->port() : Store->port();
   std::ofstream(file(Host, ".json"))
-      << "{\"fleet\":\"f\",\"host\":\"host-" << Host
-      << "\",\"zone\":\"z\",\"region\":\"r\","
+      << "{\"fleet\":\"f\",\"host\":\"host-" << Host << "\",\"zone\":\""
+      << zoneOf(Host) << "\",\"region\":\"r\","
       << "\"callers\":\"127.0.0.1:" << CallerPorts[Host]
       << "\",\"readiness\":\"127.0.0.1:" << ReadyPorts[Host]
       << "\",\"peers_listen\":\"127.0.0.1:" << Peers
--- a/packages/testing/processes/test/serving-soak-test.cc
+++ b/packages/testing/processes/test/serving-soak-test.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-void soak(std::uint64_t Seed, soak_servers Servers) {
+void soak(std::uint64_t Seed, soak_servers Servers, std::size_t Zones = 1) {
   soak_options Options;
+  Options.Zones = Zones;
   Options.Seed = Seed;
   Options.Servers = Servers;
   Options.FaultTime = std::chrono::seconds(5);
@@ -35,3 +36,8 @@
   soak(3, soak_servers::Contradicting);
   soak(4, soak_servers::Unnamed);
 }
+
+TEST_CASE("promises hold over three zones while servers name limits and "
+          "pauses") {
+  soak(5, soak_servers::Wishing, 3);
+}
--- a/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -82,8 +82,11 @@
   Refuse,
   RefuseUnnamed,
   RefuseTooMany,
-  /// The same, and asks for a pause.
+  /// The same, and asks for a pause; naming the request or not.
   RefuseWithPause,
+  RefuseNamedWithPause,
+  /// Runs it and states a limit.
+  RunAndStateLimit,
   /// Runs it and then answers, with its signature, 500, 503, 429 or 408.
   RunAndFail,
   RunAndAnswerBusy,
@@ -168,6 +171,8 @@
   const std::set<std::string> &workspaces() const { return Workspaces; }
   std::size_t pieceCalls() const { return PieceCalls; }
   bool sawForbiddenHeader() const { return Forbidden; }
+  /// From now on all its answers say that it leaves.
+  void leave() { Leaves = true; }
 
 private:
   struct waiting_request {
@@ -177,6 +182,8 @@
   };
 
   void onRequest(const exchange_ptr &Exchange);
+  /// Headers that its answers have whatever they are.
+  std::string ownHeaders() const;
   void admit(const waiting_request &Request);
   void run(const exchange_ptr &Exchange, backend_act Act);
   void endRun();
@@ -199,6 +206,7 @@
   std::set<std::string> Workspaces;
   std::size_t PieceCalls = 0;
   bool Forbidden = false;
+  bool Leaves = false;
   std::size_t Active = 0;
   std::size_t Streams = 0;
   std::deque<waiting_request> Waiting;
--- a/packages/testing/standins/src/users_backend.cc
+++ b/packages/testing/standins/src/users_backend.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds PreemptedTime{150};
+constexpr const char *Pause = "Retry-After: 0.2\r\n";
 
 /// An answer that says that its request was not run.
 struct false_refusal {
@@ -97,18 +98,22 @@
 
 // Returns whether the request was turned away without being run.
 bool users_backend::refuse(const exchange_ptr &Exchange, backend_act Act) {
-  std::string Headers = "X-Not-Executed: 1\r\nX-Replica-Load: 6,24,6\r\n";
+  std::string Headers =
+      "X-Not-Executed: 1\r\nX-Replica-Load: 6,24,6\r\n" + ownHeaders();
   int Status = Act == backend_act::RefuseTooMany ? 429 : 503;
   switch (Act) {
   case backend_act::Refuse:
   case backend_act::RefuseTooMany:
   case backend_act::RefuseAndRepeat:
+  case backend_act::RefuseNamedWithPause:
+    if (Act == backend_act::RefuseNamedWithPause)
+      Headers += Pause;
     Headers +=
         "X-Request-Id: " + std::string(Exchange->header("X-Request-Id")) +
         "\r\n";
     break;
   case backend_act::RefuseWithPause:
-    Headers += "Retry-After: 0.2\r\n";
+    Headers += Pause;
     break;
   case backend_act::RefuseInputsGone:
     refuseNamed(Exchange, 409);
@@ -181,9 +186,8 @@
   }
   std::string Text =
       json::serialize(json::object{{"entries", std::move(Entries)}});
-  later([Exchange, Text] {
-    Exchange->respond(200, Text, "X-Replica-Load: 0,0,1\r\n");
-  });
+  std::string Headers = "X-Replica-Load: 0,0,1\r\n" + ownHeaders();
+  later([Exchange, Text, Headers] { Exchange->respond(200, Text, Headers); });
 }
 
 void users_backend::runRequest(const exchange_ptr &Exchange) {
@@ -204,7 +208,12 @@
 void users_backend::refuseNamed(const exchange_ptr &Exchange, int Status) {
   Exchange->respond(Status, "",
                     "X-Not-Executed: 1\r\nX-Request-Id: " +
-                        std::string(Exchange->header("X-Request-Id")) + "\r\n");
+                        std::string(Exchange->header("X-Request-Id")) + "\r\n" +
+                        ownHeaders());
+}
+
+std::string users_backend::ownHeaders() const {
+  return Leaves ? "Server-Leaving: 1\r\n" : "";
 }
 
 void users_backend::admit(const waiting_request &Request) {
@@ -237,7 +246,11 @@
   Ran.push_back(Id);
   std::string Headers = "X-Request-Id: " + Id +
                         "\r\nX-Replica-Stamp: " + Options.Id + "." + Id +
-                        "\r\nX-Replica-Load: 1,0,6\r\n";
+                        "\r\nX-Replica-Load: 1,0,6\r\n" + ownHeaders();
+  if (Act == backend_act::RunAndStateLimit) {
+    Headers += "Server-Limit: 20\r\n";
+    Act = backend_act::Run;
+  }
   std::string Body = "{\"by\":\"" + Options.Id + "\",\"id\":\"" + Id + "\"}";
   bool Streamed = !Exchange->header("X-Model").empty();
   if (Streamed && Act == backend_act::RunAndRepeat)
