Believe no 421 of the server that was asked for, even with the statement

Callers saw: a request that may run once ran at two servers, or was answered 503 though it had run. Cause: `judge` took a named 421 with X-Not-Executed for a refusal whichever server gave it. The server that was asked for has no reason for 421: it is not "any other replica", and hosts neither send nor pass on X-Expect-Version. In run-evidence-test the check that wanted NotRun for the expected server wants Unproven now, which is stricter; that of an answer without an id stays.

--- a/packages/core/src/serving/run_evidence.cc
+++ b/packages/core/src/serving/run_evidence.cc
@@ -49,8 +49,11 @@
     return answer_verdict::Unproven;
   if (Misdirected && FromOther)
     return answer_verdict::WrongServer;
-  // Any other server than the expected one answers 421.
-  if (FromOther || Answer.Statement == not_run_statement::Absent ||
+  // Another server than the expected one answers 421, and only such a one.
+  bool FromExpected = Answer.Source == answer_source::ExpectedServer;
+  if (Misdirected ? FromExpected : FromOther)
+    return answer_verdict::Unproven;
+  if (Answer.Statement == not_run_statement::Absent ||
       !hasStatementStatus(Answer.Status))
     return answer_verdict::Unproven;
   return answer_verdict::NotRun;
--- a/packages/core/test/run-evidence-test.cc
+++ b/packages/core/test/run-evidence-test.cc
@@ -77,12 +77,19 @@
     answer_evidence Answer = misdirected();
     Answer.Source = Source;
     CHECK(judge(Answer) == answer_verdict::Unproven);
-    // With the statement it is a refusal, but no news of the server.
-    Answer.Statement = not_run_statement::Plain;
-    CHECK(judge(Answer) == answer_verdict::NotRun);
   }
 }
 
+TEST_CASE("a 421 with the statement is a refusal unless the expected server "
+          "gives it") {
+  answer_evidence Answer = misdirected();
+  Answer.Statement = not_run_statement::Plain;
+  Answer.Source = answer_source::Unsaid;
+  CHECK(judge(Answer) == answer_verdict::NotRun);
+  Answer.Source = answer_source::ExpectedServer;
+  CHECK(judge(Answer) == answer_verdict::Unproven);
+}
+
 TEST_CASE("an answer that contradicts itself proves nothing") {
   for (const change &Change : Contradictions)
     for (answer_evidence Answer : {stated(503), stated(429), misdirected()}) {
--- a/packages/testing/processes/include/jasminecroft/processes/soak_acts.h
+++ b/packages/testing/processes/include/jasminecroft/processes/soak_acts.h
@@ -10,6 +10,9 @@
 
 namespace jasminecroft::processes {
 
+/// Acts of servers that run a request and answer as if they had not.
+const std::vector<standins::backend_act> &contradictingActs();
+
 /// Chooses acts at random; used on the servers' thread only.
 class soak_acts {
 public:
--- a/packages/testing/processes/src/soak_acts.cc
+++ b/packages/testing/processes/src/soak_acts.cc
@@ -26,17 +26,29 @@
     backend_act::RunAndStateLimit, backend_act::RunAndStateLimit,
     backend_act::RefuseNamedWithPause, backend_act::RefuseNamedWithPause};
 const std::vector<backend_act> ContradictingActs = {
-    backend_act::RunAndAnswerBusy,      backend_act::RunAndAnswerTooMany,
-    backend_act::RunAndAnswerTimeout,   backend_act::RunAndAnswerUnsigned,
-    backend_act::RunAndMisdirectSigned, backend_act::RunAndMisdirectAsExpected,
-    backend_act::RunAndMisdirectBarely, backend_act::RunAndStateSigned,
-    backend_act::RunAndStateOnError,    backend_act::RunAndStateOnTimeout,
-    backend_act::RunAndStateNothing,    backend_act::RunAndStateTwice,
-    backend_act::RunAndStateForTwo,     backend_act::RunAndStateAfterInterim,
+    backend_act::RunAndAnswerBusy,
+    backend_act::RunAndAnswerTooMany,
+    backend_act::RunAndAnswerTimeout,
+    backend_act::RunAndAnswerUnsigned,
+    backend_act::RunAndMisdirectSigned,
+    backend_act::RunAndMisdirectAsExpected,
+    backend_act::RunAndMisdirectStatedAsExpected,
+    backend_act::RunAndMisdirectBarely,
+    backend_act::RunAndStateSigned,
+    backend_act::RunAndStateOnError,
+    backend_act::RunAndStateOnTimeout,
+    backend_act::RunAndStateNothing,
+    backend_act::RunAndStateTwice,
+    backend_act::RunAndStateForTwo,
+    backend_act::RunAndStateAfterInterim,
     backend_act::RunAndStateBehindOther};
 
 } // namespace
 
+const std::vector<backend_act> &contradictingActs() {
+  return ContradictingActs;
+}
+
 soak_acts::soak_acts(std::uint64_t Seed, soak_servers Servers) : Random(Seed) {
   if (Servers == soak_servers::Sound)
     return;
--- a/packages/testing/processes/test/promised-statuses-test.cc
+++ b/packages/testing/processes/test/promised-statuses-test.cc
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "jasminecroft/processes/local_fleet.h"
 #include "jasminecroft/processes/raw_server.h"
+#include "jasminecroft/processes/soak_acts.h"
 #include "jasminecroft/processes/users_fleet.h"
 
 #include <algorithm>
@@ -111,6 +112,30 @@
   }
 }
 
+TEST_CASE("a server's answer that it did not run what it ran and contradicts "
+          "itself is no refusal") {
+  using jasminecroft::standins::backend_act;
+  backend_act Act = backend_act::Run;
+  users_fleet Fleet(1, false, [&Act] { return Act; });
+  REQUIRE(Fleet.waitReady());
+  int Number = 0;
+  for (backend_act Next : contradictingActs()) {
+    CAPTURE(static_cast<int>(Next));
+    Fleet.on([&] { Act = Next; });
+    for (std::string Route : {"once", "note"}) {
+      CAPTURE(Route);
+      std::string Id = "c" + std::to_string(++Number);
+      http_reply Reply = exchange(Route == "note" ? Fleet.stream(Route, Id)
+                                                  : Fleet.call(Route, Id),
+                                  Bound);
+      // The stages of a stream may fail before it runs.
+      CHECK(Fleet.ranTimes(Id) <= 1);
+      if (Fleet.ranTimes(Id) > 0 || Route == "once")
+        CHECK_FALSE(promisesNotRun(Reply.Status));
+    }
+  }
+}
+
 TEST_CASE("the log of a promise names each server that was called and what "
           "became of the call") {
   running_fleet Running;
--- a/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -111,10 +111,11 @@
   /// States that a result that it needs is gone: 409, not run.
   RefuseInputsGone,
   /// Runs it, and the answer says that it was not run and contradicts that:
-  /// 421 with the signature, with the id of the server that was asked for, or
-  /// with nothing else.
+  /// 421 with the signature, with the id of the server that was asked for, the
+  /// same with the statement, or with nothing else.
   RunAndMisdirectSigned,
   RunAndMisdirectAsExpected,
+  RunAndMisdirectStatedAsExpected,
   RunAndMisdirectBarely,
   /// The statement with the signature, on 500, on 504, without a value, twice,
   /// and in an answer that names two requests.
--- a/packages/testing/standins/src/users_backend.cc
+++ b/packages/testing/standins/src/users_backend.cc
@@ -37,6 +37,9 @@
     return false_refusal{"", 421, Named + Signed};
   case backend_act::RunAndMisdirectAsExpected:
     return false_refusal{"", 421, Named + "X-Replica-Id: " + Server + "\r\n"};
+  case backend_act::RunAndMisdirectStatedAsExpected:
+    return false_refusal{"", 421,
+                         Named + Stated + "X-Replica-Id: " + Server + "\r\n"};
   case backend_act::RunAndMisdirectBarely:
     return false_refusal{"", 421, ""};
   case backend_act::RunAndStateSigned:
