Count beginnings of events with the answers that a host holds

Callers would see: connections that end with their host when its memory is full. Change: a beginning above 16 KiB is held in answer_memory, whose largest holder gives up first; the room of an event is freed when it is whole.

--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::seconds SideCallTimeout{2};
 /// Longest event of a stream.
 constexpr std::size_t MaxEventBytes = 262'144;
+/// Beginnings of events that are longer than this count as held answers.
+constexpr std::size_t MinCountedBytes = 16'384;
 
 void tellLimit(backend_results &Results, call_id Call,
                const platform::http_head &Head) {
@@ -32,12 +34,17 @@
 }
 
 /// A caller's request. Streams are handed on by whole events.
-class forward_listener final : public backend_call_listener {
+class forward_listener final : public backend_call_listener,
+                               private answer_memory::holder {
 public:
   forward_listener(serving_backends &Backends, backend_results &Results,
-                   call_id Call, const forward_call &Forward)
-      : Backends(Backends), Results(Results), Call(Call),
+                   std::shared_ptr<connection_pool> Pool, call_id Call,
+                   const forward_call &Forward)
+      : Backends(Backends), Results(Results), Pool(std::move(Pool)), Call(Call),
         Server(Forward.Server), Answered{Forward.CallerId, Forward.Server.Id} {}
+  ~forward_listener() override { Pool->Memory.release(*this); }
+  forward_listener(const forward_listener &) = delete;
+  forward_listener &operator=(const forward_listener &) = delete;
 
   void onWhole(const platform::http_head &Head, std::string Body,
                const connection_history &Connection) override {
@@ -66,10 +73,13 @@
     if (End == std::string::npos) {
       if (Pending.size() > MaxEventBytes)
         fail();
+      else if (Pending.size() > MinCountedBytes)
+        Pool->Memory.hold(*this, Pending.capacity());
       return;
     }
     std::string Whole = Pending.substr(0, End + 2);
-    Pending.erase(0, End + 2);
+    Pending = Pending.substr(End + 2);
+    Pool->Memory.release(*this);
     std::optional<std::uint64_t> First;
     std::optional<std::uint64_t> Last;
     if (!checkEvents(Whole, First, Last)) {
@@ -97,6 +107,8 @@
   }
 
 private:
+  void giveUpAnswer() override { fail(); }
+
   void fail() {
     serving_backends &Owner = Backends;
     backend_results &Target = Results;
@@ -125,6 +137,7 @@
 
   serving_backends &Backends;
   backend_results &Results;
+  std::shared_ptr<connection_pool> Pool;
   call_id Call;
   backend_entry Server;
   platform::answered_call Answered;
@@ -228,7 +241,7 @@
   Request.HeadOnly = Forward.Message->Method == "HEAD";
   Calls[Call] = startBackendCall(
       Context, Pool, std::move(Request),
-      std::make_shared<forward_listener>(*this, Results, Call, Forward));
+      std::make_shared<forward_listener>(*this, Results, Pool, Call, Forward));
 }
 
 void serving_backends::runPieces(call_id Call, const backend_entry &Server,
--- a/packages/testing/processes/test/endless-readers-test.cc
+++ b/packages/testing/processes/test/endless-readers-test.cc
@@ -283,3 +283,43 @@
   CHECK(Reply.Status == 200);
   CHECK(Reply.Body.size() == LargeBytes);
 }
+
+TEST_CASE("many streams whose first event does not end take bounded memory") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  // Shorter than the longest event, so that its end may still come.
+  const std::string Begin =
+      chunkOf("id: 1\ndata: " + std::string(250'000, 'x'));
+  std::atomic<std::size_t> Begun = 0;
+  std::atomic<bool> Released = false;
+  raw_server Engine(
+      [&](const raw_request &Request, int, const raw_server::writer &Write) {
+        Write(eventsHead(Request.Id) + Begin);
+        ++Begun;
+        while (!Released)
+          std::this_thread::sleep_for(milliseconds(20));
+        Write("");
+      });
+  constexpr std::size_t Engines = 20;
+  Fleet.on([&] {
+    for (std::size_t I = 0; I < Engines; ++I)
+      Fleet.listAt("engine", "endless-" + std::to_string(I), Engine.port());
+    Fleet.Store->remove("servers", "engine-0");
+  });
+  std::this_thread::sleep_for(milliseconds(1'500));
+  constexpr std::size_t Streams = 900;
+  std::vector<std::unique_ptr<http_connection>> Waiting;
+  for (std::size_t I = 0; I < Streams; ++I) {
+    http_call Call = Fleet.stream("note", "event" + std::to_string(I));
+    const std::string Stages = "X-Pieces: 1,2";
+    Call.Headers.replace(Call.Headers.find(Stages), Stages.size(),
+                         "X-Pieces: 0,0");
+    Waiting.push_back(std::make_unique<http_connection>(Fleet.CallerPorts[0]));
+    REQUIRE(Waiting.back()->connected());
+    Waiting.back()->send(requestText(Call));
+  }
+  checkServed(Fleet, "beside");
+  CHECK(waitUntil([&] { return Begun >= 2 * Streams / 3; }));
+  checkMemory(Fleet);
+  Released = true;
+}
