Close idle connections to servers that are no longer listed

Change: the pool's check, once a second, closes what is idle towards addresses that no listed server has. Conclusion: descriptors follow the list within a second.

--- a/packages/entry/src/connection_pool.cc
+++ b/packages/entry/src/connection_pool.cc
@@ -89,9 +89,11 @@
 
 void connection_pool::closeUnusable() {
   clock::time_point Now = clock::now();
+  std::set<endpoint> Servers = Listed ? Listed() : std::set<endpoint>();
   for (auto It = Idle.begin(); It != Idle.end();) {
-    std::erase_if(It->second, [Now](idle_connection &Connection) {
-      return !Connection.usable(Now);
+    bool Left = Listed && !Servers.contains(It->first.first);
+    std::erase_if(It->second, [Now, Left](idle_connection &Connection) {
+      return Left || !Connection.usable(Now);
     });
     It = It->second.empty() ? Idle.erase(It) : std::next(It);
   }
--- a/packages/entry/src/connection_pool.h
+++ b/packages/entry/src/connection_pool.h
@@ -9,9 +9,11 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace jasminecroft::detail {
@@ -38,7 +40,14 @@
 public:
   using clock = std::chrono::steady_clock;
 
-  explicit connection_pool(boost::asio::io_context &Context) : Timer(Context) {}
+  /// The servers that calls may go to.
+  using server_list = std::function<std::set<endpoint>()>;
+
+  /// Listed: idle connections to servers that it no longer has are closed;
+  /// absent if servers do not leave.
+  explicit connection_pool(boost::asio::io_context &Context,
+                           server_list Listed = nullptr)
+      : Listed(std::move(Listed)), Timer(Context) {}
 
   /// The connection used last that is neither closed nor about to be closed by
   /// its server.
@@ -68,6 +77,7 @@
   void startTimer();
   void closeUnusable();
 
+  server_list Listed;
   std::map<std::pair<endpoint, answer_naming>, std::deque<idle_connection>>
       Idle;
   /// Servers that answered without naming the request, and until when that
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -34,9 +34,10 @@
 
 class serving_backends {
 public:
-  serving_backends(boost::asio::io_context &Context, backend_results &Results)
+  serving_backends(boost::asio::io_context &Context, backend_results &Results,
+                   connection_pool::server_list Listed = nullptr)
       : Context(Context), Results(Results),
-        Pool(std::make_shared<connection_pool>(Context)) {}
+        Pool(std::make_shared<connection_pool>(Context, std::move(Listed))) {}
 
   void forward(call_id Call, const forward_call &Forward);
   void runPieces(call_id Call, const backend_entry &Server,
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -82,7 +82,7 @@
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
         Core(coreSettings(), *this),
         Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
-        Backends(Context, *this),
+        Backends(Context, *this, [this] { return listedServers(); }),
         Store(Context, Settings.Store, Core, Log, [this] { arm(); }) {}
 
   std::variant<exit_code, settings_error> run() {
@@ -144,6 +144,15 @@
     return std::nullopt;
   }
 
+  std::set<endpoint> listedServers() const {
+    std::set<endpoint> Addresses;
+    for (const std::pair<const backend_id, backend_state> &Server :
+         Core.backends().all())
+      if (!Server.second.UnlistedSince)
+        Addresses.insert(Server.second.Entry.Address);
+    return Addresses;
+  }
+
   static settings_error cannotListen(std::string Key) {
     return {settings_problem::AddressInUse, std::move(Key), 0,
             "an address of this host that is free"};
--- a/packages/testing/processes/include/jasminecroft/processes/child_process.h
+++ b/packages/testing/processes/include/jasminecroft/processes/child_process.h
@@ -24,6 +24,8 @@
 
   /// Most memory that it has had, in bytes; 0 once it has ended.
   std::size_t highestMemory() const;
+  /// Descriptors that it has open; 0 once it has ended.
+  std::size_t openDescriptors() const;
   void signal(int Number) const;
   pid_t pid() const { return Pid; }
   /// Exit code, or 128 and the signal's number; absent if it still runs.
--- a/packages/testing/processes/src/child_process.cc
+++ b/packages/testing/processes/src/child_process.cc
@@ -3,7 +3,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -61,6 +63,15 @@
   return 0;
 }
 
+std::size_t child_process::openDescriptors() const {
+  std::error_code Error;
+  std::filesystem::directory_iterator Open(
+      "/proc/" + std::to_string(Pid) + "/fd", Error);
+  return Error ? 0
+               : static_cast<std::size_t>(std::distance(
+                     Open, std::filesystem::directory_iterator()));
+}
+
 void child_process::signal(int Number) const {
   if (!ExitCode)
     kill(Pid, Number);
--- a/packages/testing/processes/test/kept-connections-test.cc
+++ b/packages/testing/processes/test/kept-connections-test.cc
@@ -7,8 +7,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <doctest/doctest.h>
+#include <list>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <sys/socket.h>
@@ -139,3 +143,87 @@
           502);
   CHECK(Server.reused() == 0);
 }
+
+TEST_CASE("connections to servers that were replaced are closed") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  // They keep idle connections for longer than the test lasts.
+  constexpr std::size_t Replaced = 1'000;
+  constexpr std::size_t AtOnce = 50;
+  constexpr std::size_t Tolerated = 20;
+  constexpr int MaxRounds = 50;
+  boost::asio::io_context Context;
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> Acceptors;
+  std::list<boost::asio::ip::tcp::socket> Sockets;
+  auto Serve = [&](boost::asio::ip::tcp::socket &Socket) {
+    std::array<char, 4'096> Bytes{};
+    boost::system::error_code Error;
+    std::size_t Read = Socket.read_some(boost::asio::buffer(Bytes), Error);
+    std::string Head(Bytes.data(), Read);
+    const std::string Name = "X-Request-Id: ";
+    std::size_t At = std::min(Head.find(Name), Head.size() - Name.size());
+    std::string Id = Head.substr(At + Name.size());
+    boost::asio::write(
+        Socket,
+        boost::asio::buffer("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=600\r\n" +
+                            signature(Id.substr(0, Id.find("\r\n"))) +
+                            "Content-Length: 4\r\n\r\nbody"),
+        Error);
+  };
+  for (const char *Old : {"plain-0", "plain-1"})
+    Fleet.on([&] { Fleet.Store->remove("servers", Old); });
+  std::size_t Before = Fleet.Processes[0]->openDescriptors();
+  for (std::size_t Begin = 0; Begin < Replaced; Begin += AtOnce) {
+    Acceptors.clear();
+    Fleet.on([&] {
+      for (std::size_t I = 0; I < AtOnce; ++I) {
+        Acceptors.push_back(std::make_unique<boost::asio::ip::tcp::acceptor>(
+            Context, boost::asio::ip::tcp::endpoint(
+                         boost::asio::ip::address_v4::loopback(), 0)));
+        Acceptors.back()->non_blocking(true);
+        if (Begin > 0)
+          Fleet.Store->remove("servers",
+                              "r" + std::to_string(Begin - AtOnce + I));
+        Fleet.listAt("plain", "r" + std::to_string(Begin + I),
+                     Acceptors.back()->local_endpoint().port());
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(400));
+    // All at once, so that each server gets one.
+    std::atomic<std::size_t> Served = 0;
+    std::vector<std::thread> Callers;
+    for (std::size_t I = 0; I < AtOnce; ++I)
+      Callers.emplace_back([&, Id = "d" + std::to_string(Begin + I)] {
+        Served += exchange(Fleet.call("read", Id), Bound).Status == 200 ? 1 : 0;
+      });
+    for (int Round = 0; Served < AtOnce && Round < MaxRounds; ++Round) {
+      std::this_thread::sleep_for(milliseconds(100));
+      for (std::unique_ptr<boost::asio::ip::tcp::acceptor> &Acceptor :
+           Acceptors) {
+        boost::system::error_code Error;
+        boost::asio::ip::tcp::socket Socket(Context);
+        while (!Acceptor->accept(Socket, Error)) {
+          Sockets.push_back(std::move(Socket));
+          Socket = boost::asio::ip::tcp::socket(Context);
+        }
+      }
+      for (boost::asio::ip::tcp::socket &Socket : Sockets) {
+        boost::system::error_code Error;
+        if (Socket.available(Error) > 0)
+          Serve(Socket);
+      }
+    }
+    for (std::thread &Caller : Callers)
+      Caller.join();
+    CHECK(Served == AtOnce);
+  }
+  CHECK(Sockets.size() > Replaced / 2);
+  std::size_t Open = 0;
+  bool Closed = waitUntil([&] {
+    Open = Fleet.Processes[0]->openDescriptors();
+    return Open <= Before + AtOnce + Tolerated;
+  });
+  CAPTURE(Before);
+  CAPTURE(Open);
+  CHECK(Closed);
+}
