Take over settings at SIGHUP that a running host can change

Change: memory_mb, retry_ratio, retry_slack and grace_s are taken over, the last one not by a stop that has begun; event 107 names these keys and, as a warning, those that hold from the next start on. Conclusion: an operator sees from one line what is in force and what is not.

--- a/packages/core/include/jasminecroft/core/serving/retry_budget.h
+++ b/packages/core/include/jasminecroft/core/serving/retry_budget.h
@@ -25,6 +25,12 @@
 public:
   explicit retry_budget(const retry_limits &Limits) : Limits(Limits) {}
 
+  /// The window stays as it is.
+  void setLimits(double Ratio, std::uint32_t Slack) {
+    Limits.Ratio = Ratio;
+    Limits.Slack = Slack;
+  }
+
   void onRequest(const pool_id &Pool, core_time Now);
   /// Returns true and counts a retry if one more may be sent.
   bool tryAcquire(const pool_id &Pool, std::uint32_t LiveHosts, core_time Now);
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -204,7 +204,7 @@
   virtual void log(const event_record &Record) = 0;
 };
 
-/// Settings of a serving core, fixed at start.
+/// Settings of a serving core, fixed at start but for the retry limits.
 struct serving_settings {
   host_run Self;
   zone_id Zone;
@@ -319,6 +319,9 @@
   /// Each request gets its final reply by End at the latest.
   void beginDraining(core_time End, core_time Now);
 
+  /// Sets the ratio and the slack; the window stays.
+  void setRetryLimits(const retry_limits &Limits);
+
   const host_run &self() const;
   batching_host selfAsHost() const;
   /// Returns whether this host accepts requests: it has a configuration and
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -381,6 +381,10 @@
 std::optional<core_time> serving_core::nextWakeup(core_time Now) const {
   return Impl->nextWakeup(Now);
 }
+void serving_core::setRetryLimits(const retry_limits &Limits) {
+  Impl->Budget.setLimits(Limits.Ratio, Limits.Slack);
+}
+
 void serving_core::beginDraining(core_time End, core_time Now) {
   event_scope Event(*Impl, Now);
   Impl->beginDraining(End, Now);
--- a/packages/entry/include/jasminecroft/entry/serving_settings.h
+++ b/packages/entry/include/jasminecroft/entry/serving_settings.h
@@ -48,6 +48,18 @@
 serving_settings_result parseServingSettings(std::string_view Text);
 serving_settings_result readServingSettings(const std::string &File);
 
+/// Keys whose values differ in a settings file that was read again.
+struct settings_changes {
+  /// Taken over.
+  std::vector<std::string> Applied;
+  /// In force from the next start on.
+  std::vector<std::string> AtRestart;
+};
+
+/// Takes over into Running what a running process can change.
+settings_changes takeOver(serving_host_settings &Running,
+                          const serving_host_settings &Read);
+
 /// Runs one entry host on the serving path until it is told to stop.
 std::variant<exit_code, settings_error>
 runServingHost(const serving_host_settings &Settings, const std::string &File);
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -33,6 +33,8 @@
   /// False if the address cannot be listened on.
   bool start(const boost::asio::ip::tcp::endpoint &Address);
   void stopAccepting();
+  /// For bodies that arrive from now on.
+  void setMaxBodyBytes(std::size_t Bytes) { MaxBodyBytes = Bytes; }
   /// Connections end with the answer in progress.
   void closeAfterAnswers() { Closing = true; }
   void closeIdle();
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -194,8 +194,7 @@
     });
   }
 
-  // What a running process can take over is its log; the rest needs a restart,
-  // and requests in progress are not touched.
+  // Requests in progress are not touched, and neither is a stop that has begun.
   void reload() {
     serving_settings_result Read = readServingSettings(File);
     if (settings_error *Problem = std::get_if<settings_error>(&Read)) {
@@ -204,8 +203,26 @@
             {{"at", describe(*Problem, File)}});
       return;
     }
-    write(event_number::SettingsReloaded, event_severity::Info,
-          "settings read again", {{"file", File}});
+    serving_host_settings &New = std::get<serving_host_settings>(Read);
+    if (ShuttingDown)
+      New.Grace = Settings.Grace;
+    settings_changes Changes = takeOver(Settings, New);
+    Core.setRetryLimits(Settings.Retries);
+    Front.setMaxBodyBytes(Settings.MemoryBytes / BodyShare);
+    write(event_number::SettingsReloaded,
+          Changes.AtRestart.empty() ? event_severity::Info
+                                    : event_severity::Warning,
+          "settings read again",
+          {{"file", File},
+           {"applied", joined(Changes.Applied)},
+           {"at_restart", joined(Changes.AtRestart)}});
+  }
+
+  static std::string joined(const std::vector<std::string> &Keys) {
+    std::string Text;
+    for (const std::string &Key : Keys)
+      Text += (Text.empty() ? "" : ",") + Key;
+    return Text.empty() ? "none" : Text;
   }
 
   void beginShutdown() {
--- a/packages/entry/src/serving/serving_settings.cc
+++ b/packages/entry/src/serving/serving_settings.cc
@@ -163,6 +163,41 @@
   return Settings;
 }
 
+settings_changes takeOver(serving_host_settings &Running,
+                          const serving_host_settings &Read) {
+  settings_changes Changes;
+  auto Apply = [&Changes](const char *Key, auto &Value, const auto &Wanted) {
+    if (Value == Wanted)
+      return;
+    Value = Wanted;
+    Changes.Applied.emplace_back(Key);
+  };
+  auto Keep = [&Changes](const char *Key, const auto &Value,
+                         const auto &Wanted) {
+    if (Value != Wanted)
+      Changes.AtRestart.emplace_back(Key);
+  };
+  Apply("memory_mb", Running.MemoryBytes, Read.MemoryBytes);
+  Apply("retry_ratio", Running.Retries.Ratio, Read.Retries.Ratio);
+  Apply("retry_slack", Running.Retries.Slack, Read.Retries.Slack);
+  Apply("grace_s", Running.Grace, Read.Grace);
+  Keep("fleet", Running.Fleet, Read.Fleet);
+  Keep("host", Running.Host, Read.Host);
+  Keep("zone", Running.Zone, Read.Zone);
+  Keep("region", Running.Region, Read.Region);
+  Keep("callers", Running.Callers, Read.Callers);
+  Keep("readiness", Running.Readiness, Read.Readiness);
+  Keep("peers", Running.Peers, Read.Peers);
+  Keep("peers_listen", Running.PeersListen, Read.PeersListen);
+  Keep("store", Running.Store, Read.Store);
+  Keep("seeds", Running.Seeds, Read.Seeds);
+  Keep("cpu_share", Running.Capacity, Read.Capacity);
+  Keep("retry_window_s", Running.Retries.Window, Read.Retries.Window);
+  Keep("metrics_port", Running.MetricsPort, Read.MetricsPort);
+  Keep("batch_alone", Running.BatchAlone, Read.BatchAlone);
+  return Changes;
+}
+
 serving_settings_result readServingSettings(const std::string &File) {
   std::ifstream Stream(File);
   if (!Stream)
--- a/packages/entry/test/serving-parts-test.cc
+++ b/packages/entry/test/serving-parts-test.cc
@@ -49,6 +49,25 @@
   CHECK(Settings.Seeds.size() == 1);
 }
 
+TEST_CASE("settings that were read again are taken over or named") {
+  auto Read = [](const std::string &Text) {
+    return std::get<serving_host_settings>(parseServingSettings(Text));
+  };
+  serving_host_settings Running = Read(std::string(Whole));
+  settings_changes Changes =
+      takeOver(Running, Read(with("\"grace_s\": 8", "\"grace_s\": 12")));
+  CHECK(Changes.Applied == std::vector<std::string>{"grace_s"});
+  CHECK(Changes.AtRestart.empty());
+  CHECK(Running.Grace == std::chrono::seconds(12));
+  Changes = takeOver(Running, Read(with("\"memory_mb\": 260",
+                                        "\"memory_mb\": 100, \"x\": 1")));
+  CHECK(Changes.Applied == std::vector<std::string>{"memory_mb", "grace_s"});
+  CHECK(Running.MemoryBytes == 100'000'000);
+  Changes = takeOver(Running, Read(with("10.1.0.41:8625", "10.1.0.42:8625")));
+  CHECK(Changes.AtRestart == std::vector<std::string>{"callers"});
+  CHECK(Running.Callers == endpoint("10.1.0.41:8625"));
+}
+
 TEST_CASE("each fault of the settings is named with its key") {
   CHECK(errorOf("{").Problem == settings_problem::Malformed);
   CHECK(errorOf("[]").Problem == settings_problem::Malformed);
--- a/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
+++ b/packages/testing/processes/include/jasminecroft/processes/users_fleet.h
@@ -64,6 +64,9 @@
   /// entry is still to be removed. Only for proxied fleets.
   void reuseAddress(const std::string &Left, const std::string &Pool,
                     standins::users_backend_options Options);
+  /// Replaces one text of a host's settings file.
+  void changeSettings(std::size_t Host, const std::string &From,
+                      const std::string &To) const;
   /// Starts the process of a host that does not run.
   void startHost(std::size_t Host);
 
--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -211,6 +211,13 @@
       << "\"retry_slack\":50,\"grace_s\":8}";
 }
 
+void users_fleet::changeSettings(std::size_t Host, const std::string &From,
+                                 const std::string &To) const {
+  std::string Text = textOf(file(Host, ".json"));
+  Text.replace(Text.find(From), From.size(), To);
+  std::ofstream(file(Host, ".json")) << Text;
+}
+
 void users_fleet::startHost(std::size_t Host) {
   Processes[Host] = std::make_unique<child_process>(
       daemonPath(), std::vector<std::string>{"--serve", file(Host, ".json")},
--- a/packages/testing/processes/test/serving-path-test.cc
+++ b/packages/testing/processes/test/serving-path-test.cc
@@ -7,6 +7,7 @@
 
 #include <boost/json/parse.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -247,3 +248,45 @@
   CHECK(Reply.Status == 200);
   CHECK(Reply.Body == Call.Body);
 }
+
+TEST_CASE("settings that were read again hold without a restart") {
+  std::atomic<std::size_t> Ran = 0;
+  std::atomic<bool> Released = false;
+  raw_server Server(
+      [&](const raw_request &Request, int, const raw_server::writer &Write) {
+        ++Ran;
+        while (!Released)
+          std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        Write(answer(signature(Request.Id), "done"));
+      });
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  Fleet.on([&] {
+    Fleet.listAt("plain", "plain-raw", Server.port());
+    for (const char *Old : {"plain-0", "plain-1"})
+      Fleet.Store->remove("servers", Old);
+  });
+  // A quarter of the memory is for bodies: two of these and no third.
+  Fleet.changeSettings(0, "\"grace_s\":8", "\"grace_s\":8,\"memory_mb\":1");
+  Fleet.changeSettings(0, "\"region\":\"r\"", "\"region\":\"s\"");
+  Fleet.Processes[0]->signal(SIGHUP);
+  CHECK(waitUntil([&] {
+    return Fleet.logOf(0).find("\"applied\":\"memory_mb\",\"at_restart\":"
+                               "\"region\"") != std::string::npos;
+  }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+  auto Call = [&](const std::string &Id) {
+    http_call Large = Fleet.call("once", Id);
+    Large.Body.assign(90'000, 'x');
+    return Large;
+  };
+  std::vector<std::unique_ptr<http_connection>> Held;
+  for (const char *Id : {"held-1", "held-2"}) {
+    Held.push_back(std::make_unique<http_connection>(Fleet.CallerPorts[0]));
+    Held.back()->send(requestText(Call(Id)));
+  }
+  CHECK(waitUntil([&] { return Ran == 2; }));
+  CHECK(exchange(Call("refused")).Status == 503);
+  CHECK(Ran == 2);
+  Released = true;
+}
