--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -91,6 +91,8 @@
   backend_state *find(const backend_id &Id);
   const backend_state *find(const backend_id &Id) const;
   const backend_state *findByAddress(const endpoint &Address) const;
+  /// Addresses of the servers that are listed, also of leaving ones.
+  std::set<endpoint> listedAddresses() const;
   /// Returns the servers of a pool that may receive new work: listed and not
   /// draining. If there is none, returns those unlisted very recently: a
   /// platform outage may have removed healthy servers from the list.
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -49,6 +49,14 @@
   State.UnlistedSince.reset();
 }
 
+std::set<endpoint> backend_directory::listedAddresses() const {
+  std::set<endpoint> Addresses;
+  for (const std::pair<const backend_id, backend_state> &Server : Servers)
+    if (!Server.second.UnlistedSince)
+      Addresses.insert(Server.second.Entry.Address);
+  return Addresses;
+}
+
 void backend_directory::remove(const backend_id &Id, object_version Revision,
                                core_time Now) {
   auto Found = Servers.find(Id);
--- a/packages/entry/include/jasminecroft/entry/serving_settings.h
+++ b/packages/entry/include/jasminecroft/entry/serving_settings.h
@@ -60,6 +60,9 @@
 settings_changes takeOver(serving_host_settings &Running,
                           const serving_host_settings &Read);
 
+/// Keys as one text for logs; "none" without any.
+std::string listKeys(const std::vector<std::string> &Keys);
+
 /// Runs one entry host on the serving path until it is told to stop.
 std::variant<exit_code, settings_error>
 runServingHost(const serving_host_settings &Settings, const std::string &File);
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -82,7 +82,8 @@
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
         Core(coreSettings(), *this),
         Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
-        Backends(Context, *this, [this] { return listedServers(); }),
+        Backends(Context, *this,
+                 [this] { return Core.backends().listedAddresses(); }),
         Store(Context, Settings.Store, Core, Log, [this] { arm(); }) {}
 
   std::variant<exit_code, settings_error> run() {
@@ -144,15 +145,6 @@
     return std::nullopt;
   }
 
-  std::set<endpoint> listedServers() const {
-    std::set<endpoint> Addresses;
-    for (const std::pair<const backend_id, backend_state> &Server :
-         Core.backends().all())
-      if (!Server.second.UnlistedSince)
-        Addresses.insert(Server.second.Entry.Address);
-    return Addresses;
-  }
-
   static settings_error cannotListen(std::string Key) {
     return {settings_problem::AddressInUse, std::move(Key), 0,
             "an address of this host that is free"};
@@ -214,15 +206,8 @@
                                     : event_severity::Warning,
           "settings read again",
           {{"file", File},
-           {"applied", joined(Changes.Applied)},
-           {"at_restart", joined(Changes.AtRestart)}});
-  }
-
-  static std::string joined(const std::vector<std::string> &Keys) {
-    std::string Text;
-    for (const std::string &Key : Keys)
-      Text += (Text.empty() ? "" : ",") + Key;
-    return Text.empty() ? "none" : Text;
+           {"applied", listKeys(Changes.Applied)},
+           {"at_restart", listKeys(Changes.AtRestart)}});
   }
 
   void beginShutdown() {
--- a/packages/entry/src/serving/serving_settings.cc
+++ b/packages/entry/src/serving/serving_settings.cc
@@ -198,6 +198,13 @@
   return Changes;
 }
 
+std::string listKeys(const std::vector<std::string> &Keys) {
+  std::string Text;
+  for (const std::string &Key : Keys)
+    Text += (Text.empty() ? "" : ",") + Key;
+  return Text.empty() ? "none" : Text;
+}
+
 serving_settings_result readServingSettings(const std::string &File) {
   std::ifstream Stream(File);
   if (!Stream)
