Let the fuzz play a stated 421 of the server that was asked for

Cause: mended it with a test of processes and one of the decision only. Change: serving-fuzz draws it; mutation serving-believes-expected-misdirection.

--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -40,8 +40,8 @@
   return Head;
 }
 
-// The signed answer to a request that was run; of some requests it says that
-// it was not.
+// The answer to a request that was run, signed if it is sound; of some requests
+// it says that they were not run.
 backend_reply_head answerHeadTo(const caller_request_id &Id) {
   constexpr std::size_t Share = 36;
   backend_reply_head Head = signedHead();
@@ -56,6 +56,10 @@
   case 2:
     Head.Status = StatusMisdirected;
     break;
+  case 3:
+    Head = refusalHead(StatusMisdirected);
+    Head.Evidence.Source = answer_source::ExpectedServer;
+    break;
   default:
     break;
   }
