Keep libFuzzer's name for its entry to one source

Cause: lint refused LLVMFuzzerTestOneInput, declared in a header. Change: the replay calls the reader itself; the one definition names the check that it is excepted from, as the name is libFuzzer's.

--- a/packages/testing/bytes/src/byte_target.cc
+++ b/packages/testing/bytes/src/byte_target.cc
@@ -1,6 +1,8 @@
 // The entry that fuzzers call.
 #include "byte_target.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 
@@ -13,6 +15,7 @@
 
 } // namespace jasminecroft::bytes
 
+// libFuzzer calls this name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   // Empty inputs come without an address.
--- a/packages/testing/bytes/src/byte_target.h
+++ b/packages/testing/bytes/src/byte_target.h
@@ -2,8 +2,6 @@
 // call it.
 #pragma once
 
-#include <cstddef>
-#include <cstdint>
 #include <string_view>
 
 namespace jasminecroft::bytes {
@@ -20,7 +18,3 @@
 }
 
 } // namespace jasminecroft::bytes
-
-/// Called by libFuzzer and by the replay.
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
-                                      std::size_t Size);
--- a/packages/testing/bytes/src/replay-main.cc
+++ b/packages/testing/bytes/src/replay-main.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+using jasminecroft::bytes::readBytes;
+
 namespace {
 
 constexpr std::size_t ChangesPerFile = 2'000;
@@ -39,11 +41,6 @@
   return Text;
 }
 
-void run(const std::string &Text) {
-  LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(Text.data()),
-                         Text.size());
-}
-
 } // namespace
 
 int main(int Count, char **Values) {
@@ -57,13 +54,13 @@
     Files.push_back(Entry.path());
   std::sort(Files.begin(), Files.end());
   std::mt19937_64 Random(1);
-  run("");
+  readBytes("");
   for (const std::filesystem::path &File : Files) {
     std::ifstream Stream(File, std::ios::binary);
     std::string Text{std::istreambuf_iterator<char>(Stream), {}};
-    run(Text);
+    readBytes(Text);
     for (std::size_t I = 0; I < ChangesPerFile; ++I)
-      run(changed(Text, Random));
+      readBytes(changed(Text, Random));
   }
   std::cout << Files.size() << " inputs, " << ChangesPerFile
             << " changes of each\n";
