Keep idle connections of servers that are off the list for a moment

Cause: closed idle connections as soon as an entry was missing. Entries are missing while the store is in trouble and come back within seconds; their connections were opened again. Change: a server has to be off the list for 10 s.

--- a/packages/entry/src/connection_pool.cc
+++ b/packages/entry/src/connection_pool.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds UnstatedLifetime{30};
 constexpr std::chrono::seconds UsedOnceTime{60};
 constexpr std::size_t MaxUsedOnce = 1'024;
+/// Entries may be missing while the store is in trouble, and come back.
+constexpr std::chrono::seconds UnlistedTime{10};
 /// Probes begin after a second of silence; with two lost, the connection ends.
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
@@ -87,16 +89,32 @@
       });
 }
 
+bool connection_pool::hasLeft(const endpoint &Address,
+                              const std::set<endpoint> &Servers,
+                              clock::time_point Now) {
+  if (Servers.contains(Address)) {
+    UnlistedSince.erase(Address);
+    return false;
+  }
+  return Now - UnlistedSince.try_emplace(Address, Now).first->second >=
+         UnlistedTime;
+}
+
 void connection_pool::closeUnusable() {
   clock::time_point Now = clock::now();
   std::set<endpoint> Servers = Listed ? Listed() : std::set<endpoint>();
   for (auto It = Idle.begin(); It != Idle.end();) {
-    bool Left = Listed && !Servers.contains(It->first.first);
+    bool Left = Listed && hasLeft(It->first.first, Servers, Now);
     std::erase_if(It->second, [Now, Left](idle_connection &Connection) {
       return Left || !Connection.usable(Now);
     });
     It = It->second.empty() ? Idle.erase(It) : std::next(It);
   }
+  std::erase_if(
+      UnlistedSince,
+      [Now](const std::pair<const endpoint, clock::time_point> &Server) {
+        return Now - Server.second >= 2 * UnlistedTime;
+      });
   TimerRuns = false;
   if (!Idle.empty())
     startTimer();
--- a/packages/entry/src/connection_pool.h
+++ b/packages/entry/src/connection_pool.h
@@ -43,8 +43,8 @@
   /// The servers that calls may go to.
   using server_list = std::function<std::set<endpoint>()>;
 
-  /// Listed: idle connections to servers that it no longer has are closed;
-  /// absent if servers do not leave.
+  /// Listed: idle connections to servers that it has not had for a while are
+  /// closed; absent if servers do not leave.
   explicit connection_pool(boost::asio::io_context &Context,
                            server_list Listed = nullptr)
       : Listed(std::move(Listed)), Timer(Context) {}
@@ -74,12 +74,17 @@
   };
 
   bool isUsedOnce(const endpoint &Address) const;
+  /// Whether the server has been off the list for so long that it is gone.
+  bool hasLeft(const endpoint &Address, const std::set<endpoint> &Servers,
+               clock::time_point Now);
   void startTimer();
   void closeUnusable();
 
   server_list Listed;
   std::map<std::pair<endpoint, answer_naming>, std::deque<idle_connection>>
       Idle;
+  /// Servers with idle connections that are off the list.
+  std::map<endpoint, clock::time_point> UnlistedSince;
   /// Servers that answered without naming the request, and until when that
   /// counts; at most MaxUsedOnce.
   std::map<endpoint, clock::time_point> UsedOnceUntil;
