Find the machine's memory without a field of the settings template

Cause: made the template ask for limits.memory_mb. Change: the host takes the machine's memory from the system if the settings do not state it; memory_mb stays a setting, and event 101 shows it.

--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -29,6 +29,7 @@
 
 /// Of the machine's memory, one part in so many is for requests' bodies.
 constexpr std::size_t BodyShare = 4;
+constexpr std::size_t BytesPerMegabyte = 1'000'000;
 
 /// The balancer sends new connections until it has missed two answers, one a
 /// second.
@@ -93,7 +94,9 @@
           "entry host started",
           {{"run", std::to_string(Self.Run.Value)},
            {"zone", Settings.Zone.Value},
-           {"capacity", std::to_string(Settings.Capacity)}});
+           {"capacity", std::to_string(Settings.Capacity)},
+           {"memory_mb",
+            std::to_string(Settings.MemoryBytes / BytesPerMegabyte)}});
     awaitSignal();
     Core.start(now());
     arm();
@@ -349,21 +352,22 @@
     if (Session)
       Session->abortResponse();
   }
-  void forward(call_id Call, const forward_call &Forward) override {
-    Backends.forward(Call, Forward);
+  void forward(call_id Call, call_permit Permit,
+               const forward_call &Forward) override {
+    Backends.forward(Call, std::move(Permit), Forward);
   }
-  void runPieces(call_id Call, const backend_entry &Server,
+  void runPieces(call_id Call, call_permit Permit,
                  std::vector<batch_item> Items,
                  core_duration Timeout) override {
     Metrics.observeBatch(Items.size());
-    Backends.runPieces(Call, Server, Items, Timeout);
+    Backends.runPieces(Call, std::move(Permit), Items, Timeout);
   }
-  void readServer(const backend_entry &Server) override {
-    Backends.readServer(Server);
+  void readServer(call_permit Permit) override {
+    Backends.readServer(std::move(Permit));
   }
-  void freeResults(const backend_entry &Server,
+  void freeResults(call_permit Permit,
                    std::vector<result_handle> Results) override {
-    Backends.freeResults(Server, Results);
+    Backends.freeResults(std::move(Permit), Results);
   }
   void cancelCall(call_id Call) override { Backends.cancel(Call); }
   void sendToPeer(const batching_host &Host, peer_body Body) override {
--- a/packages/entry/src/serving/serving_settings.cc
+++ b/packages/entry/src/serving/serving_settings.cc
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <fstream>
 #include <sstream>
+#include <sys/sysinfo.h>
 
 namespace jasminecroft {
 
@@ -14,7 +15,8 @@
 
 namespace {
 
-constexpr double DefaultMemoryMb = 256;
+/// Assumed if the system does not tell the machine's memory.
+constexpr double FallbackMemoryMb = 256;
 constexpr double MaxMemoryMb = 1e7;
 constexpr double BytesPerMegabyte = 1e6;
 
@@ -111,6 +113,14 @@
   const json::object &Object;
 };
 
+double machineMemoryMb() {
+  struct sysinfo Machine {};
+  if (sysinfo(&Machine) != 0 || Machine.totalram == 0)
+    return FallbackMemoryMb;
+  return static_cast<double>(Machine.totalram) * Machine.mem_unit /
+         BytesPerMegabyte;
+}
+
 core_duration fromSeconds(double Seconds) {
   return core_duration(static_cast<std::int64_t>(Seconds * 1e6));
 }
@@ -146,7 +156,7 @@
   Settings.Capacity =
       static_cast<std::uint32_t>(std::lround(Share * Cores * 1000));
   Settings.MemoryBytes = static_cast<std::size_t>(
-      Reader.real("memory_mb", DefaultMemoryMb, 1, MaxMemoryMb) *
+      Reader.real("memory_mb", machineMemoryMb(), 1, MaxMemoryMb) *
       BytesPerMegabyte);
   Settings.Retries.Ratio = Reader.real("retry_ratio", 0, 0, 1);
   Settings.Retries.Slack =
--- a/packages/entry/test/serving-parts-test.cc
+++ b/packages/entry/test/serving-parts-test.cc
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 #include <fstream>
 #include <sstream>
+#include <sys/sysinfo.h>
 
 using namespace jasminecroft;
 
@@ -49,6 +50,19 @@
   CHECK(Settings.Seeds.size() == 1);
 }
 
+TEST_CASE("settings that do not state the memory take it from the machine") {
+  serving_settings_result Result =
+      parseServingSettings(with("\"memory_mb\": 260,\n  ", ""));
+  REQUIRE(std::holds_alternative<serving_host_settings>(Result));
+  struct sysinfo Machine {};
+  REQUIRE(sysinfo(&Machine) == 0);
+  std::size_t Total = Machine.totalram * Machine.mem_unit;
+  std::size_t Read = std::get<serving_host_settings>(Result).MemoryBytes;
+  // The settings count in megabytes, with fractions.
+  CHECK(Read + 1 >= Total);
+  CHECK(Read <= Total + 1);
+}
+
 TEST_CASE("settings that were read again are taken over or named") {
   auto Read = [](const std::string &Text) {
     return std::get<serving_host_settings>(parseServingSettings(Text));
