--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -97,15 +97,11 @@
   /// draining. If there is none, returns those unlisted very recently: a
   /// platform outage may have removed healthy servers from the list.
   std::vector<backend_state *> usable(const pool_id &Pool, core_time Now);
-  /// Returns the usable servers that may be called now: without those that want
-  /// nothing from this host.
-  std::vector<backend_state *> callable(const pool_id &Pool, core_time Now);
-  /// Returns when the first server of a pool may be called again; absent if one
-  /// may be called now or none is usable.
-  std::optional<core_time> pausedUntil(const pool_id &Pool, core_time Now);
   /// Leaves a run of a server alone until a time. Returns whether it was not
   /// left alone before.
   bool pause(const backend_entry &Server, core_time Until, core_time Now);
+  /// After this time no server is left alone.
+  core_time lastPauseEnd() const { return LastPauseEnd; }
   /// Returns whether this run of a server names a limit.
   bool isLimited(const backend_entry &Entry) const {
     return Limits.find(Entry.Id, Entry.Run).has_value();
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -5,6 +5,7 @@
 
 #include "jasminecroft/core/serving/backend_directory.h"
 #include "jasminecroft/core/serving/batch_plan.h"
+#include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/queue_order.h"
 #include "jasminecroft/core/serving/retry_budget.h"
@@ -24,6 +25,8 @@
 /// Threshold of the expected queue wait above which late requests without any
 /// results are shed; below it they start and wait.
 inline constexpr core_duration MaxLateQueueWait = std::chrono::seconds(1);
+/// Queues of at least this many jobs are ordered less often.
+inline constexpr std::size_t LongQueue = 24;
 
 using batch_id = strong_number<struct batch_tag>;
 
@@ -63,13 +66,13 @@
 class batch_actions {
 public:
   virtual ~batch_actions() = default;
-  virtual void runBatch(batch_id Batch, const backend_entry &Server,
+  virtual void runBatch(batch_id Batch, call_permit Permit,
                         std::vector<batch_item> Items,
                         core_duration Timeout) = 0;
-  virtual void freeResults(const backend_entry &Server,
+  virtual void freeResults(call_permit Permit,
                            std::vector<result_handle> Results) = 0;
   /// Requests a load report from a server; the answer goes to onServerLoad.
-  virtual void readServer(const backend_entry &Server) = 0;
+  virtual void readServer(call_permit Permit) = 0;
   virtual void onPiecesCompleted(const entry_host_id &Host,
                                  const piece_job &Job,
                                  std::vector<completed_piece> Pieces) = 0;
@@ -86,8 +89,9 @@
 class batch_owner {
 public:
   batch_owner(batch_actions &Actions, backend_directory &Servers,
-              retry_budget &Budget)
-      : Actions(Actions), Servers(Servers), Budget(Budget) {}
+              call_admission &Admission, retry_budget &Budget)
+      : Actions(Actions), Servers(Servers), Admission(Admission),
+        Budget(Budget) {}
 
   /// Sets the batching rules of all pools.
   void configure(const std::map<pool_id, serving_pool> &Pools);
@@ -250,9 +254,8 @@
   void queryLoads(const queue_key &Key, core_time Now);
   std::uint64_t externalBytes(const tracked_server &Tracked,
                               core_time Now) const;
-  void startBatch(const queue_key &Key, const backend_entry &Server,
-                  double Slowness, std::vector<batch_piece> Pieces,
-                  core_time Now);
+  void startBatch(const queue_key &Key, call_permit Permit, double Slowness,
+                  std::vector<batch_piece> Pieces, core_time Now);
   void handleResult(const batch_state &Batch, const batch_piece &Piece,
                     const batch_item_result &Result, core_time Now);
   void recordResult(const batch_state &Batch, const result_handle &Result,
@@ -276,6 +279,7 @@
 
   batch_actions &Actions;
   backend_directory &Servers;
+  call_admission &Admission;
   retry_budget &Budget;
   std::map<pool_id, batch_rules> Pools;
   std::map<queue_key, queue_state> Queues;
--- a/packages/core/include/jasminecroft/core/serving/placement.h
+++ b/packages/core/include/jasminecroft/core/serving/placement.h
@@ -1,5 +1,5 @@
-// Choice of a backend server for a request's own call: plain services by load
-// and speed, model engines also by prefix cache affinity.
+// Choice among the backend servers that admit a request's own call: plain
+// services by load and speed, model engines also by prefix cache affinity.
 #pragma once
 
 #include "jasminecroft/core/serving/backend_directory.h"
@@ -18,28 +18,26 @@
 
 /// Input of a placement decision.
 struct placement_query {
-  pool_id Pool;
   /// Zone of this host, or of the inputs that the server has to fetch.
   zone_id NearZone;
   /// Shared prefix of the prompt, in order; empty for plain services.
   std::vector<prompt_block> Prefix;
   /// Servers that the request has already tried.
   std::set<backend_id> Avoid;
-  /// Servers that must not be used.
-  std::set<backend_id> Excluded;
   /// Number of entry hosts that send to the same servers independently.
   std::uint32_t LiveHosts = 1;
 };
 
-/// Returns the server with the lowest expected response time, or null if there
-/// is none. Servers that failed recently or were already tried come last.
-backend_state *choosePlain(backend_directory &Servers,
+/// Returns the server with the lowest expected response time of those that
+/// admit the call, or null if there is none. Servers that failed recently or
+/// were already tried come last.
+backend_state *choosePlain(const std::vector<backend_state *> &Admitted,
                            const placement_query &Query, core_time Now);
 
 /// Returns the least loaded of the servers that rank first for the prompt's
 /// session, or another one if these are far busier than the rest. Returns null
 /// if there is none.
-backend_state *chooseEngine(backend_directory &Servers,
+backend_state *chooseEngine(std::vector<backend_state *> Admitted,
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now);
 
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -5,6 +5,7 @@
 #include "jasminecroft/core/event_log.h"
 #include "jasminecroft/core/peer_messages.h"
 #include "jasminecroft/core/serving/backend_directory.h"
+#include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/call_ledger.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/placement.h"
@@ -173,14 +174,15 @@
   /// truncated.
   virtual void abortResponse(request_id Request) = 0;
 
-  virtual void forward(call_id Call, const forward_call &Forward) = 0;
-  virtual void runPieces(call_id Call, const backend_entry &Server,
+  virtual void forward(call_id Call, call_permit Permit,
+                       const forward_call &Forward) = 0;
+  virtual void runPieces(call_id Call, call_permit Permit,
                          std::vector<batch_item> Items,
                          core_duration Timeout) = 0;
-  virtual void freeResults(const backend_entry &Server,
+  virtual void freeResults(call_permit Permit,
                            std::vector<result_handle> Results) = 0;
   /// Queries a server for its load of pieces; completed by onServerLoad.
-  virtual void readServer(const backend_entry &Server) = 0;
+  virtual void readServer(call_permit Permit) = 0;
   /// Closes the call's connection; no further events of the call follow.
   virtual void cancelCall(call_id Call) = 0;
 
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -179,29 +179,6 @@
   return Listed;
 }
 
-std::vector<backend_state *> backend_directory::callable(const pool_id &Pool,
-                                                         core_time Now) {
-  std::vector<backend_state *> Servers = usable(Pool, Now);
-  if (Now < LastPauseEnd)
-    std::erase_if(Servers, [Now](const backend_state *Server) {
-      return Now < Server->PausedUntil;
-    });
-  return Servers;
-}
-
-std::optional<core_time> backend_directory::pausedUntil(const pool_id &Pool,
-                                                        core_time Now) {
-  if (Now >= LastPauseEnd)
-    return std::nullopt;
-  std::optional<core_time> First;
-  for (const backend_state *Server : usable(Pool, Now)) {
-    if (Server->PausedUntil <= Now)
-      return std::nullopt;
-    First = First ? std::min(*First, Server->PausedUntil) : Server->PausedUntil;
-  }
-  return First;
-}
-
 bool backend_directory::pause(const backend_entry &Server, core_time Until,
                               core_time Now) {
   backend_state *State = find(Server.Id);
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -1,4 +1,4 @@
-// Queueing, dispatch and wait estimates of batching queues.
+// Queueing and dispatch of batching queues.
 #include "jasminecroft/core/serving/batch_owner.h"
 
 #include <algorithm>
@@ -31,25 +31,12 @@
 /// Interval of queue scans while pieces wait: free capacity, backoffs and
 /// deadlines change without an event.
 constexpr core_duration ScanInterval = milliseconds(50);
-/// Queues of at least this many jobs are ordered less often.
-constexpr std::size_t LongQueue = 24;
-/// Age up to which the expected wait of a long queue is told again: one job
-/// more changes it little.
-constexpr core_duration WaitLifetime = milliseconds(20);
-/// Jobs whose inputs have waited longer go before all others: about a third of
-/// the lifetime of results.
-constexpr core_duration MaxInputWait = milliseconds(1'200);
 constexpr double FullCallGain = 0.2;
 /// Weight of the latest call in the moving average of call times.
 constexpr double CallTimeGain = 0.1;
-/// Lifetime of a host's demand forecast: about the time that the earlier
-/// stages of its requests take.
-constexpr core_duration ForecastLifetime = milliseconds(1'500);
 /// Time that jobs wait for a server of their queue to appear: about the time
 /// that a new host needs to read the platform's list.
 constexpr core_duration NoServerTimeout = milliseconds(500);
-/// Wait reported when no server of the pool is known.
-constexpr core_duration NoServerWait = std::chrono::hours(1);
 
 } // namespace
 
@@ -181,43 +168,6 @@
       flushFrees(Tracked.first, Tracked.second, Now);
 }
 
-wait_estimator
-batch_owner::makeWaitEstimator(const queue_key &Key,
-                               const std::vector<planned_server> &Servers) {
-  const batch_rules &Rules = Pools[Key.Pool];
-  double Full = Queues[Key].FullCall;
-  std::size_t PerCall =
-      Full > 0 ? static_cast<std::size_t>(std::lround(Full)) : Rules.MaxPieces;
-  core_duration Call =
-      expectedCallTime(Rules, std::max<std::size_t>(PerCall, 1));
-  std::vector<wait_estimator::server> Speeds;
-  Speeds.reserve(Servers.size());
-  for (const planned_server &Server : Servers)
-    Speeds.push_back({Server.FreeIn, scaled(Call, Server.Slowness)});
-  return {std::move(Speeds), PerCall, Call};
-}
-
-// Returns the jobs of a queue as input of the ordering.
-std::vector<waiting_job> batch_owner::waitingJobs(const queue_key &Key,
-                                                  core_time Now) {
-  std::vector<waiting_job> Result;
-  for (const job_key &Id : queue(Key)) {
-    const job_state &Job = Jobs.at(Id);
-    waiting_job Waiting;
-    Waiting.StartIn = Job.StartBy - Now;
-    Waiting.DeadlineIn = Job.Deadline - Now;
-    Waiting.Pieces = Job.Waiting.size();
-    Waiting.Priority = Job.Job.Priority;
-    Waiting.HasProgress =
-        !Job.Job.Inputs.empty() || Job.Missing < Job.Job.Pieces.size();
-    Waiting.Expedited =
-        !Job.Job.Inputs.empty() && Now - Job.Arrived > MaxInputWait;
-    Waiting.Workspace = Job.Job.Workspace;
-    Result.push_back(std::move(Waiting));
-  }
-  return Result;
-}
-
 // Fails jobs that cannot be completed before their deadline. In a long queue,
 // late jobs without completed work are shed too: their callers get a response
 // sooner by retrying than by waiting behind the jobs that can be on time.
@@ -241,24 +191,26 @@
   const batch_rules &Rules = Pools[Key.Pool];
   std::uint64_t Capacity = static_cast<std::uint64_t>(
       static_cast<double>(Rules.ResultCapacityBytes) * UsableCapacityFraction);
-  for (const backend_state *Server : Servers.usable(Key.Pool, Now)) {
-    if (!Key.Zone.empty() && Server->Entry.Zone != Key.Zone)
+  for (const std::pair<backend_state *, admission_answer> &Entry :
+       Admission.survey(Key.Pool, {admission_purpose::Pieces}, Now)) {
+    const backend_entry &Server = Entry.first->Entry;
+    const admission_answer &Answer = Entry.second;
+    if (!Key.Zone.empty() && Server.Zone != Key.Zone)
       continue;
-    tracked_server &Tracked = TrackedServers[Server->Entry.Id];
+    if (!Answer.admitted() && !Answer.Until)
+      continue;
+    tracked_server &Tracked = TrackedServers[Server.Id];
     Tracked.CapacityBytes = Rules.ResultCapacityBytes;
     planned_server Planned;
-    Planned.Id = Server->Entry.Id;
-    Planned.Zone = Server->Entry.Zone;
-    core_time FreeAt = std::max(
-        {Now, Tracked.BlockedUntil, Server->AvoidUntil, Server->PausedUntil});
+    Planned.Id = Server.Id;
+    Planned.Zone = Server.Zone;
+    core_time FreeAt = std::max(Now, Tracked.BlockedUntil);
+    if (Answer.Until)
+      FreeAt = std::max(FreeAt, *Answer.Until);
     bool Asked = Tracked.LoadQueriedAt &&
                  Now - *Tracked.LoadQueriedAt < LoadQueryTimeout;
-    Planned.Idle = !Tracked.Running && FreeAt == Now && !Asked;
-    if (Servers.isLimited(Server->Entry)) {
-      core_duration Wait = Servers.limits().timeToNext(Server->Entry.Id, Now);
-      FreeAt = std::max(FreeAt, Now + Wait);
-      Planned.Idle = Planned.Idle && Wait == core_duration{0};
-    }
+    Planned.Idle =
+        Answer.admitted() && !Tracked.Running && FreeAt == Now && !Asked;
     if (Tracked.Running)
       FreeAt = std::max(FreeAt, Tracked.FreeAt);
     Planned.FreeIn = FreeAt - Now;
@@ -287,16 +239,18 @@
       continue;
     tracked_server &Tracked = TrackedServers[Server->Entry.Id];
     if (Tracked.Running || Tracked.LoadQueriedAt ||
-        Now < Tracked.LoadKnownUntil || Now < Server->AvoidUntil ||
-        Now < Server->PausedUntil)
+        Now < Tracked.LoadKnownUntil)
       continue;
     // Queries count against its limit: only the first one is worth a call.
     if (Servers.isLimited(Server->Entry) &&
-        (Tracked.LoadKnownUntil != core_time{} ||
-         !Servers.limits().tryAcquire(Server->Entry.Id, Now)))
+        Tracked.LoadKnownUntil != core_time{})
+      continue;
+    std::optional<call_permit> Permit =
+        Admission.admit(Server->Entry.Id, {admission_purpose::LoadQuery}, Now);
+    if (!Permit)
       continue;
     Tracked.LoadQueriedAt = Now;
-    Actions.readServer(Server->Entry);
+    Actions.readServer(std::move(*Permit));
   }
 }
 
@@ -353,15 +307,18 @@
     for (const std::pair<std::size_t, std::uint32_t> &Piece : Call.Pieces)
       Started.push_back({Chosen[Piece.first], Piece.second, false});
     const planned_server &Server = Planned[Call.Server];
-    if (const backend_state *State = Servers.find(Server.Id))
-      startBatch(Key, State->Entry, Server.Slowness, std::move(Started), Now);
+    std::optional<call_permit> Permit =
+        Admission.admit(Server.Id, {admission_purpose::Pieces}, Now);
+    if (Permit)
+      startBatch(Key, std::move(*Permit), Server.Slowness, std::move(Started),
+                 Now);
   }
 }
 
-void batch_owner::startBatch(const queue_key &Key, const backend_entry &Entry,
+void batch_owner::startBatch(const queue_key &Key, call_permit Permit,
                              double Slowness, std::vector<batch_piece> Started,
                              core_time Now) {
-  const backend_entry Server = Entry;
+  const backend_entry Server = Permit.server();
   batch_id Id(++LastBatch);
   batch_state Batch;
   Batch.Queue = Key;
@@ -390,8 +347,6 @@
   Pieces += Started.size();
   Batch.Pieces = std::move(Started);
   tracked_server &Tracked = TrackedServers[Server.Id];
-  if (Servers.isLimited(Server))
-    Servers.limits().tryAcquire(Server.Id, Now);
   flushFrees(Server.Id, Tracked, Now);
   Tracked.Running = Id;
   Tracked.FreeAt = Now + Batch.Expected;
@@ -400,61 +355,7 @@
   Batch.InputsFetchedAt = Now + FetchTime;
   Batch.FetchReported = Now - Tracked.UncontendedAt > UncontendedLifetime;
   Batches.emplace(Id, std::move(Batch));
-  Actions.runBatch(Id, Server, std::move(Items), Timeout);
-}
-
-queue_wait batch_owner::expectedWait(const pool_id &Pool, const zone_id &Zone,
-                                     core_time Now) {
-  if (!Pools.contains(Pool))
-    return {};
-  queue_key Key{Pool, Zone};
-  queue_state &Queue = Queues[Key];
-  if (Queue.Jobs.size() >= LongQueue && Now - Queue.WaitAt < WaitLifetime)
-    return Queue.Wait;
-  queue_wait Result;
-  std::vector<planned_server> Planned = planServers(Key, Now);
-  if (Planned.empty()) {
-    Result.OnTime.fill(NoServerWait);
-    Result.Late = NoServerWait;
-    return Result;
-  }
-  wait_estimator Estimator = makeWaitEstimator(Key, Planned);
-  const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
-  queue_order Order = orderQueue(Waiting, Estimator);
-  std::size_t All = 0;
-  by_urgency<std::size_t> Before{};
-  for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
-    const waiting_job &Job = Waiting[Order.Jobs[Place]];
-    All += Job.Pieces;
-    if (Place < Order.OnTime)
-      Before[urgencyRank(Job.Priority)] += Job.Pieces;
-  }
-  std::size_t Ahead = 0;
-  std::size_t ForecastPieces = 0;
-  for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
-    Ahead += Before[Rank];
-    for (const std::pair<const entry_host_id, queue_state::forecast> &Host :
-         Queues[Key].Forecasts)
-      if (Now - Host.second.At < ForecastLifetime)
-        ForecastPieces += Host.second.Pieces[Rank];
-    Result.OnTime[Rank] = Estimator.waitBehind(Ahead);
-    Result.Planned[Rank] =
-        Estimator.waitBehind(Ahead + ForecastPieces) - Result.OnTime[Rank];
-  }
-  Result.Late = Estimator.waitBehind(All);
-  Result.Call =
-      core_duration(static_cast<std::int64_t>(Queues[Key].CallMicros));
-  Queue.Wait = Result;
-  Queue.WaitAt = Now;
-  return Result;
-}
-
-void batch_owner::onDemandForecast(const entry_host_id &Host,
-                                   const pool_id &Pool, const zone_id &Zone,
-                                   const by_urgency<std::uint32_t> &Pieces,
-                                   core_time Now) {
-  if (Pools.contains(Pool))
-    Queues[{Pool, Zone}].Forecasts[Host] = {Pieces, Now};
+  Actions.runBatch(Id, std::move(Permit), std::move(Items), Timeout);
 }
 
 std::size_t batch_owner::waitingPieces(const pool_id &Pool,
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -342,24 +342,26 @@
     flushFrees(Server, Tracked, Now);
 }
 
-// Frees count against the limit of a server, and wait for the end of a pause.
-// Those that have to wait may expire by themselves meanwhile.
+// Frees that have to wait may expire by themselves meanwhile.
 void batch_owner::flushFrees(const backend_id &Id, tracked_server &Tracked,
                              core_time Now) {
+  if (Tracked.PendingFrees.empty())
+    return;
+  const call_subject Subject{admission_purpose::FreeResults};
   const backend_state *Server = Servers.find(Id);
-  bool Paused = Server && Now < Server->PausedUntil;
-  if (Paused || (Server && Servers.isLimited(Server->Entry) &&
-                 !Servers.limits().tryAcquire(Id, Now))) {
-    Tracked.FlushAt = Paused ? Server->PausedUntil
-                             : Now + Servers.limits().timeToNext(Id, Now);
+  std::optional<core_time> Until;
+  if (Server)
+    Until = Admission.check(*Server, Subject, Now).Until;
+  if (Until) {
+    Tracked.FlushAt = *Until;
     if (Tracked.PendingFrees.size() > MaxFreesPerCall)
       Tracked.PendingFrees.clear();
     return;
   }
   std::vector<result_handle> Results = std::move(Tracked.PendingFrees);
   Tracked.PendingFrees.clear();
-  if (Server && !Results.empty() && !Server->UnlistedSince)
-    Actions.freeResults(Server->Entry, std::move(Results));
+  if (std::optional<call_permit> Permit = Admission.admit(Id, Subject, Now))
+    Actions.freeResults(std::move(*Permit), std::move(Results));
 }
 
 void batch_owner::expireResults(core_time Now) {
--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -80,13 +80,11 @@
 
 } // namespace
 
-backend_state *choosePlain(backend_directory &Servers,
+backend_state *choosePlain(const std::vector<backend_state *> &Admitted,
                            const placement_query &Query, core_time Now) {
   backend_state *Best = nullptr;
   double BestScore = 0;
-  for (backend_state *Server : Servers.callable(Query.Pool, Now)) {
-    if (Query.Excluded.contains(Server->Entry.Id))
-      continue;
+  for (backend_state *Server : Admitted) {
     double Score = plainScore(*Server, Query, Now);
     if (!Best || Score < BestScore) {
       Best = Server;
@@ -96,36 +94,31 @@
   return Best;
 }
 
-backend_state *chooseEngine(backend_directory &Servers,
+backend_state *chooseEngine(std::vector<backend_state *> Admitted,
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now) {
-  std::vector<backend_state *> Usable = Servers.callable(Query.Pool, Now);
-  if (Usable.empty())
-    return nullptr;
   if (!Query.Prefix.empty()) {
     // The last shared block identifies the session.
     const prompt_block &Session = Query.Prefix.back();
-    std::sort(Usable.begin(), Usable.end(),
+    std::sort(Admitted.begin(), Admitted.end(),
               [&Session](const backend_state *A, const backend_state *B) {
                 return rank(Session, A->Entry.Id) > rank(Session, B->Entry.Id);
               });
   }
   backend_state *Best = nullptr;
   double BestScore = 0;
-  for (std::size_t I = 0; I < Usable.size(); ++I) {
-    if (Query.Excluded.contains(Usable[I]->Entry.Id))
-      continue;
+  for (std::size_t I = 0; I < Admitted.size(); ++I) {
     double Slots = std::max(Rules.Slots, 1U);
-    double Score = estimateCalls(*Usable[I], Query, Now) / Slots;
+    double Score = estimateCalls(*Admitted[I], Query, Now) / Slots;
     if (Query.Prefix.empty() || I >= AffineEngines)
       Score += NoAffinityPenalty;
     else
       Score += NoAffinityPenalty * static_cast<double>(I) / 4;
-    if (Usable[I]->Entry.Zone != Query.NearZone)
+    if (Admitted[I]->Entry.Zone != Query.NearZone)
       Score += CrossZonePenalty;
-    Score += penalty(*Usable[I], Query, Now);
+    Score += penalty(*Admitted[I], Query, Now);
     if (!Best || Score < BestScore) {
-      Best = Usable[I];
+      Best = Admitted[I];
       BestScore = Score;
     }
   }
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -1,4 +1,4 @@
-// Calls to backend servers: server selection, retries, and handling of replies.
+// Calls to backend servers: sending, retries, and handling of replies.
 #include "serving_state.h"
 
 #include <algorithm>
@@ -10,18 +10,8 @@
 using detail::call_progress;
 using std::chrono::milliseconds;
 
-/// A retryable call is retried on another server after this multiple of the
-/// usual time, but not before the minimum.
-constexpr double AttemptTimeoutFactor = 4;
-constexpr core_duration MinPlainAttemptTimeout = milliseconds(120);
-constexpr core_duration MinEngineAttemptTimeout = milliseconds(1'200);
-/// While this host drains, a plain request needs this multiple of the expected
-/// time: a refusal lets its caller go elsewhere, a cut reply does not.
-constexpr int PlainReplyMargin = 2;
 /// Minimum time to the deadline for which a call is sent.
 constexpr core_duration MinTimeLeft = milliseconds(30);
-/// Weight of a new sample in the smoothed times of streams.
-constexpr double StreamTimeGain = 0.1;
 /// Retry-After if the servers are overloaded: about the time of a few calls.
 constexpr core_duration OverloadRetryAfter = milliseconds(250);
 constexpr unsigned FirstFailureStatus = 500;
@@ -47,25 +37,6 @@
 
 using namespace detail;
 
-backend_state *serving_impl::chooseServer(const active_request &State) {
-  if (backend_state *Unused = unusedLimitedServer(State))
-    return Unused;
-  placement_query Query;
-  Query.Pool = State.Pool;
-  Query.NearZone = inputZone(State);
-  Query.Avoid = State.TriedServers;
-  Query.LiveHosts = Hosts.liveCount();
-  Query.Excluded = unavailableByLimit(State);
-  auto Pool = State.View->Config->Pools.find(State.Pool);
-  if (Pool == State.View->Config->Pools.end() || !Pool->second.Engine)
-    return choosePlain(Servers, Query, Now);
-  // The last part of the prompt is not shared with other requests.
-  Query.Prefix = State.Request.Prefix;
-  if (!Query.Prefix.empty())
-    Query.Prefix.pop_back();
-  return chooseEngine(Servers, Query, *Pool->second.Engine, Now);
-}
-
 void serving_impl::sendCall(active_request &State) {
   if (refuseQuarantined(State))
     return;
@@ -85,7 +56,13 @@
     failRequest(State, refusal_kind::ShuttingDown, core_duration{0});
     return;
   }
-  spendLimit(State, Server->Entry);
+  std::optional<call_permit> Permit =
+      Admission.admit(Server->Entry.Id, subjectOf(State), Now);
+  if (!Permit) {
+    failUnserved(State, refusal_kind::NoBackend, NoBackendRetryAfter);
+    return;
+  }
+  onLimitSpent(State, Server->Entry.Id);
   call_id Id(++LastCall);
   State.CurrentCall = Id;
   State.Server = Server->Entry;
@@ -111,38 +88,7 @@
   if (Repeatable && State.Attempts < State.Route->MaxAttempts)
     addTimer(Now + attemptTimeout(State, *Server), timer_kind::AttemptTimeout,
              Id.Value);
-  Actions.forward(Id, Forward);
-}
-
-// Returns the expected time from sending the request to Server until the first
-// byte of its reply. Calls that Server has not answered yet count as long as
-// they have lasted: replies alone would not show that it has become slow.
-core_duration
-serving_impl::expectedReplyTime(const active_request &State,
-                                const backend_state &Server) const {
-  if (State.Route->Streamed)
-    return firstByteTime(State);
-  core_duration Expected = firstByteTime(State);
-  if (Server.CallMicros > 0)
-    Expected = core_duration(static_cast<std::int64_t>(Server.CallMicros));
-  for (const std::pair<const call_id, call_state> &Call : Calls)
-    if (Call.second.Kind == call_kind::Forward &&
-        Call.second.Server.Id == Server.Entry.Id)
-      Expected = std::max(Expected, Now - Call.second.SentAt);
-  return PlainReplyMargin * Expected;
-}
-
-core_duration serving_impl::attemptTimeout(const active_request &State,
-                                           const backend_state &Server) const {
-  if (!State.Route->Streamed) {
-    core_duration Usual(
-        static_cast<std::int64_t>(Server.CallMicros * AttemptTimeoutFactor));
-    return std::max(MinPlainAttemptTimeout, Usual);
-  }
-  core_duration Usual(static_cast<std::int64_t>(
-      static_cast<double>(firstByteTime(State).count()) *
-      AttemptTimeoutFactor));
-  return std::max(MinEngineAttemptTimeout, Usual);
+  Actions.forward(Id, std::move(*Permit), Forward);
 }
 
 active_request *serving_impl::callRequest(call_id Call) {
@@ -175,20 +121,6 @@
   return Granted;
 }
 
-void serving_impl::observeFirstByte(const active_request &State) {
-  double Micros = static_cast<double>((Now - State.SentAt).count());
-  double &Known = FirstByteMicros[State.Pool];
-  Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
-}
-
-void serving_impl::observeStream(const active_request &State) {
-  if (!State.FirstByteAt)
-    return;
-  double Micros = static_cast<double>((Now - *State.FirstByteAt).count());
-  double &Known = StreamMicros[State.Route->Name];
-  Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
-}
-
 // Handles a reply that claims without proof that the server did not run the
 // request: it may have run.
 void serving_impl::handleUnproven(active_request &State,
@@ -219,11 +151,8 @@
       failRequest(State, refusal_kind::NoBackend, OverloadRetryAfter);
     return;
   }
-  bool HasUntriedServer = false;
-  for (const backend_state *Server : Servers.callable(State.Pool, Now))
-    HasUntriedServer =
-        HasUntriedServer || !State.TriedServers.contains(Server->Entry.Id);
-  bool WillRetry = HasUntriedServer && State.Deadline - Now > MinTimeLeft &&
+  bool WillRetry = hasUntriedServer(State) &&
+                   State.Deadline - Now > MinTimeLeft &&
                    State.Attempts <= State.Route->MaxAttempts &&
                    Budget.tryAcquire(State.Pool, Hosts.liveCount(), Now);
   log(event_number::CallRefused, event_severity::Info,
@@ -458,11 +387,7 @@
   if (Failure == call_failure::NotConnected && !State->HeadRelayed) {
     --State->Attempts;
     State->Ledger.end(call_fate::NotConnected);
-    bool HasUntriedServer = false;
-    for (const backend_state *Other : Servers.callable(State->Pool, Now))
-      HasUntriedServer =
-          HasUntriedServer || !State->TriedServers.contains(Other->Entry.Id);
-    if (HasUntriedServer)
+    if (hasUntriedServer(*State))
       sendCall(*State);
     else
       failUnserved(*State, refusal_kind::NoBackend, NoBackendRetryAfter);
@@ -474,8 +399,8 @@
 // Retries a retryable call that has not begun to respond in time.
 void serving_impl::onAttemptTimeout(call_id Call) {
   active_request *State = callRequest(Call);
-  if (!State || State->HeadRelayed ||
-      Servers.callable(State->Pool, Now).empty() || !reserveRetry(*State))
+  if (!State || State->HeadRelayed || openServers(*State).empty() ||
+      !reserveRetry(*State))
     return;
   log(event_number::CallFailed, event_severity::Warning,
       "no answer yet; retrying on another backend server",
--- /dev/null
+++ b/packages/core/src/serving/serving_choice.cc
@@ -0,0 +1,121 @@
+// Selection of the backend server for a request's own call, and the times that
+// the call is expected to take.
+#include "serving_state.h"
+
+#include <algorithm>
+
+namespace jasminecroft {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A retryable call is retried on another server after this multiple of the
+/// usual time, but not before the minimum.
+constexpr double AttemptTimeoutFactor = 4;
+constexpr core_duration MinPlainAttemptTimeout = milliseconds(120);
+constexpr core_duration MinEngineAttemptTimeout = milliseconds(1'200);
+/// While this host drains, a plain request needs this multiple of the expected
+/// time: a refusal lets its caller go elsewhere, a cut reply does not.
+constexpr int PlainReplyMargin = 2;
+/// Weight of a new sample in the smoothed times of streams.
+constexpr double StreamTimeGain = 0.1;
+
+} // namespace
+
+using namespace detail;
+
+call_subject serving_impl::subjectOf(const active_request &State) const {
+  call_subject Subject;
+  Subject.Quarantined =
+      !Quarantine.empty() && !State.Trial && blockingPart(State).has_value();
+  Subject.CountedFor = State.Permit;
+  return Subject;
+}
+
+// Returns the servers that admit the request now, and the limited ones that do
+// so once it is counted.
+std::vector<backend_state *>
+serving_impl::openServers(const active_request &State) {
+  std::vector<backend_state *> Result;
+  for (const std::pair<backend_state *, admission_answer> &Entry :
+       Admission.survey(State.Pool, subjectOf(State), Now))
+    if (Entry.second.admitted() ||
+        Entry.second.Obstacle == admission_obstacle::Limited)
+      Result.push_back(Entry.first);
+  return Result;
+}
+
+bool serving_impl::hasUntriedServer(const active_request &State) {
+  std::vector<backend_state *> Open = openServers(State);
+  return std::any_of(Open.begin(), Open.end(),
+                     [&State](const backend_state *Server) {
+                       return !State.TriedServers.contains(Server->Entry.Id);
+                     });
+}
+
+backend_state *serving_impl::chooseServer(const active_request &State) {
+  if (backend_state *Unused = unusedLimitedServer(State))
+    return Unused;
+  std::vector<backend_state *> Admitted =
+      Admission.candidates(State.Pool, subjectOf(State), Now);
+  placement_query Query;
+  Query.NearZone = inputZone(State);
+  Query.Avoid = State.TriedServers;
+  Query.LiveHosts = Hosts.liveCount();
+  auto Pool = State.View->Config->Pools.find(State.Pool);
+  if (Pool == State.View->Config->Pools.end() || !Pool->second.Engine)
+    return choosePlain(Admitted, Query, Now);
+  // The last part of the prompt is not shared with other requests.
+  Query.Prefix = State.Request.Prefix;
+  if (!Query.Prefix.empty())
+    Query.Prefix.pop_back();
+  return chooseEngine(std::move(Admitted), Query, *Pool->second.Engine, Now);
+}
+
+// Returns the expected time from sending the request to Server until the first
+// byte of its reply. Calls that Server has not answered yet count as long as
+// they have lasted: replies alone would not show that it has become slow.
+core_duration
+serving_impl::expectedReplyTime(const active_request &State,
+                                const backend_state &Server) const {
+  if (State.Route->Streamed)
+    return firstByteTime(State);
+  core_duration Expected = firstByteTime(State);
+  if (Server.CallMicros > 0)
+    Expected = core_duration(static_cast<std::int64_t>(Server.CallMicros));
+  for (const std::pair<const call_id, call_state> &Call : Calls)
+    if (Call.second.Kind == call_kind::Forward &&
+        Call.second.Server.Id == Server.Entry.Id)
+      Expected = std::max(Expected, Now - Call.second.SentAt);
+  return PlainReplyMargin * Expected;
+}
+
+core_duration serving_impl::attemptTimeout(const active_request &State,
+                                           const backend_state &Server) const {
+  if (!State.Route->Streamed) {
+    core_duration Usual(
+        static_cast<std::int64_t>(Server.CallMicros * AttemptTimeoutFactor));
+    return std::max(MinPlainAttemptTimeout, Usual);
+  }
+  core_duration Usual(static_cast<std::int64_t>(
+      static_cast<double>(firstByteTime(State).count()) *
+      AttemptTimeoutFactor));
+  return std::max(MinEngineAttemptTimeout, Usual);
+}
+
+void serving_impl::observeFirstByte(const active_request &State) {
+  double Micros = static_cast<double>((Now - State.SentAt).count());
+  double &Known = FirstByteMicros[State.Pool];
+  Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
+}
+
+void serving_impl::observeStream(const active_request &State) {
+  if (!State.FirstByteAt)
+    return;
+  double Micros = static_cast<double>((Now - *State.FirstByteAt).count());
+  double &Known = StreamMicros[State.Route->Name];
+  Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
+}
+
+} // namespace jasminecroft
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -112,8 +112,9 @@
 // want nothing from this host, the caller is told when one will.
 void serving_impl::failUnserved(active_request &State, refusal_kind Kind,
                                 core_duration RetryAfter) {
-  std::optional<core_time> Until = Servers.pausedUntil(State.Pool, Now);
-  if (!Until) {
+  admission_answer Opening =
+      Admission.firstOpening(State.Pool, subjectOf(State), Now);
+  if (Opening.Obstacle != admission_obstacle::Paused) {
     failRequest(State, Kind, RetryAfter);
     return;
   }
@@ -122,68 +123,50 @@
                                     State.Request.CallerId.Value.size());
   core_duration Spread(static_cast<std::int64_t>(
       Point % static_cast<std::uint64_t>(PauseEndSpread.count())));
-  failRequest(State, refusal_kind::Paused, *Until - Now + Spread);
+  failRequest(State, refusal_kind::Paused, *Opening.Until - Now + Spread);
 }
 
 // Refuses a request whose call would be due while no server may be called.
 bool serving_impl::refusePaused(active_request &State) {
-  std::optional<core_time> Until = Servers.pausedUntil(State.Pool, Now);
-  if (!Until || *Until <= Now + State.Forecast)
+  admission_answer Opening =
+      Admission.firstOpening(State.Pool, subjectOf(State), Now);
+  if (Opening.Obstacle != admission_obstacle::Paused ||
+      *Opening.Until <= Now + State.Forecast)
     return false;
   failUnserved(State, refusal_kind::NoBackend, core_duration{0});
   return true;
 }
 
-// Returns the limited servers to which the request may not be sent now.
-std::set<backend_id>
-serving_impl::unavailableByLimit(const active_request &State) {
-  std::set<backend_id> Result;
-  if (Servers.limits().count() == 0)
-    return Result;
-  for (const backend_state *Server : Servers.callable(State.Pool, Now)) {
-    const backend_id &Id = Server->Entry.Id;
-    if (!Servers.isLimited(Server->Entry) || State.Permit == Id)
-      continue;
-    bool Available = limitCounter(Id) == Settings.Self.Host &&
-                     Servers.limits().timeToNext(Id, Now) == core_duration{0};
-    if (!Available)
-      Result.insert(Id);
-  }
-  return Result;
-}
-
 // Returns a limited server that has to be asked whether its limit goes on.
 backend_state *serving_impl::unusedLimitedServer(const active_request &State) {
   if (Servers.limits().count() == 0)
     return nullptr;
-  for (backend_state *Server : Servers.callable(State.Pool, Now)) {
+  for (backend_state *Server :
+       Admission.candidates(State.Pool, subjectOf(State), Now)) {
     const backend_id &Id = Server->Entry.Id;
     if (Servers.isLimited(Server->Entry) && Server->AvoidUntil <= Now &&
         !State.TriedServers.contains(Id) &&
         limitCounter(Id) == Settings.Self.Host &&
-        Servers.limits().unusedFor(Id, Now) >= MaxUnusedTime &&
-        Servers.limits().timeToNext(Id, Now) == core_duration{0})
+        Servers.limits().unusedFor(Id, Now) >= MaxUnusedTime)
       return Server;
   }
   return nullptr;
 }
 
-void serving_impl::spendLimit(active_request &State,
-                              const backend_entry &Server) {
-  if (State.Permit == Server.Id)
+// The request was admitted by a server and counted.
+void serving_impl::onLimitSpent(active_request &State,
+                                const backend_id &Server) {
+  if (State.Permit == Server)
     State.Permit.reset();
-  else if (Servers.isLimited(Server))
-    Servers.limits().tryAcquire(Server.Id, Now);
   State.PermitAsks = 0;
 }
 
-// Returns whether the servers of the request's pool are all limited and none
-// can take it now.
+// Returns whether the servers that would admit the request are all limited and
+// none can take it now.
 bool serving_impl::needsPermit(const active_request &State) {
-  if (Servers.limits().count() == 0)
-    return false;
-  std::vector<backend_state *> Usable = Servers.callable(State.Pool, Now);
-  return !Usable.empty() && unavailableByLimit(State).size() == Usable.size();
+  return Servers.limits().count() != 0 &&
+         Admission.candidates(State.Pool, subjectOf(State), Now).empty() &&
+         !openServers(State).empty();
 }
 
 // Asks for a permit, or refuses the request, if all servers of its pool are
@@ -200,7 +183,7 @@
   std::vector<std::pair<std::uint64_t, const backend_entry *>> Ranked;
   std::uint64_t Seed = XXH3_64bits(State.Request.CallerId.Value.data(),
                                    State.Request.CallerId.Value.size());
-  for (const backend_state *Server : Servers.callable(State.Pool, Now))
+  for (const backend_state *Server : openServers(State))
     if (Servers.isLimited(Server->Entry))
       Ranked.emplace_back(XXH3_64bits_withSeed(Server->Entry.Id.Value.data(),
                                                Server->Entry.Id.Value.size(),
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -104,8 +104,12 @@
     : Settings(Settings), Actions(Actions),
       Hosts({Settings.Self.Host, Settings.Zone, Settings.PeerAddress,
              Settings.Capacity}),
+      Admission(Servers,
+                [this](const backend_id &Server) {
+                  return limitCounter(Server) == this->Settings.Self.Host;
+                }),
       Gossip(Hosts), Following(Hosts), Budget(Settings.Retries),
-      Owner(*this, Servers, Budget) {}
+      Owner(*this, Servers, Admission, Budget) {}
 
 active_request *serving_impl::find(request_id Request) {
   auto Found = Requests.find(Request);
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -1,5 +1,5 @@
-// Stages of a request: assignment of their jobs to queue owners, timeouts of
-// these jobs, and handling of their results.
+// Stages of a request: assignment of their jobs to queue owners, and timeouts
+// of these jobs.
 #include "serving_state.h"
 
 #include <algorithm>
@@ -25,8 +25,6 @@
 /// Interval at which an accepted job is submitted again to its remote owner,
 /// which may have crashed since it accepted the job.
 constexpr core_duration JobCheckInterval = milliseconds(700);
-/// Retry-After if the pieces of a stage fail: about one call of the pool.
-constexpr core_duration PieceFailureRetryAfter = milliseconds(500);
 /// Pools with more servers than this have one queue per zone.
 constexpr std::size_t MaxServersPerQueue = 8;
 /// Added to the wait in queues of other zones. Wait estimates are some tens of
@@ -367,118 +365,4 @@
   }
 }
 
-void serving_impl::onPiecesCompleted(const entry_host_id &Host,
-                                     const piece_job &Job,
-                                     std::vector<completed_piece> Pieces) {
-  if (Host == Settings.Self.Host)
-    handlePiecesCompleted(Job.Job, Job.Request, Host, std::move(Pieces));
-  else
-    sendToHost(Host, pieces_completed{Job.Job, Job.Request, std::move(Pieces)});
-}
-
-void serving_impl::onJobFailed(const entry_host_id &Host, piece_job_id Job,
-                               piece_failure Failure) {
-  if (Host == Settings.Self.Host)
-    handleJobFailure(Job, Host, Failure);
-  else
-    sendToHost(Host, pieces_failed{Job, Failure});
-}
-
-void serving_impl::onInputsFetched(const entry_host_id &Host,
-                                   piece_job_id Job) {
-  if (Host == Settings.Self.Host)
-    handleInputsFetched(Job, Host);
-  else
-    sendToHost(Host, inputs_fetched{Job});
-}
-
-// Returns whether Host is the owner that the job is assigned to. Progress and
-// failures reported by earlier owners are ignored; their finished pieces are
-// still accepted.
-bool serving_impl::isAssignedTo(const entry_host_id &Host,
-                                piece_job_id Job) const {
-  auto Found = PendingJobs.find(Job);
-  return Found != PendingJobs.end() && Found->second.Owner == Host;
-}
-
-void serving_impl::handleInputsFetched(piece_job_id Id,
-                                       const entry_host_id &From) {
-  if (!isAssignedTo(From, Id))
-    return;
-  auto Found = PendingJobs.find(Id);
-  active_request *State = find(Found->second.Request);
-  if (!State)
-    return;
-  stage_state &Stage = State->Stages[Found->second.Stage];
-  if (Stage.Phase != stage_phase::Requested)
-    return;
-  Stage.Phase = stage_phase::InputsFetched;
-  releaseUsed(*State);
-}
-
-void serving_impl::handlePiecesCompleted(piece_job_id Id,
-                                         const caller_request_id &Request,
-                                         const entry_host_id &From,
-                                         std::vector<completed_piece> Pieces) {
-  auto Found = PendingJobs.find(Id);
-  active_request *State =
-      Found == PendingJobs.end() ? nullptr : find(Found->second.Request);
-  std::set<std::uint32_t> Distinct;
-  for (const completed_piece &Piece : Pieces)
-    Distinct.insert(Piece.Piece);
-  if (!State || State->Request.CallerId != Request ||
-      Distinct.size() != Pieces.size() ||
-      Pieces.size() != State->Request.Pieces[Found->second.Stage]) {
-    stage_state Unwanted;
-    Unwanted.Results = std::move(Pieces);
-    Unwanted.Owner = From;
-    releaseStage(Unwanted);
-    return;
-  }
-  std::sort(Pieces.begin(), Pieces.end(),
-            [](const completed_piece &A, const completed_piece &B) {
-              return A.Piece < B.Piece;
-            });
-  stage_state &Stage = State->Stages[Found->second.Stage];
-  if (Found->second.Owner != From)
-    cancelJobAt(Found->second.Owner, Id);
-  PendingJobs.erase(Found);
-  Stage.Phase = stage_phase::Done;
-  Stage.Duration = Now - Stage.RequestedAt;
-  Stage.Results = std::move(Pieces);
-  Stage.Owner = From;
-  releaseUsed(*State);
-  startReadyStages(*State);
-}
-
-void serving_impl::handleJobFailure(piece_job_id Id, const entry_host_id &From,
-                                    piece_failure Failure) {
-  if (!isAssignedTo(From, Id))
-    return;
-  auto Found = PendingJobs.find(Id);
-  active_request *State = find(Found->second.Request);
-  std::uint32_t Stage = Found->second.Stage;
-  if (State && Failure == piece_failure::OwnerChanged) {
-    assignJob(Id, *State);
-    return;
-  }
-  PendingJobs.erase(Found);
-  if (!State)
-    return;
-  State->Stages[Stage].Phase = stage_phase::Waiting;
-  log(event_number::PiecesFailed, event_severity::Warning,
-      "pieces of a stage failed",
-      {{"request", State->Request.CallerId.Value},
-       {"stage", std::to_string(Stage)},
-       {"reason", Failure == piece_failure::InputGone ? "input_gone"
-                  : Failure == piece_failure::Late    ? "late"
-                                                      : "not_made"}});
-  if (Failure == piece_failure::InputGone &&
-      recomputeResults(*State, State->Route->Stages[Stage].After))
-    return;
-  refusal_kind Kind = Failure == piece_failure::Late ? refusal_kind::Overloaded
-                                                     : refusal_kind::NoBackend;
-  failRequest(*State, Kind, PieceFailureRetryAfter);
-}
-
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminecroft/core/serving/batch_owner.h"
+#include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
@@ -190,11 +191,11 @@
   void onPeerUnreachable(const entry_host_id &Host);
 
   // batch_actions
-  void runBatch(batch_id Batch, const backend_entry &Server,
+  void runBatch(batch_id Batch, call_permit Permit,
                 std::vector<batch_item> Items, core_duration Timeout) override;
-  void freeResults(const backend_entry &Server,
+  void freeResults(call_permit Permit,
                    std::vector<result_handle> Results) override;
-  void readServer(const backend_entry &Server) override;
+  void readServer(call_permit Permit) override;
   void onPiecesCompleted(const entry_host_id &Host, const piece_job &Job,
                          std::vector<completed_piece> Pieces) override;
   void onJobFailed(const entry_host_id &Host, piece_job_id Job,
@@ -208,6 +209,7 @@
   std::string ConfigText;
   backend_directory Servers;
   fleet_hosts Hosts;
+  call_admission Admission;
   store_gossip Gossip;
   store_following Following;
   retry_budget Budget;
@@ -314,9 +316,8 @@
   void logLimit(const backend_id &Server, limit_change Change,
                 std::string_view Source);
   entry_host_id limitCounter(const backend_id &Server) const;
-  std::set<backend_id> unavailableByLimit(const active_request &State);
   backend_state *unusedLimitedServer(const active_request &State);
-  void spendLimit(active_request &State, const backend_entry &Server);
+  void onLimitSpent(active_request &State, const backend_id &Server);
   bool needsPermit(const active_request &State);
   bool waitForPermit(active_request &State);
   void requestPermit(active_request &State, core_duration RetryIn);
@@ -349,13 +350,20 @@
   void on(const host_run &Sender, const crash_report &Body);
   void on(const host_run &Sender, const part_rulings &Body);
 
-  // Calls.
-  void sendCall(active_request &State);
+  // Choice of servers: serving_choice.cc.
+  call_subject subjectOf(const active_request &State) const;
+  std::vector<backend_state *> openServers(const active_request &State);
+  bool hasUntriedServer(const active_request &State);
   backend_state *chooseServer(const active_request &State);
   core_duration expectedReplyTime(const active_request &State,
                                   const backend_state &Server) const;
   core_duration attemptTimeout(const active_request &State,
                                const backend_state &Server) const;
+  void observeFirstByte(const active_request &State);
+  void observeStream(const active_request &State);
+
+  // Calls.
+  void sendCall(active_request &State);
   void onAttemptTimeout(call_id Call);
   active_request *callRequest(call_id Call);
   void endCall(call_id Call);
@@ -366,8 +374,6 @@
   void addPartFields(const active_request &State,
                      std::vector<event_field> &Fields) const;
   void resumeStream(active_request &State);
-  void observeFirstByte(const active_request &State);
-  void observeStream(const active_request &State);
 
   // Peers.
   void sendToHost(const entry_host_id &Host, peer_body Body);
--- a/packages/core/test/batch-owner-fixture.h
+++ b/packages/core/test/batch-owner-fixture.h
@@ -18,17 +18,17 @@
     std::vector<batch_item> Items;
   };
 
-  void runBatch(batch_id Batch, const backend_entry &Server,
+  void runBatch(batch_id Batch, call_permit Permit,
                 std::vector<batch_item> Items, core_duration) override {
-    Calls.emplace(Batch, call{Server, std::move(Items)});
+    Calls.emplace(Batch, call{Permit.server(), std::move(Items)});
   }
-  void freeResults(const backend_entry &Server,
+  void freeResults(call_permit Permit,
                    std::vector<result_handle> Results) override {
     for (result_handle &Result : Results)
-      Freed[Server.Id].push_back(std::move(Result));
+      Freed[Permit.server().Id].push_back(std::move(Result));
   }
-  void readServer(const backend_entry &Server) override {
-    LoadQueries.push_back(Server.Id);
+  void readServer(call_permit Permit) override {
+    LoadQueries.push_back(Permit.server().Id);
   }
   void onPiecesCompleted(const entry_host_id &, const piece_job &Job,
                          std::vector<completed_piece> Pieces) override {
@@ -58,7 +58,7 @@
 class batch_owner_fixture {
 public:
   explicit batch_owner_fixture(int ServerCount = 1)
-      : Budget(limits()), Owner(Actions, Servers, Budget) {
+      : Budget(limits()), Owner(Actions, Servers, Admission, Budget) {
     serving_pool Pool;
     Pool.Name = pool_id("pool");
     Pool.Batches = rules();
@@ -176,6 +176,7 @@
 
   recorded_batches Actions;
   backend_directory Servers;
+  call_admission Admission{Servers, [](const backend_id &) { return true; }};
   retry_budget Budget;
   batch_owner Owner;
   host_run Host{entry_host_id("h0"), incarnation(1)};
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -46,20 +46,20 @@
   void abortResponse(request_id Request) override {
     Streams[Request].Aborted = true;
   }
-  void forward(call_id Call, const forward_call &Forward) override {
+  void forward(call_id Call, call_permit,
+               const forward_call &Forward) override {
     Forwards.emplace(Call, Forward);
     LastForward = Call;
   }
-  void runPieces(call_id Call, const backend_entry &Server,
+  void runPieces(call_id Call, call_permit Permit,
                  std::vector<batch_item> Items, core_duration) override {
-    Pieces.emplace(Call, pieces_call{Server, std::move(Items)});
+    Pieces.emplace(Call, pieces_call{Permit.server(), std::move(Items)});
   }
-  void freeResults(const backend_entry &,
-                   std::vector<result_handle> Results) override {
+  void freeResults(call_permit, std::vector<result_handle> Results) override {
     Freed.insert(Freed.end(), Results.begin(), Results.end());
   }
-  void readServer(const backend_entry &Server) override {
-    LoadRequests.push_back(Server.Id);
+  void readServer(call_permit Permit) override {
+    LoadRequests.push_back(Permit.server().Id);
   }
   void cancelCall(call_id Call) override { Cancelled.push_back(Call); }
   void sendToPeer(const batching_host &Host, peer_body Body) override {
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -229,9 +229,10 @@
 
 } // namespace
 
-void serving_backends::forward(call_id Call, const forward_call &Forward) {
+void serving_backends::forward(call_id Call, call_permit Permit,
+                               const forward_call &Forward) {
   backend_call_request Request;
-  Request.Address = Forward.Server.Address;
+  Request.Address = Permit.server().Address;
   Request.Text = platform::encodeForward(Forward);
   Request.Message = Forward.Message;
   Request.CallerId = Forward.CallerId;
@@ -244,9 +245,10 @@
       std::make_shared<forward_listener>(*this, Results, Pool, Call, Forward));
 }
 
-void serving_backends::runPieces(call_id Call, const backend_entry &Server,
+void serving_backends::runPieces(call_id Call, call_permit Permit,
                                  const std::vector<batch_item> &Items,
                                  core_duration Timeout) {
+  const backend_entry &Server = Permit.server();
   backend_call_request Request;
   Request.Address = Server.Address;
   Request.Text = platform::encodePieces(Server, Items);
@@ -259,8 +261,9 @@
                                                          Server, Items.size()));
 }
 
-void serving_backends::freeResults(const backend_entry &Server,
+void serving_backends::freeResults(call_permit Permit,
                                    const std::vector<result_handle> &Handles) {
+  const backend_entry &Server = Permit.server();
   backend_call_request Request;
   Request.Address = Server.Address;
   Request.Text = platform::encodeFree(Server, Handles);
@@ -269,7 +272,8 @@
                    std::make_shared<free_listener>(Results, Server));
 }
 
-void serving_backends::readServer(const backend_entry &Server) {
+void serving_backends::readServer(call_permit Permit) {
+  const backend_entry &Server = Permit.server();
   backend_call_request Request;
   Request.Address = Server.Address;
   Request.Text = platform::encodeLoadQuestion(Server);
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -39,12 +39,12 @@
       : Context(Context), Results(Results),
         Pool(std::make_shared<connection_pool>(Context, std::move(Listed))) {}
 
-  void forward(call_id Call, const forward_call &Forward);
-  void runPieces(call_id Call, const backend_entry &Server,
+  void forward(call_id Call, call_permit Permit, const forward_call &Forward);
+  void runPieces(call_id Call, call_permit Permit,
                  const std::vector<batch_item> &Items, core_duration Timeout);
-  void freeResults(const backend_entry &Server,
+  void freeResults(call_permit Permit,
                    const std::vector<result_handle> &Handles);
-  void readServer(const backend_entry &Server);
+  void readServer(call_permit Permit);
   void cancel(call_id Call);
   /// The call has ended and is no longer known.
   void forget(call_id Call) { Calls.erase(Call); }
--- a/packages/testing/processes/test/cut-heads-test.cc
+++ b/packages/testing/processes/test/cut-heads-test.cc
@@ -183,6 +183,14 @@
   return Entry;
 }
 
+call_permit permitFor(const endpoint &Address, admission_purpose Purpose) {
+  backend_directory Servers;
+  call_admission Admission(Servers, [](const backend_id &) { return true; });
+  backend_entry Entry = entryAt(Address);
+  Servers.update(Entry);
+  return *Admission.admit(Entry.Id, {Purpose}, core_time());
+}
+
 /// Plays each cut of each answer: Ask starts a call, Done tells its end.
 void playCuts(asio::io_context &Context, cutting_server &Server,
               const std::vector<answer_text> &Answers,
@@ -235,12 +243,18 @@
       auto Ask = [&] {
         if (Kept) {
           int Before = Results.Whole;
-          Backends.forward(call_id(++Call), callTo(Server, false));
+          Backends.forward(
+              call_id(++Call),
+              permitFor(Server.address(), admission_purpose::Request),
+              callTo(Server, false));
           while (Results.Whole == Before)
             Context.run_one();
         }
         ++Asked;
-        Backends.forward(call_id(++Call), callTo(Server, Streamed));
+        Backends.forward(
+            call_id(++Call),
+            permitFor(Server.address(), admission_purpose::Request),
+            callTo(Server, Streamed));
       };
       playCuts(Context, Server, framings(Signed + Type, Body), Ask, [&] {
         return Results.Failed == Asked || Results.Whole > Asked;
@@ -269,8 +283,10 @@
       Context, Server,
       framings("X-Replica-Load: 1,0,1\r\n", R"({"entries":[{"handle":"h"}]})"),
       [&] {
-        Backends.runPieces(call_id(static_cast<std::uint64_t>(++Asked)),
-                           entryAt(Server.address()), {Item}, Timeout);
+        Backends.runPieces(
+            call_id(static_cast<std::uint64_t>(++Asked)),
+            permitFor(Server.address(), admission_purpose::Pieces), {Item},
+            Timeout);
       },
       Done);
   playCuts(
@@ -279,7 +295,8 @@
                R"({"free_mb":9.0,"busy":false})"),
       [&] {
         ++Asked;
-        Backends.readServer(entryAt(Server.address()));
+        Backends.readServer(
+            permitFor(Server.address(), admission_purpose::LoadQuery));
       },
       Done);
   CHECK(Results.Whole == 0);
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -390,24 +390,26 @@
   });
 }
 
-void world_host::forward(call_id Call, const forward_call &Forward) {
-  openCall(Call, Forward.Server, Forward.TimeLeft + AnswerSlack,
+void world_host::forward(call_id Call, call_permit Permit,
+                         const forward_call &Forward) {
+  openCall(Call, Permit.server(), Forward.TimeLeft + AnswerSlack,
            [Forward](world_server &Server, const world_link &Link) {
              Server.forward(Link, Forward);
            });
 }
 
-void world_host::runPieces(call_id Call, const backend_entry &Server,
+void world_host::runPieces(call_id Call, call_permit Permit,
                            std::vector<batch_item> Items,
                            core_duration Timeout) {
-  openCall(Call, Server, Timeout,
+  openCall(Call, Permit.server(), Timeout,
            [Items](world_server &Target, const world_link &Link) {
              Target.runPieces(Link, Items);
            });
 }
 
-void world_host::freeResults(const backend_entry &Server,
+void world_host::freeResults(call_permit Permit,
                              std::vector<result_handle> Results) {
+  const backend_entry &Server = Permit.server();
   World.Queue.after(ServerWay, [this, Id = Server.Id, There = Server.Zone,
                                 Results = std::move(Results)] {
     world_server *Target = World.server(Id);
@@ -418,7 +420,8 @@
   });
 }
 
-void world_host::readServer(const backend_entry &Server) {
+void world_host::readServer(call_permit Permit) {
+  const backend_entry &Server = Permit.server();
   incarnation Current = Run;
   World.Queue.after(
       2 * ServerWay, [this, Current, Id = Server.Id, There = Server.Zone] {
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -60,12 +60,13 @@
   void relayStreamEvents(request_id Request, std::string Text) override;
   void relayStreamEnd(request_id Request) override;
   void abortResponse(request_id Request) override;
-  void forward(call_id Call, const forward_call &Forward) override;
-  void runPieces(call_id Call, const backend_entry &Server,
+  void forward(call_id Call, call_permit Permit,
+               const forward_call &Forward) override;
+  void runPieces(call_id Call, call_permit Permit,
                  std::vector<batch_item> Items, core_duration Timeout) override;
-  void freeResults(const backend_entry &Server,
+  void freeResults(call_permit Permit,
                    std::vector<result_handle> Results) override;
-  void readServer(const backend_entry &Server) override;
+  void readServer(call_permit Permit) override;
   void cancelCall(call_id Call) override;
   void sendToPeer(const batching_host &Host, peer_body Body) override;
   void reconnectPeer(const entry_host_id &) override {}
