--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -3,6 +3,7 @@
 #include "jasminecroft/entry/serving_settings.h"
 
 #include "../steady_time.h"
+#include "host_environment.h"
 #include "jasminecroft/wire/nng_transport.h"
 #include "line_log.h"
 #include "page_listener.h"
@@ -16,7 +17,6 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
-#include <sys/resource.h>
 
 namespace jasminecroft {
 
@@ -41,35 +41,6 @@
 constexpr milliseconds GraceMargin{500};
 /// Callers have this long to read the final replies before the process ends.
 constexpr milliseconds LastReplyLead{300};
-constexpr std::size_t FallbackDescriptors = 1'024;
-/// Share of the descriptors that callers may hold.
-constexpr std::size_t CallersDescriptorDivisor = 2;
-
-std::size_t maxCallers() {
-  rlimit Descriptors{};
-  std::size_t Limit = FallbackDescriptors;
-  if (getrlimit(RLIMIT_NOFILE, &Descriptors) == 0)
-    Limit = Descriptors.rlim_cur;
-  return Limit / CallersDescriptorDivisor;
-}
-
-std::optional<asio::ip::tcp::endpoint> toSocket(const endpoint &Address) {
-  std::optional<ip_port> Parts = splitEndpoint(Address);
-  if (!Parts)
-    return std::nullopt;
-  error Error;
-  asio::ip::address Ip = asio::ip::make_address(Parts->Address, Error);
-  if (Error)
-    return std::nullopt;
-  return asio::ip::tcp::endpoint(Ip, Parts->Port);
-}
-
-incarnation thisRun() {
-  return incarnation(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count()));
-}
 
 class serving_host final : private serving_actions,
                            private serving_front_listener,
@@ -81,7 +52,7 @@
         File(std::move(File)), Self{Settings.Host, thisRun()},
         Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
-        Core(coreSettings(), *this),
+        Core(coreSettings(Settings, Self), *this),
         Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
         Backends(Context, *this,
                  [this] { return Core.backends().listedAddresses(); }),
@@ -106,18 +77,6 @@
   }
 
 private:
-  serving_settings coreSettings() const {
-    serving_settings Result;
-    Result.Self = Self;
-    Result.Zone = Settings.Zone;
-    Result.PeerAddress = Settings.Peers;
-    Result.Capacity = Settings.Capacity;
-    Result.Retries = Settings.Retries;
-    Result.Seeds = Settings.Seeds;
-    Result.BatchAlone = Settings.BatchAlone;
-    return Result;
-  }
-
   std::optional<settings_error> startAll() {
     nng_transport_settings Transport;
     Transport.Fleet = Settings.Fleet;
