Send nothing more to the servers of a zone that the operator empties

Cause: an order to empty a zone lies in the platform's store; the code did not read it, so that the zone's servers went on being used. Change: emptied_zones, a source of call_admission, keeps the latest order for each zone and turns down calls of every purpose. Hosts that watch the store read the orders and tell all others at once (zone_orders); gossip, answers to hosts that start and corrections of outdated senders repeat them. Jobs that wait in the queue of an emptied zone go to that of another zone; a request that needs a pool with servers in emptied zones only is refused at once, not run. The setting emptied_zones, which the template sets only where the deployment states its bound, switches the reading on. An obstacle without a known end goes before the others, so that no refusal names a time that does not exist.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -28,6 +28,7 @@
 inline constexpr std::size_t MaxPartsPerReport = 32;
 inline constexpr std::size_t MaxRulingsPerMessage = 1'024;
 inline constexpr std::size_t MaxLimitsPerMessage = 4'096;
+inline constexpr std::size_t MaxZoneOrdersPerMessage = 256;
 
 enum class member_state { Alive, Suspect, Dead, Left };
 std::string_view toText(member_state State);
@@ -315,6 +316,11 @@
   core_duration RetryIn{0};
   bool operator==(const send_permit_reply &) const = default;
 };
+/// The operator's latest orders to empty zones and to take them back.
+struct zone_orders {
+  std::vector<zone_order> Orders;
+  bool operator==(const zone_orders &) const = default;
+};
 /// Submits a job to the owner of a queue.
 struct piece_request {
   piece_job Job;
@@ -369,7 +375,7 @@
     piece_request, pieces_accepted, pieces_completed, pieces_failed,
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
     store_poll, store_news, crash_report, part_rulings, server_limit_list,
-    send_permit_request, send_permit_reply, server_leaving>;
+    send_permit_request, send_permit_reply, server_leaving, zone_orders>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -243,6 +243,7 @@
   static queue_key queueOf(const piece_job &Job);
   std::vector<job_key> &queue(const queue_key &Key) { return Queues[Key].Jobs; }
   void dispatchQueue(const queue_key &Key, bool Scans, core_time Now);
+  bool isEmptied(const queue_key &Key, core_time Now);
   void failUnservedJobs(const queue_key &Key, core_time Now);
   wait_estimator makeWaitEstimator(const queue_key &Key,
                                    const std::vector<planned_server> &Servers);
--- a/packages/core/include/jasminecroft/core/serving/call_admission.h
+++ b/packages/core/include/jasminecroft/core/serving/call_admission.h
@@ -32,6 +32,7 @@
   Paused,
   Limited,
   Backoff,
+  ZoneEmptied,
 };
 std::string_view toText(admission_obstacle Obstacle);
 
@@ -100,7 +101,8 @@
   call_admission &operator=(const call_admission &) = delete;
 
   /// Adds a source, which must outlive this object. The first obstacle found,
-  /// in the order of addition, is the answer; it ends with the last one.
+  /// in the order of addition, is the answer; it ends with the last one. One
+  /// whose end is not known goes before the others.
   void addSource(admission_source &Source);
 
   admission_answer check(const backend_state &Server,
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -218,6 +218,8 @@
   std::vector<endpoint> Seeds;
   /// Batches only the pieces of this host's own requests; for comparisons.
   bool BatchAlone = false;
+  /// The operator may empty zones: their orders are read from the store.
+  bool EmptiedZones = false;
 };
 
 /// Counters since start; InProgress is a gauge.
@@ -246,6 +248,10 @@
   std::uint64_t OddPauses = 0;
   /// Parts of prompts in quarantine; a gauge.
   std::uint64_t QuarantinedParts = 0;
+  /// Zones that the operator has emptied; a gauge.
+  std::uint64_t EmptiedZones = 0;
+  /// Requests that were refused because a pool has servers in such zones only.
+  std::uint64_t RefusedByEmptiedZones = 0;
 };
 
 /// Routes, schedules and retries the requests of one entry host. Deterministic:
@@ -302,6 +308,13 @@
   /// All changes of backend servers in the store up to Revision have been
   /// reported.
   void onBackendsRead(object_version Revision, core_time Now);
+  /// An order of the operator was read from the store.
+  void onZoneOrder(const zone_order &Order, core_time Now);
+  /// All zones that are emptied as of a revision of the store.
+  void onZoneList(const std::vector<zone_order> &Emptied,
+                  object_version Revision, core_time Now);
+  /// All orders up to Revision have been reported.
+  void onZonesRead(object_version Revision, core_time Now);
   /// A call of the store for objects of this kind was answered, and what it
   /// told has been reported.
   void onStoreRead(store_kind Kind, core_time Now);
--- a/packages/core/include/jasminecroft/core/serving/store_gossip.h
+++ b/packages/core/include/jasminecroft/core/serving/store_gossip.h
@@ -11,8 +11,9 @@
 
 namespace jasminecroft {
 
-/// Kinds of objects whose read progress hosts compare.
-enum class store_kind { Config, Backends };
+/// Kinds of objects that watchers hand on. Hosts compare how far they have read
+/// the first two.
+enum class store_kind { Config, Backends, EmptiedZones };
 
 /// How far a host has read the store.
 struct store_progress {
--- a/packages/core/include/jasminecroft/core/stored_objects.h
+++ b/packages/core/include/jasminecroft/core/stored_objects.h
@@ -177,4 +177,13 @@
 /// Returns the key of an archived change record.
 object_key auditKey(config_version Version);
 
+/// The operator's word on a zone as of a revision of the store: nothing more is
+/// sent to its backend servers, or the zone was taken back.
+struct zone_order {
+  zone_id Zone;
+  object_version Revision;
+  bool Emptied = false;
+  bool operator==(const zone_order &) const = default;
+};
+
 } // namespace jasminecroft
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -254,13 +254,39 @@
   }
 }
 
+// Returns whether all servers of a queue are in zones that the operator
+// emptied.
+bool batch_owner::isEmptied(const queue_key &Key, core_time Now) {
+  bool Any = false;
+  for (const std::pair<backend_state *, admission_answer> &Entry :
+       Admission.survey(Key.Pool, {admission_purpose::Pieces}, Now)) {
+    if (!Key.Zone.empty() && Entry.first->Entry.Zone != Key.Zone)
+      continue;
+    if (Entry.second.Obstacle != admission_obstacle::ZoneEmptied)
+      return false;
+    Any = true;
+  }
+  return Any;
+}
+
 // Fails jobs that have waited for a server longer than the platform's list
-// takes to show a new one.
+// takes to show a new one. Jobs in the queue of an emptied zone go to that of
+// another zone as soon as none of their pieces is in a call.
 void batch_owner::failUnservedJobs(const queue_key &Key, core_time Now) {
+  bool Emptied = isEmptied(Key, Now);
+  piece_failure Failure = Emptied && !Key.Zone.empty()
+                              ? piece_failure::OwnerChanged
+                              : piece_failure::NotMade;
   const std::vector<job_key> Keys = queue(Key);
-  for (const job_key &Id : Keys)
-    if (Now - Jobs.at(Id).Arrived > NoServerTimeout)
-      failJob(Id, piece_failure::NotMade, Now);
+  for (const job_key &Id : Keys) {
+    auto Job = Jobs.find(Id);
+    if (Job == Jobs.end())
+      continue;
+    bool Running = Job->second.Waiting.size() < Job->second.Missing;
+    bool Waited = Now - Job->second.Arrived > NoServerTimeout;
+    if (Emptied ? !Running : Waited)
+      failJob(Id, Failure, Now);
+  }
 }
 
 // Starts calls on idle servers. Without one, a long queue is only ordered when
--- a/packages/core/src/serving/call_admission.cc
+++ b/packages/core/src/serving/call_admission.cc
@@ -18,6 +18,8 @@
     return "limited";
   case admission_obstacle::Backoff:
     return "backoff";
+  case admission_obstacle::ZoneEmptied:
+    return "zone_emptied";
   }
   return "not_usable";
 }
@@ -129,11 +131,9 @@
     admission_answer Found = Source->check(Server, Subject, Now);
     if (Found.admitted())
       continue;
-    if (Answer.admitted())
+    if (Answer.admitted() || (Answer.Until && !Found.Until))
       Answer = Found;
-    else if (!Found.Until || !Answer.Until)
-      Answer.Until.reset();
-    else
+    else if (Answer.Until)
       Answer.Until = std::max(*Answer.Until, *Found.Until);
   }
   return Answer;
--- /dev/null
+++ b/packages/core/src/serving/emptied_zones.cc
@@ -0,0 +1,101 @@
+// Order of the operator's words on zones.
+#include "jasminecroft/core/serving/emptied_zones.h"
+
+#include "jasminecroft/core/peer_messages.h"
+
+#include <algorithm>
+
+namespace jasminecroft {
+
+namespace {
+
+// The store may report a removal under the revision of the removed entry.
+bool isLater(const zone_order &Order, const zone_order &Known) {
+  if (Order.Revision != Known.Revision)
+    return Order.Revision > Known.Revision;
+  return !Order.Emptied && Known.Emptied;
+}
+
+} // namespace
+
+bool emptied_zones::isOutdated(const zone_order &Order) const {
+  auto Known = Orders.find(Order.Zone);
+  return Known != Orders.end() && isLater(Known->second, Order);
+}
+
+bool emptied_zones::isEmptied(const zone_id &Zone) const {
+  auto Known = Orders.find(Zone);
+  return Known != Orders.end() && Known->second.Emptied;
+}
+
+bool emptied_zones::apply(const zone_order &Order) {
+  bool Before = isEmptied(Order.Zone);
+  auto Known = Orders.find(Order.Zone);
+  if (Known != Orders.end() && !isLater(Order, Known->second))
+    return false;
+  Orders[Order.Zone] = Order;
+  if (Before != Order.Emptied)
+    Emptied = Order.Emptied ? Emptied + 1 : Emptied - 1;
+  forgetOldest();
+  return Before != Order.Emptied;
+}
+
+bool emptied_zones::applyTold(const zone_order &Order) {
+  if (Order.Revision > ReadTo || Orders.contains(Order.Zone))
+    return apply(Order);
+  // The zone was not emptied when the store was read later.
+  apply({Order.Zone, ReadTo, false});
+  return false;
+}
+
+std::vector<zone_order>
+emptied_zones::replaceAll(const std::vector<zone_order> &Listed,
+                          object_version Revision) {
+  std::vector<zone_order> Wanted = Listed;
+  for (const std::pair<const zone_id, zone_order> &Known : Orders) {
+    bool IsListed = std::any_of(Listed.begin(), Listed.end(),
+                                [&Known](const zone_order &Order) {
+                                  return Order.Zone == Known.first;
+                                });
+    if (!IsListed && Known.second.Emptied)
+      Wanted.push_back({Known.first, Revision, false});
+  }
+  std::vector<zone_order> Changed;
+  for (const zone_order &Order : Wanted)
+    if (apply(Order))
+      Changed.push_back(Order);
+  onRead(Revision);
+  return Changed;
+}
+
+void emptied_zones::onRead(object_version Revision) {
+  ReadTo = std::max(ReadTo, Revision);
+}
+
+std::vector<zone_order> emptied_zones::orders() const {
+  std::vector<zone_order> Result;
+  for (const std::pair<const zone_id, zone_order> &Known : Orders)
+    Result.push_back(Known.second);
+  return Result;
+}
+
+admission_answer emptied_zones::check(const backend_state &Server,
+                                      const call_subject &, core_time) {
+  if (isEmptied(Server.Entry.Zone))
+    return {admission_obstacle::ZoneEmptied, std::nullopt};
+  return {};
+}
+
+// Peers and the store may name any number of zones; a message holds so many.
+void emptied_zones::forgetOldest() {
+  if (Orders.size() <= MaxZoneOrdersPerMessage)
+    return;
+  auto Oldest = std::min_element(Orders.begin(), Orders.end(),
+                                 [](const auto &A, const auto &B) {
+                                   return A.second.Revision < B.second.Revision;
+                                 });
+  Emptied -= Oldest->second.Emptied ? 1 : 0;
+  Orders.erase(Oldest);
+}
+
+} // namespace jasminecroft
--- a/packages/core/src/serving/serving_batches.cc
+++ b/packages/core/src/serving/serving_batches.cc
@@ -93,8 +93,12 @@
                                piece_failure Failure) {
   if (Host == Settings.Self.Host)
     handleJobFailure(Job, Host, Failure);
-  else
+  else {
+    // The host chooses another queue only if it knows the same orders.
+    if (Failure == piece_failure::OwnerChanged && Emptied.count() != 0)
+      sendToHost(Host, zone_orders{Emptied.orders()});
     sendToHost(Host, pieces_failed{Job, Failure});
+  }
 }
 
 void serving_impl::onInputsFetched(const entry_host_id &Host,
--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -23,12 +23,22 @@
 
 using namespace detail;
 
-void serving_impl::onStoreRead(store_kind Kind) {
-  (Kind == store_kind::Config ? ConfigCurrent : BackendsCurrent) = true;
+void serving_impl::onStoreRead(store_kind Kind) { setCurrent(Kind, true); }
+
+void serving_impl::onStoreLost(store_kind Kind) { setCurrent(Kind, false); }
+
+void serving_impl::setCurrent(store_kind Kind, bool Current) {
+  if (Kind == store_kind::Config)
+    ConfigCurrent = Current;
+  else if (Kind == store_kind::Backends)
+    BackendsCurrent = Current;
 }
 
-void serving_impl::onStoreLost(store_kind Kind) {
-  (Kind == store_kind::Config ? ConfigCurrent : BackendsCurrent) = false;
+void serving_impl::resyncAll() {
+  Actions.resyncStore(store_kind::Config);
+  Actions.resyncStore(store_kind::Backends);
+  if (Settings.EmptiedZones)
+    Actions.resyncStore(store_kind::EmptiedZones);
 }
 
 // Returns whether this host may tell others that what it knows is current.
@@ -156,8 +166,7 @@
     return;
   ConfigCurrent = false;
   BackendsCurrent = false;
-  Actions.resyncStore(store_kind::Config);
-  Actions.resyncStore(store_kind::Backends);
+  resyncAll();
 }
 
 void serving_impl::processFollowing() {
@@ -176,10 +185,8 @@
   if (Due.Poll)
     sendToHost(Due.Poll->Host,
                store_poll{Gossip.progress().Config, Gossip.backendsReadTo()});
-  if (Due.ReadStore) {
-    Actions.resyncStore(store_kind::Config);
-    Actions.resyncStore(store_kind::Backends);
-  }
+  if (Due.ReadStore)
+    resyncAll();
   if (!PushAt || *PushAt > Now)
     return;
   PushAt.reset();
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -92,6 +92,8 @@
   std::vector<server_limit_news> Limits = Servers.limits().inForce(Now);
   if (!Limits.empty())
     Actions.sendToPeer(Host, server_limit_list{std::move(Limits)});
+  if (!Emptied.empty())
+    Actions.sendToPeer(Host, zone_orders{Emptied.orders()});
 }
 
 void serving_impl::onHost(const batching_host &Host, core_time) {
@@ -353,6 +355,19 @@
   event_scope Event(*Impl, Now);
   Impl->onBackendsRead(Revision, object_version());
 }
+void serving_core::onZoneOrder(const zone_order &Order, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onZoneOrder(Order);
+}
+void serving_core::onZoneList(const std::vector<zone_order> &Emptied,
+                              object_version Revision, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onZoneList(Emptied, Revision);
+}
+void serving_core::onZonesRead(object_version Revision, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onZonesRead(Revision);
+}
 void serving_core::onStoreRead(store_kind Kind, core_time Now) {
   event_scope Event(*Impl, Now);
   Impl->onStoreRead(Kind);
@@ -415,6 +430,7 @@
   Result.BatchedPieces = Impl->Owner.piecesStarted();
   Result.LimitedServers = Impl->limitedServers();
   Result.QuarantinedParts = Impl->quarantinedParts();
+  Result.EmptiedZones = Impl->emptiedZones();
   return Result;
 }
 
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -109,7 +109,9 @@
                   return limitCounter(Server) == this->Settings.Self.Host;
                 }),
       Gossip(Hosts), Following(Hosts), Budget(Settings.Retries),
-      Owner(*this, Servers, Admission, Budget) {}
+      Owner(*this, Servers, Admission, Budget) {
+  Admission.addSource(Emptied);
+}
 
 active_request *serving_impl::find(request_id Request) {
   auto Found = Requests.find(Request);
@@ -219,7 +221,7 @@
       State.PlannedZone = Planned->Entry.Zone;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     State.Stages[Stage].QueueZone = queueZone(State, Stage);
-  if (shedIfLate(State) || refusePaused(State))
+  if (refuseEmptied(State) || shedIfLate(State) || refusePaused(State))
     return;
   if (!endsBeforeDrain(State, State.Forecast)) {
     failRequest(State, refusal_kind::ShuttingDown, MinRetryAfter);
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -130,7 +130,8 @@
 // pools have one per zone, so that the load of an owner and the work affected
 // by its failure do not grow with the fleet. Among these, the queue with the
 // shortest estimated wait is chosen; the time to transfer the results and a
-// penalty are added for zones other than that of the inputs.
+// penalty are added for zones other than that of the inputs. Emptied zones have
+// none.
 zone_id serving_impl::queueZone(const active_request &State,
                                 std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
@@ -139,7 +140,10 @@
     return zone_id();
   std::set<zone_id> Zones;
   for (const backend_state *Server : Usable)
-    Zones.insert(Server->Entry.Zone);
+    if (!Emptied.isEmptied(Server->Entry.Zone))
+      Zones.insert(Server->Entry.Zone);
+  if (Zones.empty())
+    return zone_id();
   zone_id Near = inputZone(State);
   std::uint64_t Bytes = Plan.ResultBytes * State.Request.Pieces[Stage];
   for (std::uint32_t Before : Plan.After)
@@ -198,6 +202,10 @@
 void serving_impl::assignJob(piece_job_id Id, active_request &State) {
   job_state &Pending = PendingJobs[Id];
   const pool_id &Pool = State.Route->Stages[Pending.Stage].Pool;
+  if (poolEmptied(Pool)) {
+    refuseForEmptiedZones(State);
+    return;
+  }
   Pending.QueueZone = queueZone(State, Pending.Stage);
   State.Stages[Pending.Stage].QueueZone = Pending.QueueZone;
   Pending.EverAccepted = false;
@@ -234,7 +242,7 @@
     Job.InputBytes += State.Route->Stages[Before].ResultBytes *
                       State.Stages[Before].Results.size();
   if (isFinalStage(State, Pending.Stage))
-    Job.NearZone = State.PlannedZone;
+    Job.NearZone = keptZone(State.PlannedZone);
   Job.QueueZone = Pending.QueueZone;
   Pending.Accepted = false;
   Pending.RequestedAt = Now;
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -4,6 +4,7 @@
 
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
+#include "jasminecroft/core/serving/emptied_zones.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
@@ -190,6 +191,13 @@
   void onBackendsRead(object_version Revision, object_version Newest);
   void onPeerUnreachable(const entry_host_id &Host);
 
+  // Zones that the operator empties: serving_zones.cc.
+  void onZoneOrder(const zone_order &Order);
+  void onZoneList(const std::vector<zone_order> &Listed,
+                  object_version Revision);
+  void onZonesRead(object_version Revision) { Emptied.onRead(Revision); }
+  std::size_t emptiedZones() const { return Emptied.count(); }
+
   // batch_actions
   void runBatch(batch_id Batch, call_permit Permit,
                 std::vector<batch_item> Items, core_duration Timeout) override;
@@ -209,6 +217,7 @@
   std::string ConfigText;
   backend_directory Servers;
   fleet_hosts Hosts;
+  emptied_zones Emptied;
   call_admission Admission;
   store_gossip Gossip;
   store_following Following;
@@ -335,6 +344,15 @@
   void on(const host_run &Sender, const send_permit_request &Body);
   void on(const host_run &Sender, const send_permit_reply &Body);
 
+  // Zones that the operator empties: serving_zones.cc.
+  void logZone(const zone_order &Order, std::string_view Source);
+  void announceZones(const std::vector<zone_order> &Changed);
+  bool poolEmptied(const pool_id &Pool);
+  bool refuseEmptied(active_request &State);
+  void refuseForEmptiedZones(active_request &State);
+  zone_id keptZone(const zone_id &Zone) const;
+  void on(const host_run &Sender, const zone_orders &Body);
+
   // Parts that crash servers: serving_quarantine.cc.
   void askAtStart(const batching_host &Host);
   void reportCrash(const active_request &State);
@@ -399,6 +417,8 @@
   // Following: serving_following.cc.
   void processFollowing();
   void checkStall();
+  void setCurrent(store_kind Kind, bool Current);
+  void resyncAll();
   void pushNews();
   bool storeCurrent() const;
   store_news newsSince(object_version Since) const;
--- /dev/null
+++ b/packages/core/src/serving/serving_zones.cc
@@ -0,0 +1,101 @@
+// Zones that the operator empties: what hosts tell each other of them, and
+// requests for which that leaves no backend server.
+#include "serving_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminecroft {
+
+namespace {
+
+/// Retry-After if all servers of a pool are in emptied zones: the operator may
+/// take one back at any time.
+constexpr core_duration EmptiedRetryAfter = std::chrono::seconds(2);
+
+} // namespace
+
+using namespace detail;
+
+void serving_impl::onZoneOrder(const zone_order &Order) {
+  if (!Emptied.apply(Order))
+    return;
+  logZone(Order, "store");
+  announceZones({Order});
+}
+
+void serving_impl::onZoneList(const std::vector<zone_order> &Listed,
+                              object_version Revision) {
+  // Every host reads the first list itself.
+  bool First = Emptied.readTo() == object_version();
+  std::vector<zone_order> Changed = Emptied.replaceAll(Listed, Revision);
+  for (const zone_order &Order : Changed)
+    logZone(Order, "store");
+  if (!First)
+    announceZones(Changed);
+}
+
+void serving_impl::announceZones(const std::vector<zone_order> &Changed) {
+  if (Changed.empty())
+    return;
+  for (const batching_host &Host : Hosts.ring())
+    sendToHost(Host.Host, zone_orders{Changed});
+}
+
+// A sender that does not know later orders is told.
+void serving_impl::on(const host_run &Sender, const zone_orders &Body) {
+  bool Outdated = false;
+  for (const zone_order &Order : Body.Orders) {
+    if (Emptied.applyTold(Order))
+      logZone(Order, "peer");
+    Outdated = Outdated || Emptied.isOutdated(Order);
+  }
+  if (Outdated)
+    sendToHost(Sender.Host, zone_orders{Emptied.orders()});
+}
+
+void serving_impl::logZone(const zone_order &Order, std::string_view Source) {
+  log(Order.Emptied ? event_number::ZoneEmptied : event_number::ZoneTakenBack,
+      event_severity::Info,
+      Order.Emptied ? "nothing more is sent to the backend servers of a zone"
+                    : "the backend servers of a zone are used again",
+      {{"zone", Order.Zone.Value},
+       {"revision", std::to_string(Order.Revision.Value)},
+       {"source", std::string(Source)}});
+}
+
+// Returns whether all usable servers of a pool are in emptied zones.
+bool serving_impl::poolEmptied(const pool_id &Pool) {
+  if (Emptied.count() == 0)
+    return false;
+  std::vector<backend_state *> Usable = Servers.usable(Pool, Now);
+  return !Usable.empty() &&
+         std::all_of(Usable.begin(), Usable.end(),
+                     [this](const backend_state *Server) {
+                       return Emptied.isEmptied(Server->Entry.Zone);
+                     });
+}
+
+// Refuses a request that needs a pool without a server outside emptied zones.
+// Returns whether it was refused.
+bool serving_impl::refuseEmptied(active_request &State) {
+  bool Unserved = poolEmptied(State.Pool);
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+    Unserved = Unserved || (State.Request.Pieces[Stage] != 0 &&
+                            poolEmptied(State.Route->Stages[Stage].Pool));
+  if (Unserved)
+    refuseForEmptiedZones(State);
+  return Unserved;
+}
+
+void serving_impl::refuseForEmptiedZones(active_request &State) {
+  ++Counters.RefusedByEmptiedZones;
+  failRequest(State, refusal_kind::NoBackend, EmptiedRetryAfter);
+}
+
+// Returns the zone near which results are wanted; none if it was emptied.
+zone_id serving_impl::keptZone(const zone_id &Zone) const {
+  return Emptied.isEmptied(Zone) ? zone_id() : Zone;
+}
+
+} // namespace jasminecroft
--- a/packages/entry/include/jasminecroft/entry/serving_settings.h
+++ b/packages/entry/include/jasminecroft/entry/serving_settings.h
@@ -39,6 +39,8 @@
   /// Port of the metrics page; 0: none.
   std::uint16_t MetricsPort = 0;
   bool BatchAlone = false;
+  /// The operator may empty zones.
+  bool EmptiedZones = false;
   log_settings Log;
 };
 
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -85,7 +85,7 @@
         Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
         Backends(Context, *this,
                  [this] { return Core.backends().listedAddresses(); }),
-        Store(Context, Settings.Store, Core, Log, [this] { arm(); }) {}
+        Store(Context, Settings, Core, Log, [this] { arm(); }) {}
 
   std::variant<exit_code, settings_error> run() {
     if (std::optional<settings_error> Problem = startAll())
@@ -115,6 +115,7 @@
     Result.Retries = Settings.Retries;
     Result.Seeds = Settings.Seeds;
     Result.BatchAlone = Settings.BatchAlone;
+    Result.EmptiedZones = Settings.EmptiedZones;
     return Result;
   }
 
@@ -168,10 +169,7 @@
     Gauges.Peers = Core.peers().size();
     Gauges.BackendConnectionsOpened = Backends.counters().Opened;
     Gauges.LogLinesDropped = Log.dropped();
-    Gauges.StoreCallsFailed = Store.failedCalls();
-    Gauges.UnreadableObjects = Store.unreadableObjects();
-    Gauges.StoreSilences = Store.silences();
-    Gauges.StoreCalls = Store.calls();
+    Store.addTo(Gauges);
     return Metrics.render(Core.counters(), Gauges);
   }
 
@@ -440,7 +438,6 @@
     Core.onPiecesRefused(Call, WrongServer, now());
     arm();
   }
-
   void onServerLoad(const backend_id &Server,
                     const std::optional<pieces_load> &Load) override {
     Core.onServerLoad(Server, Load, now());
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -110,6 +110,9 @@
   Impl->set("quarantined", static_cast<double>(Counters.Quarantined));
   Impl->set("quarantined_parts",
             static_cast<double>(Counters.QuarantinedParts));
+  Impl->set("emptied_zones", static_cast<double>(Counters.EmptiedZones));
+  Impl->set("refused_by_emptied_zones",
+            static_cast<double>(Counters.RefusedByEmptiedZones));
   Impl->set("batches", static_cast<double>(Counters.Batches));
   Impl->set("batched_pieces", static_cast<double>(Counters.BatchedPieces));
   Impl->set("in_progress", static_cast<double>(Counters.InProgress));
--- a/packages/entry/src/serving/serving_settings.cc
+++ b/packages/entry/src/serving/serving_settings.cc
@@ -168,6 +168,7 @@
   Settings.MetricsPort =
       static_cast<std::uint16_t>(Reader.real("metrics_port", 0, 0, 65535));
   Settings.BatchAlone = Reader.flag("batch_alone");
+  Settings.EmptiedZones = Reader.flag("emptied_zones");
   if (Reader.Error)
     return *Reader.Error;
   return Settings;
@@ -205,6 +206,7 @@
   Keep("retry_window_s", Running.Retries.Window, Read.Retries.Window);
   Keep("metrics_port", Running.MetricsPort, Read.MetricsPort);
   Keep("batch_alone", Running.BatchAlone, Read.BatchAlone);
+  Keep("emptied_zones", Running.EmptiedZones, Read.EmptiedZones);
   return Changes;
 }
 
--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -1,4 +1,4 @@
-// Watches of the three kinds of objects, and what their changes mean.
+// Watches of the kinds of objects, and what their changes mean.
 #include "serving_store.h"
 
 #include "../steady_time.h"
@@ -10,8 +10,9 @@
 using std::chrono::milliseconds;
 
 /// Changes gather for a part of the time in which their kind has to be known:
-/// configurations and leaving servers 2 s. Entry hosts are also found by their
-/// messages, so that old news and the longest watch will do.
+/// configurations and leaving servers 2 s, emptied zones 5 s. Entry hosts are
+/// also found by their messages, so that old news and the longest watch will
+/// do.
 constexpr watch_rules ConfigRules{milliseconds(60), milliseconds(10'000),
                                   milliseconds(1'000), false};
 constexpr watch_rules BackendRules{milliseconds(300), milliseconds(10'000),
@@ -24,15 +25,19 @@
 } // namespace
 
 serving_store::serving_store(boost::asio::io_context &Context,
-                             const endpoint &Address, serving_core &Core,
-                             line_log &Log, std::function<void()> Changed)
-    : Context(Context), Address(Address), Core(Core), Log(Log),
+                             const serving_host_settings &Settings,
+                             serving_core &Core, line_log &Log,
+                             std::function<void()> Changed)
+    : Context(Context), Address(Settings.Store),
+      ReadsEmptiedZones(Settings.EmptiedZones), Core(Core), Log(Log),
       Changed(std::move(Changed)), Client(makeHttpClient(Context)) {}
 
 void serving_store::start() {
   startWatch(platform::ConfigKind, ConfigRules);
   startWatch(platform::BackendKind, BackendRules);
   startWatch(platform::EntryHostKind, EntryHostRules);
+  if (ReadsEmptiedZones)
+    startWatch(platform::EmptiedZoneKind, BackendRules);
   Registration = std::make_shared<host_registration>(
       Context, *Client, Address, Core.selfAsHost(), Core.self().Run,
       static_cast<store_watch_listener &>(*this));
@@ -49,10 +54,8 @@
 }
 
 void serving_store::readAgain(store_kind Kind) {
-  std::string_view Wanted =
-      Kind == store_kind::Config ? platform::ConfigKind : platform::BackendKind;
   for (const std::shared_ptr<store_watch> &Watch : Watches)
-    if (Watch->kind() == Wanted)
+    if (coreKind(Watch->kind()) == Kind)
       Watch->check();
 }
 
@@ -78,6 +81,8 @@
     return store_kind::Config;
   if (Kind == platform::BackendKind)
     return store_kind::Backends;
+  if (Kind == platform::EmptiedZoneKind)
+    return store_kind::EmptiedZones;
   return std::nullopt;
 }
 
@@ -94,6 +99,13 @@
   return Result;
 }
 
+void serving_store::addTo(serving_gauges &Gauges) const {
+  Gauges.StoreCallsFailed = FailedCalls;
+  Gauges.UnreadableObjects = UnreadableObjects;
+  Gauges.StoreSilences = silences();
+  Gauges.StoreCalls = calls();
+}
+
 void serving_store::leave() {
   Registration->leave([] {});
 }
@@ -123,6 +135,15 @@
     Changed();
     return;
   }
+  if (Kind == platform::EmptiedZoneKind) {
+    std::vector<zone_order> Emptied;
+    for (const platform::store_object &Object : Objects)
+      if (!Object.Deleted)
+        Emptied.push_back(readZoneOrder(Object));
+    Core.onZoneList(Emptied, Current, now());
+    Changed();
+    return;
+  }
   for (const platform::store_object &Object : Objects)
     onChange(Kind, Object);
   if (std::optional<store_kind> Of = coreKind(Kind))
@@ -135,6 +156,8 @@
       takeConfig(Object.Spec);
   } else if (Kind == platform::BackendKind) {
     takeBackend(Object);
+  } else if (Kind == platform::EmptiedZoneKind) {
+    Core.onZoneOrder(readZoneOrder(Object), now());
   } else {
     takeEntryHost(Object);
   }
@@ -154,7 +177,9 @@
     return;
   ++UnreadableObjects;
   write(event_number::BackendEntryUnreadable, event_severity::Warning,
-        "object of the platform's store cannot be read and is ignored",
+        Kind == platform::EmptiedZoneKind && !Name.empty()
+            ? "entry of an emptied zone cannot be read; its name counts"
+            : "object of the platform's store cannot be read and is ignored",
         {{"kind", std::string(Kind)},
          {"name", Name},
          {"problem", std::string(platform::toText(Error.Problem))},
@@ -163,6 +188,8 @@
 void serving_store::onReadTo(std::string_view Kind, object_version Revision) {
   if (Kind == platform::BackendKind)
     Core.onBackendsRead(Revision, now());
+  else if (Kind == platform::EmptiedZoneKind)
+    Core.onZonesRead(Revision, now());
   if (std::optional<store_kind> Of = coreKind(Kind))
     Core.onStoreRead(*Of, now());
   Changed();
@@ -255,6 +282,15 @@
   Core.onBackend(*Entry, now());
 }
 
+// An entry that cannot be read still names a zone that has to be spared.
+zone_order serving_store::readZoneOrder(const platform::store_object &Object) {
+  if (std::optional<platform::object_error> Error =
+          platform::checkZoneOrder(Object))
+    tellUnreadable(platform::EmptiedZoneKind, Object.Name,
+                   Object.Revision.Value, *Error);
+  return platform::decodeZoneOrder(Object);
+}
+
 void serving_store::takeEntryHost(const platform::store_object &Object) {
   if (Object.Deleted) {
     Core.onHostRemoved(entry_host_id(Object.Name), now());
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include "host_registration.h"
+#include "jasminecroft/entry/serving_settings.h"
 #include "line_log.h"
+#include "serving_metrics.h"
 #include "store_watch.h"
 
 #include <functional>
@@ -18,15 +20,15 @@
 class serving_store final : private store_watch_listener {
 public:
   /// Changed is called after each change that the core was told of.
-  serving_store(boost::asio::io_context &Context, const endpoint &Address,
-                serving_core &Core, line_log &Log,
-                std::function<void()> Changed);
+  serving_store(boost::asio::io_context &Context,
+                const serving_host_settings &Settings, serving_core &Core,
+                line_log &Log, std::function<void()> Changed);
 
   void start();
   /// Peers know of changes of this kind that were not read here.
   void readAgain(store_kind Kind);
   void watchClosely(bool Closely);
-  /// Of the configuration and the backend servers.
+  /// Of the configuration, the backend servers and the emptied zones.
   void setSource(store_source Source);
   /// A watcher has told all changes of backend servers up to Revision.
   void onBackendsTold(object_version Revision);
@@ -38,10 +40,8 @@
   silences() const;
   /// Calls by kind of objects and purpose, since the start.
   std::vector<std::pair<std::string, std::uint64_t>> calls() const;
-  /// Calls that failed since the start.
-  std::uint64_t failedCalls() const { return FailedCalls; }
-  /// Objects that could not be read since the start, each revision once.
-  std::uint64_t unreadableObjects() const { return UnreadableObjects; }
+  /// Sets what is known of the store.
+  void addTo(serving_gauges &Gauges) const;
   /// Decodes a configuration and hands it to the core if it can be read.
   void takeConfig(const std::string &Text);
 
@@ -64,6 +64,7 @@
   decodeBackend(const platform::store_object &Object);
   void takeBackend(const platform::store_object &Object);
   void takeEntryHost(const platform::store_object &Object);
+  zone_order readZoneOrder(const platform::store_object &Object);
   static std::optional<store_kind> coreKind(std::string_view Kind);
   /// Logs and counts an object that cannot be read, once for each revision.
   void tellUnreadable(std::string_view Kind, const std::string &Name,
@@ -74,6 +75,7 @@
 
   boost::asio::io_context &Context;
   endpoint Address;
+  bool ReadsEmptiedZones;
   serving_core &Core;
   line_log &Log;
   std::function<void()> Changed;
@@ -85,6 +87,7 @@
   /// revision.
   using unreadable_key = std::pair<std::string, std::string>;
   std::set<std::pair<unreadable_key, std::uint64_t>> ToldUnreadable;
+  /// Objects that could not be read since the start, each revision once.
   std::uint64_t UnreadableObjects = 0;
   std::uint64_t FailedCalls = 0;
 };
--- a/packages/entry/test/serving-parts-test.cc
+++ b/packages/entry/test/serving-parts-test.cc
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <doctest/doctest.h>
 #include <fstream>
+#include <regex>
 #include <sstream>
 #include <sys/sysinfo.h>
 
@@ -79,6 +80,10 @@
   CHECK(Running.MemoryBytes == 100'000'000);
   Changes = takeOver(Running, Read(with("10.1.0.41:8625", "10.1.0.42:8625")));
   CHECK(Changes.AtRestart == std::vector<std::string>{"callers"});
+  Changes = takeOver(
+      Running, Read(with("\"memory_mb\": 260", "\"emptied_zones\": true")));
+  CHECK(std::count(Changes.AtRestart.begin(), Changes.AtRestart.end(),
+                   "emptied_zones") == 1);
   CHECK(Running.Callers == endpoint("10.1.0.41:8625"));
 }
 
@@ -113,6 +118,29 @@
           std::string::npos);
 }
 
+TEST_CASE("only a deployment that empties zones gets the setting for it") {
+  std::ifstream File(std::string(JASMINECROFT_SOURCE_DIR) +
+                     "/platform/settings/entry-host.json");
+  std::ostringstream Read;
+  Read << File.rdbuf();
+  std::string Text = std::regex_replace(
+      Read.str(), std::regex("\\{\\{(seeds)\\|json\\}\\}"), "[]");
+  Text = std::regex_replace(
+      Text, std::regex("\\{\\{(limits|bounds)[a-z_.]+\\|json\\}\\}"), "1");
+  Text = std::regex_replace(Text, std::regex("\\{\\{[a-z_.]+\\|json\\}\\}"),
+                            "\"10.0.0.1:80\"");
+  std::regex Section(
+      "\\{\\{#bounds.evac_ms\\}\\}([^]*)\\{\\{/bounds.evac_ms\\}\\}");
+  auto Filled = [&Text, &Section](const char *With) {
+    serving_settings_result Result =
+        parseServingSettings(std::regex_replace(Text, Section, With));
+    REQUIRE(std::holds_alternative<serving_host_settings>(Result));
+    return std::get<serving_host_settings>(Result);
+  };
+  CHECK(Filled("$1").EmptiedZones);
+  CHECK_FALSE(Filled("").EmptiedZones);
+}
+
 TEST_CASE("a log line is one JSON object whatever its values hold") {
   event_record Record{event_number::RequestEnded,
                       event_severity::Warning,
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -88,6 +88,11 @@
   /// A request with a part that crashes engines reached one.
   void onCrashingSent(core_time Now) { CrashingSent.push_back(Now); }
   void onPartCrash(core_time Now) { PartCrashes.push_back(Now); }
+  /// The operator empties a zone, or takes it back.
+  void onZoneOrder(const zone_order &Order, core_time Now);
+  /// Something of a host reaches a server of the zone. Watches: the host has
+  /// read the store and watches it.
+  void onZoneUsed(const zone_id &Zone, bool Watches, core_time Now);
   void onLeavingUsed(const backend_id &Server, core_duration After,
                      core_time Now);
 
@@ -124,6 +129,7 @@
   violation_list Violations;
   std::map<backend_id, limited_server> Limits;
   std::map<std::pair<backend_id, std::size_t>, core_time> LeavingTold;
+  std::map<zone_id, core_time> EmptiedAt;
   struct asked_pause {
     core_time CountsFrom;
     core_time Until;
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -97,6 +97,9 @@
   void replaceServer(std::size_t Server);
   /// The same, but only its replies say so until it is off the list.
   void replaceSilently(std::size_t Server);
+  /// The operator empties a zone, or takes it back.
+  void emptyZone(std::size_t Zone) { orderZone(zoneName(Zone), true); }
+  void takeBackZone(std::size_t Zone) { orderZone(zoneName(Zone), false); }
   /// Ends all faults and starts what is down.
   void calm();
 
@@ -148,6 +151,7 @@
   std::unique_ptr<world_server> makeServer(const pool_id &Pool,
                                            const zone_id &Zone);
   void tellHosts(const backend_entry &Entry, bool Gone);
+  void orderZone(const zone_id &Zone, bool Empties);
   world_server *server(const backend_id &Id) { return findServer(Id); }
   bool linked(const zone_id &A, const zone_id &B) const {
     return Net.linked(A, B);
@@ -165,6 +169,8 @@
   /// Servers that were replaced and go on for a while.
   std::vector<std::unique_ptr<world_server>> Leaving;
   config_version NewestConfig{1};
+  /// As the store has them.
+  std::map<zone_id, zone_order> EmptiedZones;
   std::set<std::uint64_t> CrashingParts;
   std::uint64_t LastRequest = 0;
   std::uint64_t LastServer = 0;
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -25,6 +25,10 @@
 /// Bounds of the users' rule on pauses.
 constexpr core_duration PauseCountsAfter = std::chrono::milliseconds(500);
 constexpr std::size_t MostInPause = 2;
+/// Bound of the users' rule on emptied zones, and the time after which a host
+/// that watches the store has heard of one.
+constexpr core_duration EmptiedBound = std::chrono::seconds(5);
+constexpr core_duration EmptiedBoundAtWatchers = std::chrono::milliseconds(200);
 /// A call that was sent before its host was told arrives by then.
 constexpr core_duration OnTheWay = std::chrono::milliseconds(10);
 
@@ -288,6 +292,29 @@
           " ms after it was known to leave");
 }
 
+void serving_book::onZoneOrder(const zone_order &Order, core_time Now) {
+  if (Order.Emptied)
+    EmptiedAt.emplace(Order.Zone, Now);
+  else
+    EmptiedAt.erase(Order.Zone);
+}
+
+void serving_book::onZoneUsed(const zone_id &Zone, bool Watches,
+                              core_time Now) {
+  auto Emptied = EmptiedAt.find(Zone);
+  if (Emptied == EmptiedAt.end())
+    return;
+  core_duration After = Now - Emptied->second;
+  if (After <= (Watches ? EmptiedBoundAtWatchers : EmptiedBound))
+    return;
+  add(promise::EmptiedIsSpared, Now,
+      "a server of " + Zone.Value + " is used " +
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::milliseconds>(After)
+                  .count()) +
+          " ms after the zone was emptied");
+}
+
 void serving_book::judge(core_time Now) {
   for (std::pair<const caller_request_id, booked_request> &Entry : Requests) {
     booked_request &Request = Entry.second;
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -103,6 +103,9 @@
     weighted{
         2,
         [](serving_world &World) { World.replaceSilently(anyServer(World)); }},
+    weighted{1, [](serving_world &World) { World.emptyZone(anyHost(World)); }},
+    weighted{2,
+             [](serving_world &World) { World.takeBackZone(anyHost(World)); }},
     weighted{2, [](serving_world &World) {
                network_quality Quality;
                std::uint64_t Loss =
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -355,6 +355,21 @@
   });
 }
 
+void serving_world::orderZone(const zone_id &Zone, bool Empties) {
+  if (EmptiedZones.contains(Zone) == Empties)
+    return;
+  const zone_order Order{Zone, object_version(++LastRevision), Empties};
+  if (Empties)
+    EmptiedZones[Zone] = Order;
+  else
+    EmptiedZones.erase(Zone);
+  Book.onZoneOrder(Order, now());
+  after(StoreLag, [this, Order] {
+    for (const std::unique_ptr<world_host> &Host : Hosts)
+      Host->hearZone(Order);
+  });
+}
+
 void serving_world::changeConfig() {
   NewestConfig = config_version(NewestConfig.Value + 1);
   for (const std::unique_ptr<world_host> &Host : Hosts)
@@ -385,6 +400,8 @@
   for (const std::unique_ptr<world_host> &Host : Hosts)
     Host->setStoreView(store_view::Live);
   Net.setQuality({});
+  for (std::size_t Zone = 0; Zone < Options.Zones; ++Zone)
+    takeBackZone(Zone);
   for (const server_slot &Slot : Servers) {
     Slot.Server->Slow = 1;
     Slot.Server->SilentUntil = core_time{};
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -52,6 +52,7 @@
   Settings.PeerAddress = Address;
   Settings.Retries.Slack = 100;
   Settings.BatchAlone = World.Options.BatchAlone;
+  Settings.EmptiedZones = true;
   Core = std::make_unique<serving_core>(Settings, *this);
   incarnation Started = Run;
   handle([](serving_core &Core, core_time Now) { Core.start(Now); });
@@ -65,6 +66,7 @@
       Core.onStoreRead(store_kind::Config, Now);
     });
     readBackends();
+    readZones();
     for (const std::unique_ptr<world_host> &Other : World.Hosts) {
       if (Other.get() == this || !Other->up() || Other->Stopping)
         continue;
@@ -199,6 +201,11 @@
   });
 }
 
+bool world_host::watchesStore() const {
+  return Source == store_source::Watch &&
+         World.now() >= WatchesSince + StoreLag + ReadSlack;
+}
+
 void world_host::setStoreSource(store_source Wanted) {
   bool Reads = Wanted == store_source::Watch && Source != Wanted;
   Source = Wanted;
@@ -207,6 +214,7 @@
   WatchesSince = World.now();
   resyncStore(store_kind::Config);
   resyncStore(store_kind::Backends);
+  resyncStore(store_kind::EmptiedZones);
 }
 
 void world_host::hearConfig(config_version Version) {
@@ -239,6 +247,10 @@
       readBackends();
       return;
     }
+    if (Kind == store_kind::EmptiedZones) {
+      readZones();
+      return;
+    }
     if (View == store_view::TurnedAway)
       return;
     View = store_view::Live;
@@ -363,11 +375,9 @@
       return;
     world_server *Server = World.server(Wanted);
     if (World.linked(Zone, There) && Server && Server->Up) {
-      // A host that has just begun to watch has not read the store yet.
-      bool HasRead = Source == store_source::Watch &&
-                     World.now() >= WatchesSince + StoreLag + ReadSlack;
+      judgeZone(There);
       const std::optional<core_time> &Known =
-          HasRead ? Server->LeavingKnownAt : Server->LeavingToldAt;
+          watchesStore() ? Server->LeavingKnownAt : Server->LeavingToldAt;
       if (Known && World.now() > *Known)
         World.Book.onLeavingUsed(Wanted, World.now() - *Known, World.now());
       World.Book.onCall(Wanted, Link.Host, World.now());
@@ -415,6 +425,7 @@
     world_server *Target = World.server(Id);
     if (!Target || !Target->Up || !World.linked(Zone, There))
       return;
+    judgeZone(There);
     World.Book.onArrival(Id, Index, World.now());
     Target->freeResults(Results);
   });
@@ -433,6 +444,7 @@
           return;
         std::optional<pieces_load> Load;
         if (Target && Target->Up) {
+          judgeZone(There);
           World.Book.onArrival(Id, Index, World.now());
           Load = Target->load();
         }
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -46,6 +46,8 @@
   /// this host watches.
   void hearBackend(const backend_entry &Entry, bool Gone,
                    object_version Revision);
+  /// The operator ordered something: tells the core if this host watches.
+  void hearZone(const zone_order &Order);
   /// A host whose view is live again reads the newest configuration.
   void setStoreView(store_view View);
   const zone_id &zone() const { return Zone; }
@@ -82,6 +84,10 @@
   void arm();
   void takeConfig(config_version Version, core_duration Lag);
   void readBackends();
+  void readZones();
+  /// A host that has just begun to watch has not read the store yet.
+  bool watchesStore() const;
+  void judgeZone(const zone_id &Zone) const;
   void checkConfig();
   void openCall(
       call_id Call, const backend_entry &Server, core_duration Timeout,
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -52,6 +52,7 @@
   SendPermitRequest = 29,
   SendPermitReply = 30,
   ServerLeaving = 31,
+  ZoneOrders = 32,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -308,6 +309,8 @@
 template <>
 struct number_of<server_leaving> : number_constant<body_number::ServerLeaving> {
 };
+template <>
+struct number_of<zone_orders> : number_constant<body_number::ZoneOrders> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
@@ -397,6 +400,7 @@
          std::holds_alternative<store_news>(Body) ||
          std::holds_alternative<part_rulings>(Body) ||
          std::holds_alternative<server_limit_list>(Body) ||
+         std::holds_alternative<zone_orders>(Body) ||
          std::holds_alternative<claim_query_reply>(Body);
 }
 
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -130,6 +130,16 @@
   Ruling.Remaining = core_duration(Reader.signedNumber("remaining"));
 }
 
+cbor_value writeOrder(const zone_order &Order) {
+  return writeRecord(Order.Zone.Value, Order.Revision.Value, Order.Emptied);
+}
+
+void readOrder(field_reader &Reader, zone_order &Order) {
+  Reader.id("zone", Order.Zone);
+  Reader.version("revision", Order.Revision);
+  Order.Emptied = Reader.flag("emptied");
+}
+
 cbor_value writeLimit(const server_limit_news &Limit) {
   return writeRecord(Limit.Server.Value, Limit.Run.Value,
                      Limit.MicrosPerSecond.has_value(),
@@ -242,6 +252,13 @@
   Reader.version("run", Body.Run);
 }
 
+cbor_value writeBody(const zone_orders &Body) {
+  return writeRecord(writeList(Body.Orders, writeOrder));
+}
+void readBody(field_reader &Reader, zone_orders &Body) {
+  Reader.list("orders", Body.Orders, MaxZoneOrdersPerMessage, readOrder);
+}
+
 cbor_value writeBody(const send_permit_reply &Body) {
   return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
                      Body.RetryIn.count());
--- a/packages/wire/src/peer_codec_pieces.h
+++ b/packages/wire/src/peer_codec_pieces.h
@@ -25,6 +25,7 @@
 cbor_value writeBody(const results_released &Body);
 cbor_value writeBody(const inputs_fetched &Body);
 cbor_value writeBody(const demand_forecast &Body);
+cbor_value writeBody(const zone_orders &Body);
 
 void readBody(field_reader &Reader, host_heartbeat &Body);
 void readBody(field_reader &Reader, operator_config_pull &Body);
@@ -45,5 +46,6 @@
 void readBody(field_reader &Reader, results_released &Body);
 void readBody(field_reader &Reader, inputs_fetched &Body);
 void readBody(field_reader &Reader, demand_forecast &Body);
+void readBody(field_reader &Reader, zone_orders &Body);
 
 } // namespace jasminecroft::detail
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -218,7 +218,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(31)) {
+  switch (below(32)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -317,6 +317,11 @@
                              below(2) == 0, anyDuration()};
   case 29:
     return server_leaving{anyId<backend_id>(), anyNumber<incarnation>()};
+  case 30:
+    return zone_orders{some<zone_order>(3, [] {
+      return zone_order{anyId<zone_id>(), anyNumber<object_version>(),
+                        below(2) == 0};
+    })};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
