--- a/packages/entry/src/serving/host_environment.cc
+++ b/packages/entry/src/serving/host_environment.cc
@@ -30,6 +30,7 @@
   Result.Retries = Settings.Retries;
   Result.Seeds = Settings.Seeds;
   Result.BatchAlone = Settings.BatchAlone;
+  Result.EmptiedZones = Settings.EmptiedZones;
   return Result;
 }
 
