Rank calls to engines that requests of several priorities reach

Cause: engines admit the more urgent of their waiting requests first, and take memory from the less urgent ones; every call had the same rank, so a long transcript held up short requests of a more urgent route.

Change: a call to an engine pool carries its request's priority (route, or workspace) if the configuration states several for the pool. A class of which calls wait and none begins becomes more urgent by one with each objective that passes. The pause aim of routes and the limit of output tokens are decoded; pauses above the aim within a call's stream are counted by urgency.

--- a/packages/core/include/jasminecroft/core/serving/route_config.h
+++ b/packages/core/include/jasminecroft/core/serving/route_config.h
@@ -49,6 +49,9 @@
   core_duration Timeout{0};
   /// Latency objective: replies within this time are on time.
   core_duration Goal{0};
+  /// Longest pause between events of a stream that is on time; zero: not
+  /// stated.
+  core_duration PauseGoal{0};
   /// 0 is the most urgent.
   std::uint32_t Priority = 0;
   /// Maximum number of backend servers that one request may be sent to.
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -60,6 +60,8 @@
   /// Input of the pieces in stages that depend on no other stage.
   std::string PieceKey;
   std::uint32_t PromptTokens = 0;
+  /// Maximum number of tokens of the reply; 0 if the caller names none.
+  std::uint32_t MaxOutputTokens = 0;
   /// Parts of the prompt in order; the last one is not shared.
   std::vector<prompt_block> Prefix;
   /// Last stream event that the caller has received; absent for a new stream.
@@ -137,6 +139,8 @@
   /// used then, a late copy of its reply could pass for the reply to this call.
   bool MayReuseConnection = true;
   bool Streamed = false;
+  /// Rank at a model engine, 0 to 9, 0 being the first; absent: not ranked.
+  std::optional<std::uint32_t> Urgency;
 };
 
 enum class call_failure {
@@ -246,6 +250,11 @@
   std::uint64_t OddPauses = 0;
   /// Parts of prompts in quarantine; a gauge.
   std::uint64_t QuarantinedParts = 0;
+  /// Pauses within calls' streams above the aim, by urgency: preemptions, and
+  /// engines that work on too much.
+  by_urgency<std::uint64_t> LatePauses{};
+  /// Calls that were sent with a higher urgency than their priority.
+  std::uint64_t RaisedUrgencies = 0;
 };
 
 /// Routes, schedules and retries the requests of one entry host. Deterministic:
--- a/packages/core/src/serving/serving_batches.cc
+++ b/packages/core/src/serving/serving_batches.cc
@@ -21,7 +21,8 @@
                             std::vector<batch_item> Items,
                             core_duration Timeout) {
   call_id Id(++LastCall);
-  Calls[Id] = {call_kind::Pieces, request_id(), Batch, Permit.server(), Now};
+  Calls[Id] = {call_kind::Pieces, request_id(), Batch,
+               Permit.server(),   Now,          std::nullopt};
   Actions.runPieces(Id, std::move(Permit), std::move(Items), Timeout);
 }
 
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -72,8 +72,9 @@
   ++State.Attempts;
   State.Ledger.begin(Server->Entry.Id);
   Servers.onCallStarted(Server->Entry.Id);
-  Calls[Id] = {call_kind::Forward, State.Request.Number, batch_id(),
-               Server->Entry, Now};
+  Calls[Id] = {
+      call_kind::Forward, State.Request.Number, batch_id(), Server->Entry, Now,
+      std::nullopt};
   forward_call Forward;
   Forward.Server = Server->Entry;
   Forward.Message = State.Request.Message;
@@ -83,6 +84,7 @@
   Forward.Inputs = finalInputs(State);
   Forward.ResumeAfter = State.LastEvent;
   Forward.Streamed = State.Route->Streamed;
+  Forward.Urgency = beginStream(State, Id);
   Forward.MayReuseConnection = FirstSend;
   bool Repeatable = State.Route->Repeatable || State.Route->Resumable;
   if (Repeatable && State.Attempts < State.Route->MaxAttempts)
@@ -105,6 +107,8 @@
     return;
   if (Found->second.Kind == call_kind::Forward)
     Servers.onCallEnded(Found->second.Server.Id);
+  if (Found->second.WaitsAs)
+    Aging.onGivenUp(Found->second.Server.Pool, *Found->second.WaitsAs);
   if (active_request *State = callRequest(Call))
     State->CurrentCall.reset();
   Calls.erase(Call);
@@ -337,8 +341,13 @@
     return;
   }
   State->LastEvent = Last;
-  if (State->Progress != call_progress::Events)
+  if (State->Progress != call_progress::Events) {
     onPartsServed(*State);
+    onFirstEvent(Call);
+  } else {
+    observePause(*State);
+  }
+  State->LastEventAt = Now;
   State->Progress = call_progress::Events;
   Actions.relayStreamEvents(State->Request.Number, std::move(Text));
 }
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -4,6 +4,7 @@
 
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
+#include "jasminecroft/core/serving/engine_urgency.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
@@ -26,9 +27,11 @@
 /// was in force when it arrived.
 struct config_view {
   explicit config_view(std::shared_ptr<const route_config> Config)
-      : Config(std::move(Config)), Routes(*this->Config) {}
+      : Config(std::move(Config)), Routes(*this->Config),
+        Ranked(findRankedPools(*this->Config)) {}
   std::shared_ptr<const route_config> Config;
   route_index Routes;
+  ranked_pools Ranked;
 };
 
 enum class stage_phase {
@@ -92,6 +95,8 @@
   call_progress Progress = call_progress::Sent;
   std::optional<core_time> FirstByteAt;
   std::optional<std::uint64_t> LastEvent;
+  /// Of the last events.
+  core_time LastEventAt;
   /// The limited server for which it has asked for a permit.
   std::optional<backend_id> PermitAskedOf;
   core_time PermitAskedAt;
@@ -127,6 +132,8 @@
   batch_id Batch;
   backend_entry Server;
   core_time SentAt;
+  /// Priority of a stream that has no event yet.
+  std::optional<std::uint32_t> WaitsAs;
 };
 
 /// Kind of a timer; determines what its id refers to.
@@ -367,6 +374,10 @@
   void onAttemptTimeout(call_id Call);
   active_request *callRequest(call_id Call);
   void endCall(call_id Call);
+  std::optional<std::uint32_t> beginStream(const active_request &State,
+                                           call_id Call);
+  void observePause(const active_request &State);
+  void onFirstEvent(call_id Call);
   bool reserveRetry(const active_request &State);
   void handleNotRun(active_request &State, const backend_reply_head &Head);
   void handleUnproven(active_request &State, const backend_reply_head &Head);
@@ -452,6 +463,7 @@
   /// Exponentially smoothed time from the first byte of a route's streams to
   /// their end, in microseconds.
   std::map<route_id, double> StreamMicros;
+  urgency_aging Aging;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -112,6 +112,10 @@
             static_cast<double>(Counters.QuarantinedParts));
   Impl->set("batches", static_cast<double>(Counters.Batches));
   Impl->set("batched_pieces", static_cast<double>(Counters.BatchedPieces));
+  for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank)
+    Impl->set("late_pauses_urgency_" + std::to_string(Rank),
+              static_cast<double>(Counters.LatePauses[Rank]));
+  Impl->set("raised_urgencies", static_cast<double>(Counters.RaisedUrgencies));
   Impl->set("in_progress", static_cast<double>(Counters.InProgress));
   Impl->set("connections", static_cast<double>(Gauges.Connections));
   Impl->set("config_version", static_cast<double>(Gauges.ConfigVersion));
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -57,6 +57,9 @@
   // What backend servers see.
   void onRun(const caller_request_id &Id, const backend_id &Server,
              core_time Now);
+  /// An engine that requests of several priorities reach gets a call.
+  void onRanked(const caller_request_id &Id,
+                std::optional<std::uint32_t> Urgency, core_time Now);
   /// Inputs of a piece, or of the request itself: (stage, piece) by request.
   struct input {
     caller_request_id Request;
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -33,8 +33,10 @@
   LimitsKept,
   /// A server that asks a host for a pause gets nothing more from it meanwhile.
   PausesKept,
+  /// Calls to engines that requests of several priorities reach are ranked.
+  EnginesRanked,
 };
-inline constexpr std::size_t PromiseCount = 11;
+inline constexpr std::size_t PromiseCount = 12;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -239,6 +239,21 @@
         Id.Value + " runs at more servers than allowed");
 }
 
+void serving_book::onRanked(const caller_request_id &Id,
+                            std::optional<std::uint32_t> Urgency,
+                            core_time Now) {
+  const booked_request *Request = find(Id);
+  if (!Request)
+    return;
+  if (!Urgency)
+    add(promise::EnginesRanked, Now, Id.Value + " reaches an engine unranked");
+  else if (*Urgency > Request->Route.Priority)
+    add(promise::EnginesRanked, Now,
+        Id.Value + " reaches an engine with urgency " +
+            std::to_string(*Urgency) + " instead of " +
+            std::to_string(Request->Route.Priority));
+}
+
 void serving_book::onInputs(const caller_request_id &Id,
                             std::optional<std::uint32_t> Stage,
                             const std::vector<input> &Inputs, core_time Now) {
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -101,6 +101,7 @@
     }
     World.book().onInputs(Call.CallerId, std::nullopt, Inputs, World.now());
     World.book().onRun(Call.CallerId, Entry.Id, World.now());
+    World.book().onRanked(Call.CallerId, Call.Urgency, World.now());
     Streams.insert(Link);
     bool Crashes = World.crashesEngines(Call.CallerId);
     if (Crashes)
