Learn from streams which engines are slow, and send them less

Cause: engines of one pool differ; a quarter takes more than twice as long for a token, and no reply says so. Each engine got the same share of sessions. A host calls an engine every 15 s, so that what it sees itself comes too late.

Change: whole streams give a mean time between events, smoothed for each run and compared with the pool's median. A slow engine ranks first for half as many sessions, its calls count by its slowness, and it has a penalty. Log events 619 and 620, gauge slow_engines.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -64,6 +64,8 @@
   ServerLimitEnded = 612,
   ServerPaused = 613,
   ServerPauseUnreadable = 614,
+  EngineSlow = 619,
+  EngineUsual = 620,
   PlatformAway = 701,
   PlatformBack = 702,
   StoreCallBegun = 703,
--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminecroft/core/serving/crash_attribution.h"
+#include "jasminecroft/core/serving/engine_model.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/server_limits.h"
 #include "jasminecroft/core/stored_objects.h"
@@ -362,6 +363,14 @@
   bool operator==(const results_released &) const = default;
 };
 
+/// Times between events of engines' streams: what a host saw since its last
+/// message to the watcher that it follows, or what the watcher knows.
+struct engine_times {
+  std::vector<engine_time> Seen;
+  std::vector<engine_time> Known;
+  bool operator==(const engine_times &) const = default;
+};
+
 using peer_body = std::variant<
     probe, probe_ack, indirect_probe, indirect_ack, config_pull, config_push,
     host_list_pull, host_list_push, claim_query, claim_query_reply, rumor,
@@ -369,7 +378,7 @@
     piece_request, pieces_accepted, pieces_completed, pieces_failed,
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
     store_poll, store_news, crash_report, part_rulings, server_limit_list,
-    send_permit_request, send_permit_reply, server_leaving>;
+    send_permit_request, send_permit_reply, server_leaving, engine_times>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -54,6 +54,8 @@
   core_time PausedUntil;
   /// Moving average of the time of a plain call, in microseconds; 0 if unknown.
   double CallMicros = 0;
+  /// Of a slow engine: its time for a token relative to its pool's median.
+  double Slowness = 1;
 };
 
 /// Changes of the platform's list since a revision.
--- a/packages/core/include/jasminecroft/core/serving/placement.h
+++ b/packages/core/include/jasminecroft/core/serving/placement.h
@@ -26,6 +26,8 @@
   std::set<backend_id> Avoid;
   /// Number of entry hosts that send to the same servers independently.
   std::uint32_t LiveHosts = 1;
+  /// Of the request: ranks engines for prompts without shared parts.
+  std::uint64_t Spread = 0;
 };
 
 /// Returns the server with the lowest expected response time of those that
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -255,6 +255,8 @@
   by_urgency<std::uint64_t> LatePauses{};
   /// Calls that were sent with a higher urgency than their priority.
   std::uint64_t RaisedUrgencies = 0;
+  /// Engines slower than their pool; a gauge.
+  std::uint64_t SlowEngines = 0;
 };
 
 /// Routes, schedules and retries the requests of one entry host. Deterministic:
--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -2,6 +2,7 @@
 #include "jasminecroft/core/serving/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <xxhash.h>
 
@@ -28,6 +29,8 @@
 constexpr double NoAffinityPenalty = 0.12;
 /// The same for engines outside the zone of the inputs.
 constexpr double CrossZonePenalty = 0.04;
+/// The same for each time that a slow engine takes longer than its pool.
+constexpr double SlowPenalty = 0.06;
 
 double freshness(const backend_state &Server, core_time Now) {
   if (!Server.Load)
@@ -73,9 +76,23 @@
   return Score + penalty(Server, Query, Now);
 }
 
-std::uint64_t rank(const prompt_block &Session, const backend_id &Server) {
-  return XXH3_64bits_withSeed(Server.Value.data(), Server.Value.size(),
-                              Session.Id);
+/// An engine and its position among those that are preferred for a session.
+struct ranked_engine {
+  backend_state *Server = nullptr;
+  double Rank = 0;
+};
+
+// Weighted rendezvous: the lowest is preferred, and a slow engine half as often
+// as others. The weight is the same at all hosts that know it as slow, whatever
+// factor they know.
+double rank(std::uint64_t Session, const backend_state &Server) {
+  constexpr double SlowWeight = 0.5;
+  constexpr double HashRange = 0x1p64;
+  const std::string &Id = Server.Entry.Id.Value;
+  double Hash =
+      static_cast<double>(XXH3_64bits_withSeed(Id.data(), Id.size(), Session));
+  return -std::log((Hash + 1) / HashRange) /
+         (Server.Slowness > 1 ? SlowWeight : 1);
 }
 
 } // namespace
@@ -97,28 +114,33 @@
 backend_state *chooseEngine(std::vector<backend_state *> Admitted,
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now) {
-  if (!Query.Prefix.empty()) {
-    // The last shared block identifies the session.
-    const prompt_block &Session = Query.Prefix.back();
-    std::sort(Admitted.begin(), Admitted.end(),
-              [&Session](const backend_state *A, const backend_state *B) {
-                return rank(Session, A->Entry.Id) > rank(Session, B->Entry.Id);
-              });
-  }
+  bool Shared = !Query.Prefix.empty();
+  // The last shared block identifies the session.
+  std::uint64_t Session = Shared ? Query.Prefix.back().Id : Query.Spread;
+  std::vector<ranked_engine> Engines;
+  Engines.reserve(Admitted.size());
+  for (backend_state *Server : Admitted)
+    Engines.push_back({Server, rank(Session, *Server)});
+  std::sort(Engines.begin(), Engines.end(),
+            [](const ranked_engine &A, const ranked_engine &B) {
+              return A.Rank < B.Rank;
+            });
   backend_state *Best = nullptr;
   double BestScore = 0;
-  for (std::size_t I = 0; I < Admitted.size(); ++I) {
+  for (std::size_t I = 0; I < Engines.size(); ++I) {
+    backend_state *Server = Engines[I].Server;
     double Slots = std::max(Rules.Slots, 1U);
-    double Score = estimateCalls(*Admitted[I], Query, Now) / Slots;
-    if (Query.Prefix.empty() || I >= AffineEngines)
+    double Score = estimateCalls(*Server, Query, Now) / Slots;
+    Score = Score * Server->Slowness + SlowPenalty * (Server->Slowness - 1);
+    if (!Shared || I >= AffineEngines)
       Score += NoAffinityPenalty;
     else
       Score += NoAffinityPenalty * static_cast<double>(I) / 4;
-    if (Admitted[I]->Entry.Zone != Query.NearZone)
+    if (Server->Entry.Zone != Query.NearZone)
       Score += CrossZonePenalty;
-    Score += penalty(*Admitted[I], Query, Now);
+    Score += penalty(*Server, Query, Now);
     if (!Best || Score < BestScore) {
-      Best = Admitted[I];
+      Best = Server;
       BestScore = Score;
     }
   }
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -347,6 +347,10 @@
   } else {
     observePause(*State);
   }
+  if (State->Progress != call_progress::Events) {
+    State->CallEvent = Last;
+    State->CallEventAt = Now;
+  }
   State->LastEventAt = Now;
   State->Progress = call_progress::Events;
   Actions.relayStreamEvents(State->Request.Number, std::move(Text));
@@ -364,6 +368,7 @@
   State->Ledger.end(call_fate::Answered);
   endCall(Call);
   observeStream(*State);
+  observeEngine(*State);
   ++Counters.Complete;
   logOutcome(*State, "complete", 200);
   request_id Request = State->Request.Number;
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -3,6 +3,7 @@
 #include "serving_state.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace jasminecroft {
 
@@ -70,6 +71,8 @@
   Query.Prefix = State.Request.Prefix;
   if (!Query.Prefix.empty())
     Query.Prefix.pop_back();
+  const std::string &Caller = State.Request.CallerId.Value;
+  Query.Spread = XXH3_64bits(Caller.data(), Caller.size());
   return chooseEngine(std::move(Admitted), Query, *Pool->second.Engine, Now);
 }
 
--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -95,6 +95,8 @@
   }
   Followers[Sender.Host] = {Now, Body.Config, Body.Backends};
   sendToHost(Sender.Host, newsSince(Body.Backends));
+  if (std::vector<engine_time> Known = Engines.known(Now); !Known.empty())
+    sendToHost(Sender.Host, engine_times{{}, std::move(Known)});
 }
 
 void serving_impl::on(const host_run &Sender, const store_news &Body) {
@@ -173,9 +175,12 @@
          {"watcher", Following.isWatcher() ? "yes" : "no"}});
     Actions.setStoreSource(Source);
   }
-  if (Due.Poll)
+  if (Due.Poll) {
     sendToHost(Due.Poll->Host,
                store_poll{Gossip.progress().Config, Gossip.backendsReadTo()});
+    if (std::vector<engine_time> Seen = Engines.takeSeen(); !Seen.empty())
+      sendToHost(Due.Poll->Host, engine_times{std::move(Seen), {}});
+  }
   if (Due.ReadStore) {
     Actions.resyncStore(store_kind::Config);
     Actions.resyncStore(store_kind::Backends);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -4,6 +4,7 @@
 
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
+#include "jasminecroft/core/serving/engine_model.h"
 #include "jasminecroft/core/serving/engine_urgency.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
@@ -97,6 +98,9 @@
   std::optional<std::uint64_t> LastEvent;
   /// Of the last events.
   core_time LastEventAt;
+  /// The first event of the current call, and when it arrived.
+  std::uint64_t CallEvent = 0;
+  core_time CallEventAt;
   /// The limited server for which it has asked for a permit.
   std::optional<backend_id> PermitAskedOf;
   core_time PermitAskedAt;
@@ -378,6 +382,9 @@
                                            call_id Call);
   void observePause(const active_request &State);
   void onFirstEvent(call_id Call);
+  void observeEngine(const active_request &State);
+  void applyEngineModel();
+  void on(const host_run &Sender, const engine_times &Body);
   bool reserveRetry(const active_request &State);
   void handleNotRun(active_request &State, const backend_reply_head &Head);
   void handleUnproven(active_request &State, const backend_reply_head &Head);
@@ -464,6 +471,7 @@
   /// their end, in microseconds.
   std::map<route_id, double> StreamMicros;
   urgency_aging Aging;
+  engine_model Engines;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -116,6 +116,7 @@
     Impl->set("late_pauses_urgency_" + std::to_string(Rank),
               static_cast<double>(Counters.LatePauses[Rank]));
   Impl->set("raised_urgencies", static_cast<double>(Counters.RaisedUrgencies));
+  Impl->set("slow_engines", static_cast<double>(Counters.SlowEngines));
   Impl->set("in_progress", static_cast<double>(Counters.InProgress));
   Impl->set("connections", static_cast<double>(Gauges.Connections));
   Impl->set("config_version", static_cast<double>(Gauges.ConfigVersion));
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -52,6 +52,7 @@
   SendPermitRequest = 29,
   SendPermitReply = 30,
   ServerLeaving = 31,
+  EngineTimes = 32,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -308,6 +309,8 @@
 template <>
 struct number_of<server_leaving> : number_constant<body_number::ServerLeaving> {
 };
+template <>
+struct number_of<engine_times> : number_constant<body_number::EngineTimes> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -148,6 +148,18 @@
   Limit.ChangeAge = core_duration(Reader.signedNumber("change_age"));
 }
 
+cbor_value writeTime(const engine_time &Time) {
+  return writeRecord(Time.Server.Value, Time.Run.Value, Time.Mean.count(),
+                     Time.Streams);
+}
+
+void readTime(field_reader &Reader, engine_time &Time) {
+  Reader.id("server", Time.Server);
+  Reader.version("run", Time.Run);
+  Time.Mean = core_duration(Reader.signedNumber("mean"));
+  Time.Streams = Reader.number32("streams");
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -242,6 +254,15 @@
   Reader.version("run", Body.Run);
 }
 
+cbor_value writeBody(const engine_times &Body) {
+  return writeRecord(writeList(Body.Seen, writeTime),
+                     writeList(Body.Known, writeTime));
+}
+void readBody(field_reader &Reader, engine_times &Body) {
+  Reader.list("seen", Body.Seen, MaxEngineTimes, readTime);
+  Reader.list("known", Body.Known, MaxEngineTimes, readTime);
+}
+
 cbor_value writeBody(const send_permit_reply &Body) {
   return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
                      Body.RetryIn.count());
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -217,8 +217,13 @@
           maybe<std::uint64_t>(any32), anyDuration(), anyDuration()};
 }
 
+engine_time anyEngineTime() {
+  return {anyId<backend_id>(), anyNumber<incarnation>(), anyDuration(),
+          any32()};
+}
+
 peer_body anyBody() {
-  switch (below(31)) {
+  switch (below(32)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -317,6 +322,9 @@
                              below(2) == 0, anyDuration()};
   case 29:
     return server_leaving{anyId<backend_id>(), anyNumber<incarnation>()};
+  case 30:
+    return engine_times{some<engine_time>(3, anyEngineTime),
+                        some<engine_time>(3, anyEngineTime)};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
