--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -66,6 +66,8 @@
   ServerPauseUnreadable = 614,
   ZoneEmptied = 615,
   ZoneTakenBack = 616,
+  EngineSlow = 619,
+  EngineUsual = 620,
   PlatformAway = 701,
   PlatformBack = 702,
   StoreCallBegun = 703,
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -5,6 +5,8 @@
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/emptied_zones.h"
+#include "jasminecroft/core/serving/engine_model.h"
+#include "jasminecroft/core/serving/engine_urgency.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
@@ -27,9 +29,11 @@
 /// was in force when it arrived.
 struct config_view {
   explicit config_view(std::shared_ptr<const route_config> Config)
-      : Config(std::move(Config)), Routes(*this->Config) {}
+      : Config(std::move(Config)), Routes(*this->Config),
+        Ranked(findRankedPools(*this->Config)) {}
   std::shared_ptr<const route_config> Config;
   route_index Routes;
+  ranked_pools Ranked;
 };
 
 enum class stage_phase {
@@ -93,6 +97,11 @@
   call_progress Progress = call_progress::Sent;
   std::optional<core_time> FirstByteAt;
   std::optional<std::uint64_t> LastEvent;
+  /// Of the last events.
+  core_time LastEventAt;
+  /// The first event of the current call, and when it arrived.
+  std::uint64_t CallEvent = 0;
+  core_time CallEventAt;
   /// The limited server for which it has asked for a permit.
   std::optional<backend_id> PermitAskedOf;
   core_time PermitAskedAt;
@@ -128,6 +137,8 @@
   batch_id Batch;
   backend_entry Server;
   core_time SentAt;
+  /// Priority of a stream that has no event yet.
+  std::optional<std::uint32_t> WaitsAs;
 };
 
 /// Kind of a timer; determines what its id refers to.
@@ -385,6 +396,13 @@
   void onAttemptTimeout(call_id Call);
   active_request *callRequest(call_id Call);
   void endCall(call_id Call);
+  std::optional<std::uint32_t> beginStream(const active_request &State,
+                                           call_id Call);
+  void observePause(const active_request &State);
+  void onFirstEvent(call_id Call);
+  void observeEngine(const active_request &State);
+  void applyEngineModel();
+  void on(const host_run &Sender, const engine_times &Body);
   bool reserveRetry(const active_request &State);
   void handleNotRun(active_request &State, const backend_reply_head &Head);
   void handleUnproven(active_request &State, const backend_reply_head &Head);
@@ -472,6 +490,8 @@
   /// Exponentially smoothed time from the first byte of a route's streams to
   /// their end, in microseconds.
   std::map<route_id, double> StreamMicros;
+  urgency_aging Aging;
+  engine_model Engines;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -35,8 +35,10 @@
   PausesKept,
   /// The servers of an emptied zone get nothing more until it is taken back.
   EmptiedIsSpared,
+  /// Calls to engines that requests of several priorities reach are ranked.
+  EnginesRanked,
 };
-inline constexpr std::size_t PromiseCount = 12;
+inline constexpr std::size_t PromiseCount = 13;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -29,6 +29,8 @@
     return "line 11, pauses that backend servers ask for";
   case promise::EmptiedIsSpared:
     return "line 12, emptied zones get nothing new";
+  case promise::EnginesRanked:
+    return "line 13, urgency of calls to engines";
   }
   return "";
 }
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -53,6 +53,7 @@
   SendPermitReply = 30,
   ServerLeaving = 31,
   ZoneOrders = 32,
+  EngineTimes = 33,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -311,6 +312,8 @@
 };
 template <>
 struct number_of<zone_orders> : number_constant<body_number::ZoneOrders> {};
+template <>
+struct number_of<engine_times> : number_constant<body_number::EngineTimes> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -217,8 +217,13 @@
           maybe<std::uint64_t>(any32), anyDuration(), anyDuration()};
 }
 
+engine_time anyEngineTime() {
+  return {anyId<backend_id>(), anyNumber<incarnation>(), anyDuration(),
+          any32()};
+}
+
 peer_body anyBody() {
-  switch (below(32)) {
+  switch (below(33)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -322,6 +327,9 @@
       return zone_order{anyId<zone_id>(), anyNumber<object_version>(),
                         below(2) == 0};
     })};
+  case 31:
+    return engine_times{some<engine_time>(3, anyEngineTime),
+                        some<engine_time>(3, anyEngineTime)};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
