--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -64,6 +64,8 @@
   ServerLimitEnded = 612,
   ServerPaused = 613,
   ServerPauseUnreadable = 614,
+  ServerCold = 617,
+  ServerWarm = 618,
   PlatformAway = 701,
   PlatformBack = 702,
   StoreCallBegun = 703,
--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -28,6 +28,7 @@
 inline constexpr std::size_t MaxPartsPerReport = 32;
 inline constexpr std::size_t MaxRulingsPerMessage = 1'024;
 inline constexpr std::size_t MaxLimitsPerMessage = 4'096;
+inline constexpr std::size_t MaxColdServersPerMessage = 4'096;
 
 enum class member_state { Alive, Suspect, Dead, Left };
 std::string_view toText(member_state State);
@@ -267,6 +268,8 @@
   zone_id Zone;
   bool Draining = false;
   incarnation Run;
+  /// Time for which it stays cold, counted from the sending of the message.
+  core_duration ColdLeft{0};
   bool operator==(const backend_news &) const = default;
 };
 /// What a watcher has read of the platform's store.
@@ -315,6 +318,19 @@
   core_duration RetryIn{0};
   bool operator==(const send_permit_reply &) const = default;
 };
+/// A cold run of a backend server.
+struct cold_server_news {
+  backend_id Server;
+  incarnation Run;
+  /// Time for which it stays cold, counted from the sending of the message.
+  core_duration Left{0};
+  bool operator==(const cold_server_news &) const = default;
+};
+/// Servers that said in a reply that they are cold.
+struct cold_server_list {
+  std::vector<cold_server_news> Servers;
+  bool operator==(const cold_server_list &) const = default;
+};
 /// Submits a job to the owner of a queue.
 struct piece_request {
   piece_job Job;
@@ -369,7 +385,7 @@
     piece_request, pieces_accepted, pieces_completed, pieces_failed,
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
     store_poll, store_news, crash_report, part_rulings, server_limit_list,
-    send_permit_request, send_permit_reply, server_leaving>;
+    send_permit_request, send_permit_reply, server_leaving, cold_server_list>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -24,6 +24,9 @@
   /// Wall-clock start time of the server; distinguishes runs with the same id.
   incarnation Run;
   object_version Revision;
+  /// Time for which the server stays cold, as of the time at which the entry
+  /// was read; absent if the entry does not say.
+  std::optional<core_duration> ColdLeft = std::nullopt;
   bool operator==(const backend_entry &) const = default;
 };
 
--- a/packages/core/include/jasminecroft/core/serving/call_admission.h
+++ b/packages/core/include/jasminecroft/core/serving/call_admission.h
@@ -32,6 +32,7 @@
   Paused,
   Limited,
   Backoff,
+  Cold,
 };
 std::string_view toText(admission_obstacle Obstacle);
 
--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -62,6 +62,15 @@
   /// Returns the number of live hosts, including this one.
   std::uint32_t liveCount() const;
   const batching_host &self() const { return Self; }
+  /// The platform no longer lists the host.
+  void removeListed(const entry_host_id &Host, core_time Now);
+  /// Returns the number of listed hosts that rank before this one, and of all
+  /// listed hosts with this one, whether they can be reached or not. Hosts that
+  /// cannot hear each other agree about these.
+  std::size_t rosterRankOfSelf(std::string_view Key) const;
+  std::size_t rosterCount() const { return Roster.size() + 1; }
+  /// Increases whenever a rank among the listed hosts may have changed.
+  std::uint64_t rosterGeneration() const { return RosterGeneration; }
   /// Increases whenever an owner or a rank may have changed.
   std::uint64_t generation() const { return Generation; }
   bool suspected(const entry_host_id &Host) const;
@@ -78,6 +87,11 @@
     core_duration HeartbeatInterval{0};
   };
 
+  struct listed_host {
+    batching_host Host;
+    std::optional<core_time> RemovedAt;
+  };
+
   std::vector<batching_host> highest(std::string_view Key, const zone_id *Zone,
                                      std::size_t Count) const;
   void setChanged();
@@ -86,6 +100,10 @@
   bool SelfLeaving = false;
   std::map<entry_host_id, host_state> Hosts;
   std::uint64_t Generation = 0;
+  /// Other hosts, also suspected and erased ones, until some time after the
+  /// platform has removed them from its list.
+  std::map<entry_host_id, listed_host> Roster;
+  std::uint64_t RosterGeneration = 0;
   /// Owners of this generation. A hash over all hosts for each job would cost
   /// more processor time the larger the fleet is.
   mutable std::map<std::string, entry_host_id, std::less<>> Owners;
--- a/packages/core/include/jasminecroft/core/serving/route_config.h
+++ b/packages/core/include/jasminecroft/core/serving/route_config.h
@@ -76,11 +76,20 @@
   std::uint64_t MemoryTokens = 0;
 };
 
+/// How servers of a pool that have just started are used.
+struct warm_up_rules {
+  /// Time for which a server is cold after its start.
+  core_duration ColdTime{0};
+  /// Requests a second that a cold server takes from all hosts together.
+  double PerSecond = 0;
+};
+
 struct serving_pool {
   pool_id Name;
   std::uint32_t MaxConnections = 0;
   std::optional<batch_rules> Batches;
   std::optional<engine_rules> Engine;
+  std::optional<warm_up_rules> WarmUp;
 };
 
 /// Limits on requests and connections of callers.
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -246,6 +246,8 @@
   std::uint64_t OddPauses = 0;
   /// Parts of prompts in quarantine; a gauge.
   std::uint64_t QuarantinedParts = 0;
+  /// Servers that get a bounded number of calls after their start; a gauge.
+  std::uint64_t ColdServers = 0;
 };
 
 /// Routes, schedules and retries the requests of one entry host. Deterministic:
@@ -281,6 +283,10 @@
   /// Precedes the event of the reply itself.
   void onServerPause(const backend_entry &Server, const stated_pause &Stated,
                      core_time Now);
+  /// A reply says that its server stays cold for a time. Precedes the event of
+  /// the reply itself.
+  void onServerCold(const backend_entry &Server, core_duration Left,
+                    core_time Now);
   void onCallFailed(call_id Call, call_failure Failure, core_time Now);
   void onPiecesAnswered(call_id Call,
                         const std::vector<batch_item_result> &Results,
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -49,6 +49,10 @@
 void fleet_hosts::add(const batching_host &Host, core_time Now) {
   if (Host.Host == Self.Host)
     return;
+  listed_host &Listed = Roster[Host.Host];
+  if (Listed.Host != Host)
+    ++RosterGeneration;
+  Listed = {Host, std::nullopt};
   host_state &State = Hosts[Host.Host];
   if (State.Host != Host)
     setChanged();
@@ -107,7 +111,27 @@
   return true;
 }
 
+void fleet_hosts::removeListed(const entry_host_id &Host, core_time Now) {
+  auto Found = Roster.find(Host);
+  if (Found != Roster.end() && !Found->second.RemovedAt)
+    Found->second.RemovedAt = Now;
+}
+
+std::size_t fleet_hosts::rosterRankOfSelf(std::string_view Key) const {
+  double Own = score(Key, Self);
+  return static_cast<std::size_t>(std::count_if(
+      Roster.begin(), Roster.end(),
+      [&](const std::pair<const entry_host_id, listed_host> &Entry) {
+        return score(Key, Entry.second.Host) > Own;
+      }));
+}
+
 std::vector<batching_host> fleet_hosts::dueForHeartbeat(core_time Now) {
+  RosterGeneration += std::erase_if(
+      Roster, [Now](const std::pair<const entry_host_id, listed_host> &Entry) {
+        return Entry.second.RemovedAt &&
+               Now - *Entry.second.RemovedAt > EraseAfter;
+      });
   std::vector<batching_host> Due;
   for (auto It = Hosts.begin(); It != Hosts.end();) {
     host_state &State = It->second;
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -59,6 +59,7 @@
     return Unused;
   std::vector<backend_state *> Admitted =
       Admission.candidates(State.Pool, subjectOf(State), Now);
+  preferByWarmth(State, Admitted);
   placement_query Query;
   Query.NearZone = inputZone(State);
   Query.Avoid = State.TriedServers;
--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -76,7 +76,7 @@
   for (const backend_entry &Entry : Changes.Listed)
     News.Backends.push_back({Entry.Id, Entry.Revision, true, Entry.Pool,
                              Entry.Address, Entry.Zone, Entry.Draining,
-                             Entry.Run});
+                             Entry.Run, ColdServers.timeLeft(Entry, Now)});
   for (const std::pair<backend_id, object_version> &Removed :
        Changes.Unlisted) {
     backend_news Entry;
@@ -123,7 +123,8 @@
       Newest = std::max(Newest, Entry.Revision);
     if (Entry.Listed && (New || News.Complete))
       Listed.push_back({Entry.Id, Entry.Pool, Entry.Address, Entry.Zone,
-                        Entry.Draining, Entry.Run, Entry.Revision});
+                        Entry.Draining, Entry.Run, Entry.Revision,
+                        Entry.ColdLeft});
     if (New && Entry.Listed)
       log(event_number::BackendListed, event_severity::Info,
           "backend server listed, told by a watcher of the store",
@@ -140,10 +141,10 @@
     }
   }
   if (News.Complete)
-    Servers.replaceAll(Listed, News.To, Now);
+    replaceServers(Listed, News.To);
   else
     for (const backend_entry &Entry : Listed)
-      Servers.update(Entry);
+      updateServer(Entry);
   onBackendsRead(News.To, Newest);
   Actions.onBackendsTold(News.To);
 }
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -22,10 +22,16 @@
 /// host that counts them: only a reply shows that the limit has ended.
 constexpr core_duration MaxUnusedTime = std::chrono::seconds(2);
 
-/// Callers that were refused because of a pause are asked to come back spread
-/// over this time after its end.
+/// Callers that were refused because of a pause, or of a server that is cold,
+/// are asked to come back spread over this time after its end.
 constexpr core_duration PauseEndSpread = milliseconds(500);
 
+// Returns whether an obstacle ends at a time that callers can be told.
+bool hasKnownEnd(const admission_answer &Answer) {
+  return Answer.Until && (Answer.Obstacle == admission_obstacle::Paused ||
+                          Answer.Obstacle == admission_obstacle::Cold);
+}
+
 } // namespace
 
 using namespace detail;
@@ -109,29 +115,32 @@
 }
 
 // Ends a request for which no server may be called. If all servers of its pool
-// want nothing from this host, the caller is told when one will.
+// want nothing from this host, or may not get more now, the caller is told when
+// one will.
 void serving_impl::failUnserved(active_request &State, refusal_kind Kind,
                                 core_duration RetryAfter) {
   admission_answer Opening =
       Admission.firstOpening(State.Pool, subjectOf(State), Now);
-  if (Opening.Obstacle != admission_obstacle::Paused) {
+  if (!hasKnownEnd(Opening)) {
     failRequest(State, Kind, RetryAfter);
     return;
   }
-  ++Counters.RefusedByPause;
+  bool Paused = Opening.Obstacle == admission_obstacle::Paused;
+  if (Paused)
+    ++Counters.RefusedByPause;
   std::uint64_t Point = XXH3_64bits(State.Request.CallerId.Value.data(),
                                     State.Request.CallerId.Value.size());
   core_duration Spread(static_cast<std::int64_t>(
       Point % static_cast<std::uint64_t>(PauseEndSpread.count())));
-  failRequest(State, refusal_kind::Paused, *Opening.Until - Now + Spread);
+  failRequest(State, Paused ? refusal_kind::Paused : Kind,
+              *Opening.Until - Now + Spread);
 }
 
 // Refuses a request whose call would be due while no server may be called.
 bool serving_impl::refusePaused(active_request &State) {
   admission_answer Opening =
       Admission.firstOpening(State.Pool, subjectOf(State), Now);
-  if (Opening.Obstacle != admission_obstacle::Paused ||
-      *Opening.Until <= Now + State.Forecast)
+  if (!hasKnownEnd(Opening) || *Opening.Until <= Now + State.Forecast)
     return false;
   failUnserved(State, refusal_kind::NoBackend, core_duration{0});
   return true;
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -26,6 +26,7 @@
   LastWakeup = Now;
   Gossip.start(Now);
   Following.start(Now);
+  ColdServers.start(Now);
 }
 
 host_heartbeat serving_impl::makeHeartbeat(bool WantsReply) const {
@@ -92,6 +93,9 @@
   std::vector<server_limit_news> Limits = Servers.limits().inForce(Now);
   if (!Limits.empty())
     Actions.sendToPeer(Host, server_limit_list{std::move(Limits)});
+  std::vector<cold_server_news> Cold = ColdServers.all(Now);
+  if (!Cold.empty())
+    Actions.sendToPeer(Host, cold_server_list{std::move(Cold)});
 }
 
 void serving_impl::onHost(const batching_host &Host, core_time) {
@@ -103,6 +107,7 @@
 
 void serving_impl::onHostRemoved(const entry_host_id &Host) {
   Hosts.setLeaving(Host, true);
+  Hosts.removeListed(Host, Now);
 }
 
 void serving_impl::onPeerUnreachable(const entry_host_id &Host) {
@@ -300,6 +305,11 @@
   event_scope Event(*Impl, Now);
   Impl->onServerPause(Server, Stated);
 }
+void serving_core::onServerCold(const backend_entry &Server, core_duration Left,
+                                core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onServerCold(Server, Left);
+}
 void serving_core::onCallFailed(call_id Call, call_failure Failure,
                                 core_time Now) {
   event_scope Event(*Impl, Now);
@@ -332,7 +342,7 @@
 }
 void serving_core::onBackend(const backend_entry &Entry, core_time Now) {
   event_scope Event(*Impl, Now);
-  Impl->Servers.update(Entry);
+  Impl->updateServer(Entry);
   Impl->onBackendsRead(Entry.Revision, Entry.Revision);
 }
 void serving_core::onBackendRemoved(const backend_id &Id,
@@ -343,7 +353,7 @@
 void serving_core::onBackendList(const std::vector<backend_entry> &Entries,
                                  object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
-  Impl->Servers.replaceAll(Entries, Revision, Now);
+  Impl->replaceServers(Entries, Revision);
   object_version Newest;
   for (const backend_entry &Entry : Entries)
     Newest = std::max(Newest, Entry.Revision);
@@ -415,6 +425,7 @@
   Result.BatchedPieces = Impl->Owner.piecesStarted();
   Result.LimitedServers = Impl->limitedServers();
   Result.QuarantinedParts = Impl->quarantinedParts();
+  Result.ColdServers = Impl->coldServers();
   return Result;
 }
 
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -108,8 +108,10 @@
                 [this](const backend_id &Server) {
                   return limitCounter(Server) == this->Settings.Self.Host;
                 }),
-      Gossip(Hosts), Following(Hosts), Budget(Settings.Retries),
-      Owner(*this, Servers, Admission, Budget) {}
+      ColdServers(Hosts), Gossip(Hosts), Following(Hosts),
+      Budget(Settings.Retries), Owner(*this, Servers, Admission, Budget) {
+  Admission.addSource(ColdServers);
+}
 
 active_request *serving_impl::find(request_id Request) {
   auto Found = Requests.find(Request);
@@ -135,6 +137,7 @@
        {"routes", std::to_string(Config->Routes.size())},
        {"keys", std::to_string(Config->Keys.size())}});
   Owner.configure(Config->Pools);
+  ColdServers.configure(Config->Pools);
   View = std::make_shared<const config_view>(std::move(Config));
   ConfigText = std::move(Text);
   Gossip.onConfig(View->Config->Version, Now);
@@ -438,6 +441,7 @@
   processStoreGossip();
   processFollowing();
   processCrashes();
+  processWarm();
   Servers.evictUnlisted(Now);
 }
 
@@ -457,6 +461,8 @@
     Consider(*NextPoll);
   if (std::optional<core_time> NextCrash = Crashes.nextWakeup())
     Consider(*NextCrash);
+  if (std::optional<core_time> NextWarm = ColdServers.nextWakeup())
+    Consider(*NextWarm);
   if (PushAt)
     Consider(*PushAt);
   Consider(std::min(NextSeedHeartbeat, Time + DirectoryCleanup));
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -4,6 +4,7 @@
 
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
+#include "jasminecroft/core/serving/cold_servers.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
@@ -155,6 +156,7 @@
   std::optional<core_time> nextWakeup(core_time Now) const;
   bool ready() const;
   std::size_t limitedServers() const { return Servers.limits().count(); }
+  std::size_t coldServers() const { return ColdServers.count(Now); }
   std::size_t quarantinedParts() const { return Quarantine.quarantinedCount(); }
 
   // Calls: serving_calls.cc.
@@ -178,6 +180,12 @@
   void onServerLeaving(const backend_entry &Server);
   void onServerPause(const backend_entry &Server, const stated_pause &Stated);
 
+  // Servers that are cold: serving_warm_up.cc.
+  void onServerCold(const backend_entry &Server, core_duration Left);
+  void updateServer(const backend_entry &Entry);
+  void replaceServers(const std::vector<backend_entry> &Entries,
+                      object_version Revision);
+
   // Peers: serving_peers.cc.
   void start(core_time Now);
   void onHost(const batching_host &Host, core_time Now);
@@ -210,6 +218,7 @@
   backend_directory Servers;
   fleet_hosts Hosts;
   call_admission Admission;
+  cold_servers ColdServers;
   store_gossip Gossip;
   store_following Following;
   retry_budget Budget;
@@ -335,6 +344,14 @@
   void on(const host_run &Sender, const send_permit_request &Body);
   void on(const host_run &Sender, const send_permit_reply &Body);
 
+  // Servers that are cold: serving_warm_up.cc.
+  void applyEntry(const backend_entry &Entry);
+  void processWarm();
+  void logCold(const backend_entry &Server, std::string_view Source);
+  void preferByWarmth(const active_request &State,
+                      std::vector<backend_state *> &Admitted) const;
+  void on(const host_run &Sender, const cold_server_list &Body);
+
   // Parts that crash servers: serving_quarantine.cc.
   void askAtStart(const batching_host &Host);
   void reportCrash(const active_request &State);
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -31,6 +31,8 @@
     Results.onServerLeaving(Server);
   if (std::optional<stated_pause> Stated = platform::decodeStatedPause(Head))
     Results.onServerPause(Server, *Stated);
+  if (std::optional<core_duration> Left = platform::decodeColdLeft(Head))
+    Results.onServerCold(Server, *Left);
 }
 
 /// A caller's request. Streams are handed on by whole events.
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -23,6 +23,8 @@
   virtual void onServerLeaving(const backend_entry &Server) = 0;
   virtual void onServerPause(const backend_entry &Server,
                              const stated_pause &Stated) = 0;
+  virtual void onServerCold(const backend_entry &Server,
+                            core_duration Left) = 0;
   virtual void onCallFailed(call_id Call, call_failure Failure) = 0;
   virtual void onPiecesAnswered(call_id Call,
                                 const std::vector<batch_item_result> &Results,
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -426,6 +426,9 @@
                      const stated_pause &Stated) override {
     Core.onServerPause(Server, Stated, now());
   }
+  void onServerCold(const backend_entry &Server, core_duration Left) override {
+    Core.onServerCold(Server, Left, now());
+  }
   void onCallFailed(call_id Call, call_failure Failure) override {
     Core.onCallFailed(Call, Failure, now());
     arm();
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -107,6 +107,7 @@
   Impl->set("refused_by_pause", static_cast<double>(Counters.RefusedByPause));
   Impl->set("odd_pauses", static_cast<double>(Counters.OddPauses));
   Impl->set("limited_servers", static_cast<double>(Counters.LimitedServers));
+  Impl->set("cold_servers", static_cast<double>(Counters.ColdServers));
   Impl->set("quarantined", static_cast<double>(Counters.Quarantined));
   Impl->set("quarantined_parts",
             static_cast<double>(Counters.QuarantinedParts));
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -71,6 +71,12 @@
                core_time Now);
   /// A host relayed a reply that names the limit.
   void onLimitTold(const backend_id &Server, std::size_t Host, core_time Now);
+  /// A server is cold until a time. Fresh: its first entry says so; otherwise
+  /// only hosts that were told count.
+  void onCold(const backend_id &Server, double PerSecond, bool Fresh,
+              core_time Until, core_time Now);
+  /// A host relayed a reply that says so.
+  void onColdTold(const backend_id &Server, std::size_t Host, core_time Now);
   /// A host is excused as if it had not been told.
   void onHostLost(std::size_t Host);
   /// A reply has told the host that its server leaves.
@@ -116,6 +122,14 @@
     std::map<std::size_t, core_time> ToldAt;
   };
   void judgeLimit(const backend_id &Server, core_time Now);
+  struct cold_server {
+    double PerSecond = 0;
+    bool Fresh = false;
+    core_time Since;
+    core_time Until;
+    std::map<std::size_t, core_time> ToldAt;
+  };
+  void judgeCold(const backend_id &Server, core_time Now);
 
   booked_request *find(const caller_request_id &Id);
   void answerOnce(const booked_request &Request, core_time Now);
@@ -123,6 +137,7 @@
   std::map<caller_request_id, booked_request> Requests;
   violation_list Violations;
   std::map<backend_id, limited_server> Limits;
+  std::map<backend_id, cold_server> Cold;
   std::map<std::pair<backend_id, std::size_t>, core_time> LeavingTold;
   struct asked_pause {
     core_time CountsFrom;
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -29,6 +29,8 @@
   std::uint64_t FirstBytes = 8'000;
   std::uint64_t NextBytes = 60'000;
   core_duration Goal = std::chrono::milliseconds(2'000);
+  /// Servers that start later are cold; absent: they are not.
+  std::optional<warm_up_rules> WarmUp;
 
   static batch_rules defaultBatches();
 };
@@ -91,6 +93,9 @@
   const backend_id &serverId(std::size_t Server) const;
   void silenceServer(std::size_t Server, core_duration Time);
   void slowServer(std::size_t Server, double Factor);
+  /// It is cold again, as its replies say; nothing in a world without rules for
+  /// that.
+  void coolServer(std::size_t Server);
   /// It turns calls away for a while and asks for a pause until the end of it.
   void pauseServer(std::size_t Server, core_duration Time);
   /// It reports that it leaves; another one takes its place.
@@ -147,6 +152,8 @@
   void addServer(const char *Pool, std::size_t Zone);
   std::unique_ptr<world_server> makeServer(const pool_id &Pool,
                                            const zone_id &Zone);
+  /// One that starts while others serve.
+  std::unique_ptr<world_server> startServer(const server_slot &Slot);
   void tellHosts(const backend_entry &Entry, bool Gone);
   world_server *server(const backend_id &Id) { return findServer(Id); }
   bool linked(const zone_id &A, const zone_id &B) const {
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -33,8 +33,10 @@
   LimitsKept,
   /// A server that asks a host for a pause gets nothing more from it meanwhile.
   PausesKept,
+  /// A cold server gets no more requests a second than it bears.
+  ColdServersSpared,
 };
-inline constexpr std::size_t PromiseCount = 11;
+inline constexpr std::size_t PromiseCount = 12;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/processes/test/cut-heads-test.cc
+++ b/packages/testing/processes/test/cut-heads-test.cc
@@ -119,6 +119,9 @@
   void onServerPause(const backend_entry &, const stated_pause &) override {
     ++Statements;
   }
+  void onServerCold(const backend_entry &, core_duration) override {
+    ++Statements;
+  }
   void onCallFailed(call_id, call_failure Failure) override {
     CHECK(Failure == call_failure::Broken);
     ++Failed;
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -22,6 +22,10 @@
 constexpr core_duration LimitWindow = std::chrono::seconds(4);
 constexpr double LimitFactor = 1.5;
 constexpr double LimitSlack = 5;
+/// Bounds of the users' rule on cold servers.
+constexpr core_duration ColdWindow = std::chrono::seconds(1);
+constexpr double ColdFactor = 1.5;
+constexpr double ColdSlack = 5;
 /// Bounds of the users' rule on pauses.
 constexpr core_duration PauseCountsAfter = std::chrono::milliseconds(500);
 constexpr std::size_t MostInPause = 2;
@@ -58,7 +62,41 @@
   Limits[Server].ToldAt.emplace(Host, Now);
 }
 
+void serving_book::onCold(const backend_id &Server, double PerSecond,
+                          bool Fresh, core_time Until, core_time Now) {
+  Cold[Server] = {PerSecond, Fresh, Now, Until, {}};
+}
+
+void serving_book::onColdTold(const backend_id &Server, std::size_t Host,
+                              core_time Now) {
+  auto Found = Cold.find(Server);
+  if (Found != Cold.end())
+    Found->second.ToldAt.emplace(Host, Now);
+}
+
+void serving_book::judgeCold(const backend_id &Server, core_time Now) {
+  auto Found = Cold.find(Server);
+  if (Found == Cold.end() || Now >= Found->second.Until)
+    return;
+  const cold_server &State = Found->second;
+  std::size_t Counted = 0;
+  for (const std::pair<core_time, std::size_t> &Arrival : Arrivals[Server]) {
+    auto Told = State.ToldAt.find(Arrival.second);
+    bool Knew = State.Fresh || (Told != State.ToldAt.end() &&
+                                Told->second + OnTheWay <= Arrival.first);
+    if (Knew && Arrival.first >= State.Since &&
+        Arrival.first > Now - ColdWindow)
+      ++Counted;
+  }
+  if (static_cast<double>(Counted) > ColdFactor * State.PerSecond + ColdSlack)
+    add(promise::ColdServersSpared, Now,
+        Server.Value + " got " + std::to_string(Counted) +
+            " requests in a second while it was cold");
+}
+
 void serving_book::onHostLost(std::size_t Host) {
+  for (std::pair<const backend_id, cold_server> &Server : Cold)
+    Server.second.ToldAt.erase(Host);
   for (std::pair<const backend_id, limited_server> &Limit : Limits)
     Limit.second.ToldAt.erase(Host);
   std::erase_if(LeavingTold,
@@ -88,6 +126,7 @@
                              core_time Now) {
   Arrivals[Server].emplace_back(Now, Host);
   judgeLimit(Server, Now);
+  judgeCold(Server, Now);
 }
 
 void serving_book::onCall(const backend_id &Server, std::size_t Host,
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -31,6 +31,9 @@
 constexpr std::uint64_t CrashingPart = 900;
 constexpr std::size_t CrashingRequests = 40;
 constexpr core_duration CrashingPause = milliseconds(300);
+/// For servers that start while others serve, in some of the cases.
+constexpr core_duration ColdTime = seconds(3);
+constexpr double ColdPerSecond = 1;
 constexpr std::uint32_t MostLossPermille = 100;
 
 struct weighted {
@@ -103,14 +106,17 @@
     weighted{
         2,
         [](serving_world &World) { World.replaceSilently(anyServer(World)); }},
-    weighted{2, [](serving_world &World) {
+    weighted{2,
+             [](serving_world &World) {
                network_quality Quality;
                std::uint64_t Loss =
                    World.random().below(std::uint64_t{2} * MostLossPermille);
                if (Loss < MostLossPermille)
                  Quality.DropPermille = static_cast<std::uint32_t>(Loss);
                World.setQuality(Quality);
-             }}};
+             }},
+    weighted{3,
+             [](serving_world &World) { World.coolServer(anyServer(World)); }}};
 
 /// Of the configuration; drawn beside the other commands.
 const std::array ConfigFaults = {
@@ -218,6 +224,8 @@
   // More hosts than watchers of the store.
   if (Seed % 3 == 0)
     Options.HostsPerZone = FollowedHostsPerZone;
+  if (Seed % 4 == 1)
+    Options.WarmUp = warm_up_rules{ColdTime, ColdPerSecond};
   serving_world World(Options, Seed);
   serving_fuzz_report Report;
   for (std::size_t I = 0; I < Commands; ++I) {
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -102,6 +102,7 @@
   for (const char *Name : {"plain", "engine", "first", "second"}) {
     serving_pool &Pool = Config->Pools[pool_id(Name)];
     Pool.Name = pool_id(Name);
+    Pool.WarmUp = Options.WarmUp;
     std::string_view Kind = Name;
     if (Kind == "engine")
       Pool.Engine = engine_rules{64, 500'000};
@@ -134,6 +135,18 @@
                          Options.PieceErrorPermille);
 }
 
+std::unique_ptr<world_server>
+serving_world::startServer(const server_slot &Slot) {
+  std::unique_ptr<world_server> Server = makeServer(Slot.Pool, Slot.Zone);
+  if (Options.WarmUp) {
+    Server->Entry.ColdLeft = Options.WarmUp->ColdTime;
+    Server->ColdUntil = now() + Options.WarmUp->ColdTime;
+    Book.onCold(Server->Entry.Id, Options.WarmUp->PerSecond, true,
+                Server->ColdUntil, now());
+  }
+  return Server;
+}
+
 world_server *serving_world::findServer(const backend_id &Id) {
   for (const server_slot &Slot : Servers)
     if (Slot.Server->Entry.Id == Id)
@@ -272,7 +285,7 @@
     server_slot &Slot = Servers[Index];
     if (Slot.Server->Entry.Id != Entry.Id)
       return;
-    Slot.Server = makeServer(Slot.Pool, Slot.Zone);
+    Slot.Server = startServer(Slot);
     tellHosts(Slot.Server->Entry, false);
   });
 }
@@ -310,6 +323,15 @@
   Servers[Server % Servers.size()].Server->Slow = Factor;
 }
 
+void serving_world::coolServer(std::size_t Number) {
+  world_server &Server = *Servers[Number % Servers.size()].Server;
+  if (!Options.WarmUp || !Server.Up || now() < Server.ColdUntil)
+    return;
+  Server.ColdUntil = now() + Options.WarmUp->ColdTime;
+  Book.onCold(Server.Entry.Id, Options.WarmUp->PerSecond, false,
+              Server.ColdUntil, now());
+}
+
 void serving_world::pauseServer(std::size_t Server, core_duration Time) {
   Servers[Server % Servers.size()].Server->RefusesUntil = now() + Time;
 }
@@ -326,7 +348,7 @@
   Slot.Server->LeavingToldAt = now() + DrainTime;
   tellHosts(Entry, false);
   Leaving.push_back(std::move(Slot.Server));
-  Slot.Server = makeServer(Slot.Pool, Slot.Zone);
+  Slot.Server = startServer(Slot);
   tellHosts(Slot.Server->Entry, false);
   after(LeavingTime, [this, Entry] {
     if (world_server *Server = findServer(Entry.Id))
@@ -344,7 +366,7 @@
   const backend_entry Entry = Slot.Server->Entry;
   Slot.Server->SaysLeaving = true;
   Leaving.push_back(std::move(Slot.Server));
-  Slot.Server = makeServer(Slot.Pool, Slot.Zone);
+  Slot.Server = startServer(Slot);
   tellHosts(Slot.Server->Entry, false);
   after(LeavingTime, [this, Entry] { tellHosts(Entry, true); });
   after(2 * LeavingTime, [this, Entry] {
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -137,6 +137,7 @@
   /// Requests a second that it says it takes.
   std::optional<double> Limit;
   core_time RefusesUntil;
+  core_time ColdUntil;
   /// Its replies say that it leaves.
   bool SaysLeaving = false;
   /// Since when every host that watches the store knows that it leaves, and
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -338,6 +338,10 @@
            if (Stated.PerSecond)
              World.book().onLimitTold(Entry.Id, Link.Host, Now);
            Core.onStatedLimit(Link.Call, Stated, Now);
+           if (Now < ColdUntil) {
+             World.book().onColdTold(Entry.Id, Link.Host, Now);
+             Core.onServerCold(Entry, ColdUntil - Now, Now);
+           }
            Event(Core, Now);
          });
 }
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -52,6 +52,7 @@
   SendPermitRequest = 29,
   SendPermitReply = 30,
   ServerLeaving = 31,
+  ColdServerList = 32,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -308,6 +309,9 @@
 template <>
 struct number_of<server_leaving> : number_constant<body_number::ServerLeaving> {
 };
+template <>
+struct number_of<cold_server_list>
+    : number_constant<body_number::ColdServerList> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -93,7 +93,7 @@
 cbor_value writeNews(const backend_news &Entry) {
   return writeRecord(Entry.Id.Value, Entry.Revision.Value, Entry.Listed,
                      Entry.Pool.Value, Entry.Address.Value, Entry.Zone.Value,
-                     Entry.Draining, Entry.Run.Value);
+                     Entry.Draining, Entry.Run.Value, Entry.ColdLeft.count());
 }
 
 void readNews(field_reader &Reader, backend_news &Entry) {
@@ -105,6 +105,7 @@
   Reader.id("zone", Entry.Zone);
   Entry.Draining = Reader.flag("draining");
   Reader.version("run", Entry.Run);
+  Entry.ColdLeft = core_duration(Reader.signedNumber("cold_left"));
 }
 
 cbor_value writeCandidate(const crash_candidate &Candidate) {
@@ -148,6 +149,17 @@
   Limit.ChangeAge = core_duration(Reader.signedNumber("change_age"));
 }
 
+cbor_value writeCold(const cold_server_news &Server) {
+  return writeRecord(Server.Server.Value, Server.Run.Value,
+                     Server.Left.count());
+}
+
+void readCold(field_reader &Reader, cold_server_news &Server) {
+  Reader.id("server", Server.Server);
+  Reader.version("run", Server.Run);
+  Server.Left = core_duration(Reader.signedNumber("left"));
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -242,6 +254,13 @@
   Reader.version("run", Body.Run);
 }
 
+cbor_value writeBody(const cold_server_list &Body) {
+  return writeRecord(writeList(Body.Servers, writeCold));
+}
+void readBody(field_reader &Reader, cold_server_list &Body) {
+  Reader.list("servers", Body.Servers, MaxColdServersPerMessage, readCold);
+}
+
 cbor_value writeBody(const send_permit_reply &Body) {
   return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
                      Body.RetryIn.count());
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -218,7 +218,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(31)) {
+  switch (below(32)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -294,7 +294,8 @@
                             anyId<backend_id>(), anyNumber<object_version>(),
                             below(2) == 0,       anyId<pool_id>(),
                             anyId<endpoint>(),   anyId<zone_id>(),
-                            below(2) == 0,       anyNumber<incarnation>()};
+                            below(2) == 0,       anyNumber<incarnation>(),
+                            anyDuration()};
                       })};
   case 24:
     return crash_report{
@@ -317,6 +318,11 @@
                              below(2) == 0, anyDuration()};
   case 29:
     return server_leaving{anyId<backend_id>(), anyNumber<incarnation>()};
+  case 30:
+    return cold_server_list{some<cold_server_news>(3, [] {
+      return cold_server_news{anyId<backend_id>(), anyNumber<incarnation>(),
+                              anyDuration()};
+    })};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
