--- a/packages/core/test/cold-servers-test.cc
+++ b/packages/core/test/cold-servers-test.cc
@@ -110,21 +110,23 @@
   /// Most calls that a returned server got in a second that ends by Until.
   std::size_t most(core_time From, core_time Until) const {
     std::size_t Most = 0;
-    for (const auto &Server : Sent) {
-      auto First = Server.second.begin();
-      for (auto Last = First; Last != Server.second.end(); ++Last) {
-        while (*First <= *Last - seconds(1) || *First < From)
-          if (First++ == Last)
-            break;
-        if (First <= Last && *Last < Until)
-          Most = std::max(Most, static_cast<std::size_t>(Last - First) + 1);
+    for (const std::pair<const backend_id, std::vector<core_time>> &Server :
+         Sent)
+      for (core_time Last : Server.second) {
+        auto InWindow = [Last, From](core_time Time) {
+          return Time >= From && Time > Last - seconds(1) && Time <= Last;
+        };
+        if (Last < Until)
+          Most = std::max(
+              Most, static_cast<std::size_t>(std::count_if(
+                        Server.second.begin(), Server.second.end(), InWindow)));
       }
-    }
     return Most;
   }
   std::size_t sent() const {
     std::size_t Sum = 0;
-    for (const auto &Server : Sent)
+    for (const std::pair<const backend_id, std::vector<core_time>> &Server :
+         Sent)
       Sum += Server.second.size();
     return Sum;
   }
