--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -68,6 +68,8 @@
   ZoneTakenBack = 616,
   EngineSlow = 619,
   EngineUsual = 620,
+  ServerCold = 617,
+  ServerWarm = 618,
   PlatformAway = 701,
   PlatformBack = 702,
   StoreCallBegun = 703,
--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -30,6 +30,7 @@
 inline constexpr std::size_t MaxRulingsPerMessage = 1'024;
 inline constexpr std::size_t MaxLimitsPerMessage = 4'096;
 inline constexpr std::size_t MaxZoneOrdersPerMessage = 256;
+inline constexpr std::size_t MaxColdServersPerMessage = 4'096;
 
 enum class member_state { Alive, Suspect, Dead, Left };
 std::string_view toText(member_state State);
@@ -269,6 +270,8 @@
   zone_id Zone;
   bool Draining = false;
   incarnation Run;
+  /// Time for which it stays cold, counted from the sending of the message.
+  core_duration ColdLeft{0};
   bool operator==(const backend_news &) const = default;
 };
 /// What a watcher has read of the platform's store.
@@ -322,6 +325,19 @@
   std::vector<zone_order> Orders;
   bool operator==(const zone_orders &) const = default;
 };
+/// A cold run of a backend server.
+struct cold_server_news {
+  backend_id Server;
+  incarnation Run;
+  /// Time for which it stays cold, counted from the sending of the message.
+  core_duration Left{0};
+  bool operator==(const cold_server_news &) const = default;
+};
+/// Servers that said in a reply that they are cold.
+struct cold_server_list {
+  std::vector<cold_server_news> Servers;
+  bool operator==(const cold_server_list &) const = default;
+};
 /// Submits a job to the owner of a queue.
 struct piece_request {
   piece_job Job;
@@ -385,7 +401,7 @@
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
     store_poll, store_news, crash_report, part_rulings, server_limit_list,
     send_permit_request, send_permit_reply, server_leaving, zone_orders,
-    engine_times>;
+    engine_times, cold_server_list>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/core/include/jasminecroft/core/serving/call_admission.h
+++ b/packages/core/include/jasminecroft/core/serving/call_admission.h
@@ -33,6 +33,7 @@
   Limited,
   Backoff,
   ZoneEmptied,
+  Cold,
 };
 std::string_view toText(admission_obstacle Obstacle);
 
--- a/packages/core/src/serving/call_admission.cc
+++ b/packages/core/src/serving/call_admission.cc
@@ -20,6 +20,8 @@
     return "backoff";
   case admission_obstacle::ZoneEmptied:
     return "zone_emptied";
+  case admission_obstacle::Cold:
+    return "cold";
   }
   return "not_usable";
 }
--- a/packages/core/test/engine-model-test.cc
+++ b/packages/core/test/engine-model-test.cc
@@ -108,7 +108,8 @@
               static_cast<double>(Times.size())};
 }
 
-void show(const std::string &Callers, const latency &Before, const latency &After) {
+void show(const std::string &Callers, const latency &Before,
+          const latency &After) {
   auto Ms = [](core_duration Time) { return Time.count() / 1'000; };
   MESSAGE(Callers, ": first event p50 ", Ms(Before.P50), " -> ", Ms(After.P50),
           " ms, p95 ", Ms(Before.P95), " -> ", Ms(After.P95), " ms, p99 ",
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -37,8 +37,10 @@
   EmptiedIsSpared,
   /// Calls to engines that requests of several priorities reach are ranked.
   EnginesRanked,
+  /// A cold server gets no more requests a second than it bears.
+  ColdServersSpared,
 };
-inline constexpr std::size_t PromiseCount = 13;
+inline constexpr std::size_t PromiseCount = 14;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -31,6 +31,8 @@
     return "line 12, emptied zones get nothing new";
   case promise::EnginesRanked:
     return "line 13, urgency of calls to engines";
+  case promise::ColdServersSpared:
+    return "line 14, requests a second to cold servers";
   }
   return "";
 }
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -54,6 +54,7 @@
   ServerLeaving = 31,
   ZoneOrders = 32,
   EngineTimes = 33,
+  ColdServerList = 34,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -314,6 +315,9 @@
 struct number_of<zone_orders> : number_constant<body_number::ZoneOrders> {};
 template <>
 struct number_of<engine_times> : number_constant<body_number::EngineTimes> {};
+template <>
+struct number_of<cold_server_list>
+    : number_constant<body_number::ColdServerList> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -93,7 +93,7 @@
 cbor_value writeNews(const backend_news &Entry) {
   return writeRecord(Entry.Id.Value, Entry.Revision.Value, Entry.Listed,
                      Entry.Pool.Value, Entry.Address.Value, Entry.Zone.Value,
-                     Entry.Draining, Entry.Run.Value);
+                     Entry.Draining, Entry.Run.Value, Entry.ColdLeft.count());
 }
 
 void readNews(field_reader &Reader, backend_news &Entry) {
@@ -105,6 +105,7 @@
   Reader.id("zone", Entry.Zone);
   Entry.Draining = Reader.flag("draining");
   Reader.version("run", Entry.Run);
+  Entry.ColdLeft = core_duration(Reader.signedNumber("cold_left"));
 }
 
 cbor_value writeCandidate(const crash_candidate &Candidate) {
@@ -170,6 +171,17 @@
   Time.Streams = Reader.number32("streams");
 }
 
+cbor_value writeCold(const cold_server_news &Server) {
+  return writeRecord(Server.Server.Value, Server.Run.Value,
+                     Server.Left.count());
+}
+
+void readCold(field_reader &Reader, cold_server_news &Server) {
+  Reader.id("server", Server.Server);
+  Reader.version("run", Server.Run);
+  Server.Left = core_duration(Reader.signedNumber("left"));
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -280,6 +292,13 @@
   Reader.list("known", Body.Known, MaxEngineTimes, readTime);
 }
 
+cbor_value writeBody(const cold_server_list &Body) {
+  return writeRecord(writeList(Body.Servers, writeCold));
+}
+void readBody(field_reader &Reader, cold_server_list &Body) {
+  Reader.list("servers", Body.Servers, MaxColdServersPerMessage, readCold);
+}
+
 cbor_value writeBody(const send_permit_reply &Body) {
   return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
                      Body.RetryIn.count());
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -223,7 +223,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(33)) {
+  switch (below(34)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -299,7 +299,8 @@
                             anyId<backend_id>(), anyNumber<object_version>(),
                             below(2) == 0,       anyId<pool_id>(),
                             anyId<endpoint>(),   anyId<zone_id>(),
-                            below(2) == 0,       anyNumber<incarnation>()};
+                            below(2) == 0,       anyNumber<incarnation>(),
+                            anyDuration()};
                       })};
   case 24:
     return crash_report{
@@ -330,6 +331,11 @@
   case 31:
     return engine_times{some<engine_time>(3, anyEngineTime),
                         some<engine_time>(3, anyEngineTime)};
+  case 32:
+    return cold_server_list{some<cold_server_news>(3, [] {
+      return cold_server_news{anyId<backend_id>(), anyNumber<incarnation>(),
+                              anyDuration()};
+    })};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
