Plan a request's whole way by urgency before its first stage

Queues ordered all jobs that can be on time by their latest start, so an urgent one started with no slack left for its later stages; late jobs were ordered and shed without regard to urgency; the wait of late jobs counted less urgent ones for all. Change: way_plan decides on arrival for the whole way and says when there will be room. Among jobs on time the more urgent start as early as the others' latest starts allow; late ones are ordered by urgency; the late wait is reported by urgency and a late job is shed only if equally and more urgent work makes the queue long. Refused callers return spread over the time in which room is expected, where priorities or workspaces differ. 206 and 207 say plan, priority and the waits of the stages. The test of the order by latest start now uses equally urgent jobs, the mixed case has an order of its own. Conclusion: with equal priorities the order is as before.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -9,6 +9,7 @@
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/queue_order.h"
 #include "jasminecroft/core/serving/retry_budget.h"
+#include "jasminecroft/core/serving/way_plan.h"
 #include "jasminecroft/core/stored_objects.h"
 
 #include <compare>
@@ -22,9 +23,6 @@
 
 namespace jasminecroft {
 
-/// Threshold of the expected queue wait above which late requests without any
-/// results are shed; below it they start and wait.
-inline constexpr core_duration MaxLateQueueWait = std::chrono::seconds(1);
 /// Queues of at least this many jobs are ordered less often.
 inline constexpr std::size_t LongQueue = 24;
 
@@ -249,7 +247,8 @@
   std::vector<waiting_job> waitingJobs(const queue_key &Key, core_time Now);
   void shedLateJobs(const queue_key &Key,
                     const std::vector<waiting_job> &Waiting,
-                    const queue_order &Order, bool Long, core_time Now);
+                    const queue_order &Order, wait_estimator &Estimator,
+                    core_time Now);
   std::vector<planned_server> planServers(const queue_key &Key, core_time Now);
   void queryLoads(const queue_key &Key, core_time Now);
   std::uint64_t externalBytes(const tracked_server &Tracked,
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -64,8 +64,9 @@
   /// If it can be on time: behind all other such jobs of equal or higher
   /// urgency.
   by_urgency<core_duration> OnTime{};
-  /// If it will be late: behind all other jobs.
-  core_duration Late{0};
+  /// If it will be late: behind all jobs that can be on time, and late ones of
+  /// equal or higher urgency.
+  by_urgency<core_duration> Late{};
   /// Recent average call time; zero if there were no calls.
   core_duration Call{0};
   /// Time that the servers need for the pieces of this class and of more urgent
--- a/packages/core/include/jasminecroft/core/serving/queue_order.h
+++ b/packages/core/include/jasminecroft/core/serving/queue_order.h
@@ -63,11 +63,13 @@
   std::size_t OnTime = 0;
 };
 
-/// Orders the jobs that can be on time by their latest start time. If a job
-/// would start too late, the least urgent of those up to it is demoted behind
-/// all jobs that can be on time; among equally urgent ones a job without
+/// Orders the jobs that can be on time: the more urgent first as long as the
+/// others remain on time, equally urgent ones by their latest start time. If a
+/// job would start too late, the least urgent of those up to it is demoted
+/// behind all jobs that can be on time; among equally urgent ones a job without
 /// completed work, then of the workspace with the most pieces ahead, then the
-/// one with the latest start time.
+/// one with the latest start time. Late jobs are ordered by urgency, then those
+/// with completed work come first, then by deadline.
 queue_order orderQueue(const std::vector<waiting_job> &Jobs,
                        wait_estimator &Estimator);
 
--- a/packages/core/include/jasminecroft/core/serving/route_config.h
+++ b/packages/core/include/jasminecroft/core/serving/route_config.h
@@ -109,6 +109,9 @@
   bool KeysRequired = false;
 };
 
+/// Returns whether there is more than one priority or more than one workspace.
+bool callersCompete(const route_config &Config);
+
 /// Index of routes by host name and path prefix. Holds pointers into the
 /// configuration, which must outlive it.
 class route_index {
--- a/packages/core/src/serving/batch_waits.cc
+++ b/packages/core/src/serving/batch_waits.cc
@@ -73,21 +73,23 @@
   std::vector<planned_server> Planned = planServers(Key, Now);
   if (Planned.empty()) {
     Result.OnTime.fill(NoServerWait);
-    Result.Late = NoServerWait;
+    Result.Late.fill(NoServerWait);
     return Result;
   }
   wait_estimator Estimator = makeWaitEstimator(Key, Planned);
   const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
   queue_order Order = orderQueue(Waiting, Estimator);
-  std::size_t All = 0;
+  std::size_t AllOnTime = 0;
   by_urgency<std::size_t> Before{};
+  by_urgency<std::size_t> LateBefore{};
   for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
     const waiting_job &Job = Waiting[Order.Jobs[Place]];
-    All += Job.Pieces;
-    if (Place < Order.OnTime)
-      Before[urgencyRank(Job.Priority)] += Job.Pieces;
+    bool OnTime = Place < Order.OnTime;
+    (OnTime ? Before : LateBefore)[urgencyRank(Job.Priority)] += Job.Pieces;
+    AllOnTime += OnTime ? Job.Pieces : 0;
   }
   std::size_t Ahead = 0;
+  std::size_t AheadOfLate = AllOnTime;
   std::size_t ForecastPieces = 0;
   for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
     Ahead += Before[Rank];
@@ -98,8 +100,9 @@
     Result.OnTime[Rank] = Estimator.waitBehind(Ahead);
     Result.Planned[Rank] =
         Estimator.waitBehind(Ahead + ForecastPieces) - Result.OnTime[Rank];
+    AheadOfLate += LateBefore[Rank];
+    Result.Late[Rank] = Estimator.waitBehind(AheadOfLate);
   }
-  Result.Late = Estimator.waitBehind(All);
   Result.Call =
       core_duration(static_cast<std::int64_t>(Queues[Key].CallMicros));
   Queue.Wait = Result;
--- a/packages/core/src/serving/queue_order.cc
+++ b/packages/core/src/serving/queue_order.cc
@@ -1,5 +1,7 @@
 // Moore-Hodgson algorithm for the fewest late jobs: jobs are added by latest
 // start time, and the least urgent ones are demoted when one would be late.
+// Those that remain are then arranged from the last place to the first, with
+// the least urgent job that may start there.
 #include "jasminecroft/core/serving/queue_order.h"
 
 #include <algorithm>
@@ -49,18 +51,23 @@
     for (std::size_t Job : Order)
       add(Job);
     queue_order Result;
-    Result.Jobs = OnTime;
+    Result.Jobs = arrangeByUrgency();
     Result.OnTime = OnTime.size();
-    std::stable_sort(
-        Late.begin(), Late.end(), [this](std::size_t A, std::size_t B) {
-          return std::tuple(!Jobs[A].HasProgress, Jobs[A].DeadlineIn) <
-                 std::tuple(!Jobs[B].HasProgress, Jobs[B].DeadlineIn);
-        });
+    std::stable_sort(Late.begin(), Late.end(),
+                     [this](std::size_t A, std::size_t B) {
+                       return std::tuple(Jobs[A].Priority, !Jobs[A].HasProgress,
+                                         Jobs[A].DeadlineIn) <
+                              std::tuple(Jobs[B].Priority, !Jobs[B].HasProgress,
+                                         Jobs[B].DeadlineIn);
+                     });
     Result.Jobs.insert(Result.Jobs.end(), Late.begin(), Late.end());
     return Result;
   }
 
 private:
+  /// Sorted by latest start time within a priority.
+  using jobs_by_priority = std::map<std::uint32_t, std::vector<std::size_t>>;
+
   void add(std::size_t Job) {
     const waiting_job &Added = Jobs[Job];
     if (!Added.Expedited && Added.StartIn < core_duration{0}) {
@@ -88,6 +95,58 @@
     OnTime.erase(Demoted);
   }
 
+  // Returns the jobs that can be on time, the more urgent ones as early as the
+  // others' latest start times allow: a wait that is longer than expected is
+  // then at the expense of the less urgent.
+  std::vector<std::size_t> arrangeByUrgency() {
+    std::vector<std::size_t> Result;
+    jobs_by_priority ByPriority;
+    std::size_t Pieces = 0;
+    for (std::size_t Job : OnTime) {
+      if (Jobs[Job].Expedited) {
+        Result.push_back(Job);
+        Pieces += Jobs[Job].Pieces;
+      } else {
+        ByPriority[Jobs[Job].Priority].push_back(Job);
+      }
+    }
+    if (ByPriority.size() < 2)
+      return OnTime;
+    for (const jobs_by_priority::value_type &Class : ByPriority)
+      for (std::size_t Job : Class.second)
+        Pieces += Jobs[Job].Pieces;
+    std::size_t Expedited = Result.size();
+    while (!ByPriority.empty()) {
+      auto Last = lastClass(ByPriority, Pieces);
+      std::size_t Job = Last->second.back();
+      Last->second.pop_back();
+      if (Last->second.empty())
+        ByPriority.erase(Last);
+      Pieces -= Jobs[Job].Pieces;
+      Result.push_back(Job);
+    }
+    std::reverse(Result.begin() + static_cast<std::ptrdiff_t>(Expedited),
+                 Result.end());
+    return Result;
+  }
+
+  // Returns the least urgent class of which a job may start after all others.
+  // The job with the latest start time of all always may.
+  jobs_by_priority::iterator lastClass(jobs_by_priority &ByPriority,
+                                       std::size_t Pieces) {
+    auto Latest = ByPriority.end();
+    for (auto It = ByPriority.end(); It != ByPriority.begin();) {
+      --It;
+      const waiting_job &Job = Jobs[It->second.back()];
+      if (Estimator.waitBehind(Pieces - Job.Pieces) <= Job.StartIn)
+        return It;
+      if (Latest == ByPriority.end() ||
+          Job.StartIn > Jobs[Latest->second.back()].StartIn)
+        Latest = It;
+    }
+    return Latest;
+  }
+
   // The job with the highest rank is demoted.
   std::tuple<std::uint32_t, bool, std::size_t> rank(std::size_t Job) {
     return {Jobs[Job].Priority, !Jobs[Job].HasProgress,
--- a/packages/core/src/serving/route_config.cc
+++ b/packages/core/src/serving/route_config.cc
@@ -1,6 +1,8 @@
 // Route lookup by the longest matching path prefix.
 #include "jasminecroft/core/serving/route_config.h"
 
+#include <set>
+
 namespace jasminecroft {
 
 route_index::route_index(const route_config &Config) {
@@ -26,4 +28,17 @@
   return nullptr;
 }
 
+bool callersCompete(const route_config &Config) {
+  std::set<std::uint32_t> Priorities;
+  for (const serving_route &Route : Config.Routes)
+    Priorities.insert(Route.Priority);
+  std::set<workspace_id> Workspaces;
+  for (const std::pair<const workspace_key, key_owner> &Key : Config.Keys) {
+    Workspaces.insert(Key.second.Workspace);
+    if (Key.second.Priority)
+      Priorities.insert(*Key.second.Priority);
+  }
+  return Priorities.size() > 1 || Workspaces.size() > 1;
+}
+
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -17,6 +17,9 @@
 constexpr std::uint32_t TypicalBatchDivisor = 2;
 /// Age at which a reported wait has decayed to zero.
 constexpr double WaitDecaySeconds = 1.5;
+/// A refused caller is not told to stay away longer: waits of that length are
+/// those of a pool without servers.
+constexpr core_duration MaxRoomIn = std::chrono::seconds(5);
 
 } // namespace
 
@@ -36,7 +39,8 @@
     Time = scaled(Time, Part);
   for (core_duration &Time : Wait.Planned)
     Time = scaled(Time, Part);
-  Wait.Late = scaled(Wait.Late, Part);
+  for (core_duration &Time : Wait.Late)
+    Time = scaled(Time, Part);
   return Wait;
 }
 
@@ -134,34 +138,19 @@
   return Longest + firstByteTime(State);
 }
 
-// Estimates the waits of a request that arrives now. Work that other hosts plan
-// to submit to a stage adds to its queue; the time until the request reaches
-// the stage, in which the servers drain the queue, is subtracted.
-serving_impl::forecast
-serving_impl::forecastStages(const active_request &State) const {
-  forecast Result;
-  std::size_t Rank = urgencyRank(State.Priority);
-  std::vector<core_duration> Ends(State.Stages.size(), core_duration{0});
+way_query serving_impl::wayOf(const active_request &State) const {
+  way_query Query;
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage) {
-    const route_stage &Plan = State.Route->Stages[Stage];
-    core_duration Start{0};
-    for (std::uint32_t Before : Plan.After)
-      if (Before < Stage)
-        Start = std::max(Start, Ends[Before]);
-    Ends[Stage] = Start;
-    if (State.Request.Pieces[Stage] == 0)
-      continue;
-    queue_wait Wait = estimatedWait(State, Stage);
-    core_duration None{0};
-    core_duration Planned = Plan.After.empty() ? None : Wait.Planned[Rank];
-    core_duration OnTime = std::max(None, Wait.OnTime[Rank] + Planned - Start);
-    core_duration Late = std::max(None, Wait.Late + Planned - Start);
-    Ends[Stage] = Start + OnTime + callTime(State, Stage);
-    Result.MaxLateQueueWait = std::max(Result.MaxLateQueueWait, Late);
-    Result.Needed = std::max(Result.Needed, Ends[Stage]);
+    way_stage &Step = Query.Stages.emplace_back();
+    Step.After = State.Route->Stages[Stage].After;
+    Step.HasPieces = State.Request.Pieces[Stage] > 0;
+    Step.Wait = estimatedWait(State, Stage);
+    Step.Call = callTime(State, Stage);
   }
-  Result.Needed += firstByteTime(State);
-  return Result;
+  Query.FirstByte = firstByteTime(State);
+  Query.AimIn = State.GoalAt - Now;
+  Query.Priority = State.Priority;
+  return Query;
 }
 
 // Refuses a request that cannot be on time if a queue ahead of it is so long
@@ -169,12 +158,15 @@
 // would expire, or block servers, before the next stage uses them. Returns
 // whether it was refused.
 bool serving_impl::shedIfLate(active_request &State) {
-  forecast Forecast = forecastStages(State);
-  State.Forecast = Forecast.Needed;
-  bool OnTime = Now + Forecast.Needed <= State.GoalAt;
-  if (OnTime || Forecast.MaxLateQueueWait < MaxLateQueueWait)
+  way_plan Plan = planWay(wayOf(State));
+  State.Forecast = Plan.Needed;
+  State.Way = std::move(Plan);
+  if (State.Way.Decision != way_decision::Refuse)
     return false;
-  failRequest(State, refusal_kind::Overloaded, Forecast.MaxLateQueueWait);
+  core_duration RoomIn = State.Way.LateWait;
+  if (State.View->Competing)
+    RoomIn = spreadReturn(State.Request.CallerId, std::min(RoomIn, MaxRoomIn));
+  failRequest(State, refusal_kind::Overloaded, RoomIn);
   return true;
 }
 
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -278,7 +278,9 @@
     logPromise(State, toText(Kind));
     // Of other causes, the end is a guess.
     bool EndIsKnown =
-        Kind == refusal_kind::Quarantined || Kind == refusal_kind::Paused;
+        Kind == refusal_kind::Quarantined || Kind == refusal_kind::Paused ||
+        (Kind == refusal_kind::Overloaded && State.View->Competing &&
+         State.Way.Decision == way_decision::Refuse);
     Retry = EndIsKnown ? std::max(RetryAfter, MinRetryAfter)
                        : std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter);
   } else {
@@ -324,6 +326,13 @@
       Times += (Times.empty() ? "" : "/") + inMs(Stage.Duration);
     Fields.push_back({"stage_ms", std::move(Times)});
     Fields.push_back({"forecast_ms", inMs(State.Forecast)});
+    std::string Waits;
+    for (core_duration Wait : State.Way.Waits)
+      Waits += (Waits.empty() ? "" : "/") + inMs(Wait);
+    Fields.push_back({"plan", std::string(toText(State.Way.Decision))});
+    Fields.push_back({"waits_ms", std::move(Waits)});
+    Fields.push_back({"late_wait_ms", inMs(State.Way.LateWait)});
+    Fields.push_back({"priority", std::to_string(State.Priority)});
     Fields.push_back({"restages", std::to_string(State.Recomputations)});
   }
   log(Succeeded ? event_number::RequestServed : event_number::RequestEnded,
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -26,9 +26,11 @@
 /// was in force when it arrived.
 struct config_view {
   explicit config_view(std::shared_ptr<const route_config> Config)
-      : Config(std::move(Config)), Routes(*this->Config) {}
+      : Config(std::move(Config)), Routes(*this->Config),
+        Competing(callersCompete(*this->Config)) {}
   std::shared_ptr<const route_config> Config;
   route_index Routes;
+  bool Competing;
 };
 
 enum class stage_phase {
@@ -79,6 +81,7 @@
   core_time StagesDoneAt;
   /// Time to the first byte of the response, as estimated on arrival.
   core_duration Forecast{0};
+  way_plan Way;
 
   /// Call in flight, if any.
   std::optional<call_id> CurrentCall;
@@ -224,12 +227,6 @@
   core_time Now;
 
 private:
-  struct forecast {
-    /// Time to the first byte of the response if every stage is on time.
-    core_duration Needed{0};
-    /// Longest wait in any one queue behind all jobs in it.
-    core_duration MaxLateQueueWait{0};
-  };
   using request_map = std::unordered_map<request_id, active_request>;
 
   // Requests.
@@ -282,7 +279,7 @@
                            std::size_t Stage) const;
   void sendDemandForecast(const active_request &State);
   by_urgency<std::uint32_t> plannedPieces(const pool_id &Pool) const;
-  forecast forecastStages(const active_request &State) const;
+  way_query wayOf(const active_request &State) const;
   bool shedIfLate(active_request &State);
   void onAcceptTimeout(piece_job_id Job);
   core_duration acceptTimeout(const entry_host_id &Owner) const;
--- a/packages/core/test/queue-order-test.cc
+++ b/packages/core/test/queue-order-test.cc
@@ -43,11 +43,29 @@
 } // namespace
 
 TEST_CASE("jobs that can all be on time start by latest start time") {
-  queue_order Order = orderIn(oneServer(), {job(900), job(0, 2), job(400, 1)});
+  queue_order Order = orderIn(oneServer(), {job(900), job(0), job(400)});
   CHECK(Order.Jobs == std::vector<std::size_t>{1, 2, 0});
   CHECK(Order.OnTime == 3);
 }
 
+TEST_CASE("a more urgent job goes first unless that makes another one late") {
+  queue_order Order = orderIn(oneServer(), {job(900), job(0, 2), job(400, 1)});
+  CHECK(Order.Jobs == std::vector<std::size_t>{1, 0, 2});
+  CHECK(Order.OnTime == 3);
+  Order = orderIn(oneServer(), {job(900), job(150, 2), job(150, 1)});
+  CHECK(Order.Jobs == std::vector<std::size_t>{2, 1, 0});
+  CHECK(Order.OnTime == 3);
+}
+
+TEST_CASE("late jobs are ordered by urgency, then by completed work") {
+  std::vector<waiting_job> Jobs = {job(-30, 1), job(-10, 0), job(-20, 1),
+                                   job(300, 2)};
+  Jobs[2].HasProgress = true;
+  queue_order Order = orderIn(oneServer(), Jobs);
+  CHECK(Order.Jobs == std::vector<std::size_t>{3, 1, 2, 0});
+  CHECK(Order.OnTime == 1);
+}
+
 TEST_CASE("the wait includes queued calls and the servers' calls in flight") {
   wait_estimator Estimator({{milliseconds(10), milliseconds(400)},
                             {milliseconds(60), milliseconds(400)}},
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -380,7 +380,7 @@
   CHECK(Test.requestedJobs()[0].second.QueueZone == zone_id("z0"));
   queue_wait Wait;
   Wait.OnTime.fill(milliseconds(400));
-  Wait.Late = milliseconds(400);
+  Wait.Late.fill(milliseconds(400));
   Test.Core.onPeer({entry_host_id("h1"), incarnation(1)},
                    pieces_accepted{Test.requestedJobs()[0].second.Job, Wait},
                    Test.Now);
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -262,13 +262,13 @@
 
 cbor_value writeBody(const pieces_accepted &Body) {
   return writeRecord(Body.Job.Value, writeTimes(Body.Wait.OnTime),
-                     Body.Wait.Late.count(), Body.Wait.Call.count(),
+                     writeTimes(Body.Wait.Late), Body.Wait.Call.count(),
                      writeTimes(Body.Wait.Planned));
 }
 void readBody(field_reader &Reader, pieces_accepted &Body) {
   Reader.version("job", Body.Job);
   Reader.record("wait_on_time", Body.Wait.OnTime, readTimes);
-  Body.Wait.Late = core_duration(Reader.signedNumber("wait_late"));
+  Reader.record("wait_late", Body.Wait.Late, readTimes);
   Body.Wait.Call = core_duration(Reader.signedNumber("call"));
   Reader.record("planned", Body.Wait.Planned, readTimes);
 }
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -258,9 +258,8 @@
   case 14:
     return piece_request{anyJob()};
   case 15:
-    return pieces_accepted{
-        anyNumber<piece_job_id>(),
-        {anyTimes(), anyDuration(), anyDuration(), anyTimes()}};
+    return pieces_accepted{anyNumber<piece_job_id>(),
+                           {anyTimes(), anyTimes(), anyDuration(), anyTimes()}};
   case 16:
     return pieces_completed{
         anyNumber<piece_job_id>(), anyId<caller_request_id>(),
