Share a queue among workspaces by weighted max-min

Cause: among equally urgent jobs a queue knew only the pieces that wait now, so a workspace that had just been served went on like the others; hosts refused all workspaces alike once one of them had made a queue long. Change: fair_shares keeps recent and usual work of each workspace by queue and urgency; the order demotes the workspace furthest above its share, and late jobs take turns. Owners tell hosts which workspaces want more than their share; way_plan refuses no other one because of a long queue.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -6,6 +6,7 @@
 #include "jasminecroft/core/serving/backend_directory.h"
 #include "jasminecroft/core/serving/batch_plan.h"
 #include "jasminecroft/core/serving/call_admission.h"
+#include "jasminecroft/core/serving/fair_shares.h"
 #include "jasminecroft/core/serving/pieces.h"
 #include "jasminecroft/core/serving/queue_order.h"
 #include "jasminecroft/core/serving/retry_budget.h"
@@ -171,6 +172,7 @@
       core_time At;
     };
     std::map<entry_host_id, forecast> Forecasts;
+    by_urgency<fair_shares> Shares;
     /// Expected wait as last computed.
     queue_wait Wait;
     core_time WaitAt;
@@ -245,6 +247,10 @@
   wait_estimator makeWaitEstimator(const queue_key &Key,
                                    const std::vector<planned_server> &Servers);
   std::vector<waiting_job> waitingJobs(const queue_key &Key, core_time Now);
+  std::vector<over_share> findOverShare(const queue_key &Key,
+                                        const std::vector<waiting_job> &Waiting,
+                                        const queue_order &Order,
+                                        core_time Now);
   void shedLateJobs(const queue_key &Key,
                     const std::vector<waiting_job> &Waiting,
                     const queue_order &Order, wait_estimator &Estimator,
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -59,6 +59,13 @@
   return Priority < UrgencyRanks ? Priority : UrgencyRanks - 1;
 }
 
+/// A workspace that wants more than its share.
+struct over_share {
+  workspace_id Workspace;
+  std::uint32_t Rank = 0;
+  bool operator==(const over_share &) const = default;
+};
+
 /// Expected queue waits of a job.
 struct queue_wait {
   /// If it can be on time: behind all other such jobs of equal or higher
@@ -72,6 +79,9 @@
   /// Time that the servers need for the pieces of this class and of more urgent
   /// ones in the demand forecasts of hosts.
   by_urgency<core_duration> Planned{};
+  /// Workspaces that want more than their share while others wait, each with
+  /// the urgency rank of that work. Empty if all can be on time.
+  std::vector<over_share> OverShare;
 
   bool operator==(const queue_wait &) const = default;
 };
--- a/packages/core/include/jasminecroft/core/serving/queue_order.h
+++ b/packages/core/include/jasminecroft/core/serving/queue_order.h
@@ -26,6 +26,10 @@
   /// other jobs.
   bool Expedited = false;
   workspace_id Workspace;
+  /// Pieces of equally urgent jobs recently started for the workspace, and the
+  /// weight of its share; positive.
+  double RecentPieces = 0;
+  double Weight = 1;
 };
 
 /// Estimates queue waits from the speed of the servers.
@@ -67,9 +71,10 @@
 /// others remain on time, equally urgent ones by their latest start time. If a
 /// job would start too late, the least urgent of those up to it is demoted
 /// behind all jobs that can be on time; among equally urgent ones a job without
-/// completed work, then of the workspace with the most pieces ahead, then the
-/// one with the latest start time. Late jobs are ordered by urgency, then those
-/// with completed work come first, then by deadline.
+/// completed work, then of the workspace with the most recent pieces and pieces
+/// ahead for its weight, then the one with the latest start time. Late jobs are
+/// ordered by urgency, then those with completed work come first, then
+/// workspaces take turns by their shares, then by deadline.
 queue_order orderQueue(const std::vector<waiting_job> &Jobs,
                        wait_estimator &Estimator);
 
--- a/packages/core/include/jasminecroft/core/serving/way_plan.h
+++ b/packages/core/include/jasminecroft/core/serving/way_plan.h
@@ -27,6 +27,17 @@
   core_duration Call{0};
 };
 
+/// How the request's workspace stands in a queue that cannot serve all.
+enum class share_standing {
+  /// No workspace wants more than its share.
+  Undisputed,
+  /// Others want more than their shares; the queue places it before them.
+  Within,
+  Over,
+};
+
+std::string_view toText(share_standing Standing);
+
 struct way_query {
   std::vector<way_stage> Stages;
   /// Expected time from the last stage to the first byte of the response.
@@ -34,6 +45,7 @@
   /// Time left for the response to be on time.
   core_duration AimIn{0};
   std::uint32_t Priority = 0;
+  workspace_id Workspace;
 };
 
 enum class way_decision {
@@ -56,11 +68,14 @@
   core_duration LateWait{0};
   /// Expected wait in the queue of each stage.
   std::vector<core_duration> Waits;
+  /// The worst of all queues.
+  share_standing Standing = share_standing::Undisputed;
 };
 
 /// Work that hosts plan to submit to a later stage adds to its queue; the time
 /// until the request reaches the stage, in which the servers drain the queue,
-/// is subtracted. Only equally and more urgent work counts.
+/// is subtracted. Only equally and more urgent work counts. A long queue is no
+/// reason to refuse a workspace within its share.
 way_plan planWay(const way_query &Query);
 
 /// Returns a time after RoomIn, the same for each call with the same id. Times
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -344,6 +344,8 @@
     if (Job.Waiting.empty())
       std::erase(queue(Key), Piece.Job);
     Batch.Bytes += Job.Job.ResultBytes;
+    Queues[Key].Shares[urgencyRank(Job.Job.Priority)].onStarted(
+        Job.Job.Workspace, 1, Now);
     Items.push_back({Job.Job.Request, Job.Job.Stage, Piece.Piece, Job.Job.Key,
                      Job.Job.Inputs, Job.Deadline - Now});
   }
--- a/packages/core/src/serving/batch_waits.cc
+++ b/packages/core/src/serving/batch_waits.cc
@@ -19,6 +19,11 @@
 /// Lifetime of a host's demand forecast: about the time that the earlier
 /// stages of its requests take.
 constexpr core_duration ForecastLifetime = milliseconds(1'500);
+/// A workspace counts as over its share from this multiple of it: less is the
+/// chance of a few jobs.
+constexpr double OverShareMargin = 1.5;
+/// Workspaces over their share that are told to hosts, the most urgent first.
+constexpr std::size_t MaxOverShare = 64;
 /// Wait reported when no server of the pool is known.
 constexpr core_duration NoServerWait = std::chrono::hours(1);
 
@@ -44,6 +49,9 @@
 std::vector<waiting_job> batch_owner::waitingJobs(const queue_key &Key,
                                                   core_time Now) {
   std::vector<waiting_job> Result;
+  by_urgency<share_demands> Recent;
+  for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank)
+    Recent[Rank] = Queues[Key].Shares[Rank].recent(Now);
   for (const job_key &Id : queue(Key)) {
     const job_state &Job = Jobs.at(Id);
     waiting_job Waiting;
@@ -56,11 +64,50 @@
     Waiting.Expedited =
         !Job.Job.Inputs.empty() && Now - Job.Arrived > MaxInputWait;
     Waiting.Workspace = Job.Job.Workspace;
+    const share_demands &Known = Recent[urgencyRank(Job.Job.Priority)];
+    auto Share = Known.find(Waiting.Workspace);
+    if (Share != Known.end()) {
+      Waiting.RecentPieces = Share->second.Work;
+      Waiting.Weight = Share->second.Weight;
+    }
     Result.push_back(std::move(Waiting));
   }
   return Result;
 }
 
+// Returns the workspaces above the level up to which recent work and the jobs
+// that can be on time would be shared, for each rank in which a job is late.
+std::vector<over_share>
+batch_owner::findOverShare(const queue_key &Key,
+                           const std::vector<waiting_job> &Waiting,
+                           const queue_order &Order, core_time Now) {
+  std::vector<over_share> Result;
+  if (Order.OnTime == Order.Jobs.size())
+    return Result;
+  for (std::uint32_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
+    share_demands Demands = Queues[Key].Shares[Rank].recent(Now);
+    double Capacity = 0;
+    for (const share_demands::value_type &Entry : Demands)
+      Capacity += Entry.second.Work;
+    for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
+      const waiting_job &Job = Waiting[Order.Jobs[Place]];
+      if (urgencyRank(Job.Priority) != Rank)
+        continue;
+      double Pieces = static_cast<double>(Job.Pieces);
+      Demands[Job.Workspace].Work += Pieces;
+      Capacity += Place < Order.OnTime ? Pieces : 0;
+    }
+    if (Demands.size() < 2)
+      continue;
+    double Level = shareLevel(Demands, Capacity);
+    for (const share_demands::value_type &Entry : Demands)
+      if (Entry.second.Work > OverShareMargin * Level * Entry.second.Weight &&
+          Result.size() < MaxOverShare)
+        Result.push_back({Entry.first, Rank});
+  }
+  return Result;
+}
+
 queue_wait batch_owner::expectedWait(const pool_id &Pool, const zone_id &Zone,
                                      core_time Now) {
   if (!Pools.contains(Pool))
@@ -105,6 +152,7 @@
   }
   Result.Call =
       core_duration(static_cast<std::int64_t>(Queues[Key].CallMicros));
+  Result.OverShare = findOverShare(Key, Waiting, Order, Now);
   Queue.Wait = Result;
   Queue.WaitAt = Now;
   return Result;
--- a/packages/core/src/serving/queue_order.cc
+++ b/packages/core/src/serving/queue_order.cc
@@ -53,13 +53,7 @@
     queue_order Result;
     Result.Jobs = arrangeByUrgency();
     Result.OnTime = OnTime.size();
-    std::stable_sort(Late.begin(), Late.end(),
-                     [this](std::size_t A, std::size_t B) {
-                       return std::tuple(Jobs[A].Priority, !Jobs[A].HasProgress,
-                                         Jobs[A].DeadlineIn) <
-                              std::tuple(Jobs[B].Priority, !Jobs[B].HasProgress,
-                                         Jobs[B].DeadlineIn);
-                     });
+    sortLate();
     Result.Jobs.insert(Result.Jobs.end(), Late.begin(), Late.end());
     return Result;
   }
@@ -76,7 +70,7 @@
     }
     OnTime.push_back(Job);
     PiecesOnTime += Added.Pieces;
-    WorkspacePieces[Added.Workspace] += Added.Pieces;
+    share(Added) += static_cast<double>(Added.Pieces) / Added.Weight;
     while (!Added.Expedited && !OnTime.empty() && OnTime.back() == Job &&
            Estimator.waitBehind(PiecesOnTime - Added.Pieces) > Added.StartIn)
       demoteOne();
@@ -90,7 +84,7 @@
         Demoted = It;
     const waiting_job &Job = Jobs[*Demoted];
     PiecesOnTime -= Job.Pieces;
-    WorkspacePieces[Job.Workspace] -= Job.Pieces;
+    share(Job) -= static_cast<double>(Job.Pieces) / Job.Weight;
     Late.push_back(*Demoted);
     OnTime.erase(Demoted);
   }
@@ -148,9 +142,39 @@
   }
 
   // The job with the highest rank is demoted.
-  std::tuple<std::uint32_t, bool, std::size_t> rank(std::size_t Job) {
-    return {Jobs[Job].Priority, !Jobs[Job].HasProgress,
-            WorkspacePieces[Jobs[Job].Workspace]};
+  std::tuple<std::uint32_t, bool, double> rank(std::size_t Job) {
+    return {Jobs[Job].Priority, !Jobs[Job].HasProgress, share(Jobs[Job])};
+  }
+
+  // Each late job continues the share of its workspace where the one before it
+  // ended.
+  void sortLate() {
+    auto Class = [this](std::size_t Job) {
+      return std::tuple(Jobs[Job].Priority, !Jobs[Job].HasProgress);
+    };
+    std::stable_sort(Late.begin(), Late.end(),
+                     [this, &Class](std::size_t A, std::size_t B) {
+                       return std::tuple(Class(A), Jobs[A].DeadlineIn) <
+                              std::tuple(Class(B), Jobs[B].DeadlineIn);
+                     });
+    std::vector<double> Begins(Jobs.size());
+    for (std::size_t Job : Late) {
+      Begins[Job] = share(Jobs[Job]);
+      share(Jobs[Job]) +=
+          static_cast<double>(Jobs[Job].Pieces) / Jobs[Job].Weight;
+    }
+    std::stable_sort(Late.begin(), Late.end(),
+                     [&Class, &Begins](std::size_t A, std::size_t B) {
+                       return std::tuple(Class(A), Begins[A]) <
+                              std::tuple(Class(B), Begins[B]);
+                     });
+  }
+
+  double &share(const waiting_job &Job) {
+    return Shares
+        .try_emplace({Job.Priority, Job.Workspace},
+                     Job.RecentPieces / Job.Weight)
+        .first->second;
   }
 
   const std::vector<waiting_job> &Jobs;
@@ -158,9 +182,10 @@
   /// Sorted by latest start time, expedited jobs first.
   std::vector<std::size_t> OnTime;
   std::vector<std::size_t> Late;
-  /// Pieces of the jobs in OnTime, in total and by workspace.
+  /// Pieces of the jobs in OnTime.
   std::size_t PiecesOnTime = 0;
-  std::map<workspace_id, std::size_t> WorkspacePieces;
+  /// Recent pieces and those ordered so far for each weight.
+  std::map<std::pair<std::uint32_t, workspace_id>, double> Shares;
 };
 
 } // namespace
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -333,6 +333,7 @@
     Fields.push_back({"waits_ms", std::move(Waits)});
     Fields.push_back({"late_wait_ms", inMs(State.Way.LateWait)});
     Fields.push_back({"priority", std::to_string(State.Priority)});
+    Fields.push_back({"share", std::string(toText(State.Way.Standing))});
     Fields.push_back({"restages", std::to_string(State.Recomputations)});
   }
   log(Succeeded ? event_number::RequestServed : event_number::RequestEnded,
--- a/packages/core/src/serving/way_plan.cc
+++ b/packages/core/src/serving/way_plan.cc
@@ -25,6 +25,35 @@
   return "refuse";
 }
 
+std::string_view toText(share_standing Standing) {
+  switch (Standing) {
+  case share_standing::Undisputed:
+    return "undisputed";
+  case share_standing::Within:
+    return "within";
+  case share_standing::Over:
+    return "over";
+  }
+  return "over";
+}
+
+namespace {
+
+share_standing standing(const queue_wait &Wait, std::size_t Rank,
+                        const workspace_id &Workspace) {
+  share_standing Result = share_standing::Undisputed;
+  for (const over_share &Entry : Wait.OverShare) {
+    if (Entry.Rank != Rank)
+      continue;
+    if (Entry.Workspace == Workspace)
+      return share_standing::Over;
+    Result = share_standing::Within;
+  }
+  return Result;
+}
+
+} // namespace
+
 way_plan planWay(const way_query &Query) {
   way_plan Plan;
   std::size_t Rank = urgencyRank(Query.Priority);
@@ -48,7 +77,10 @@
         std::max(None, Stage.Wait.Late[Rank] + Planned - Start);
     Ends.back() = Start + OnTime + Stage.Call;
     Plan.Waits.back() = OnTime;
-    Plan.LateWait = std::max(Plan.LateWait, Late);
+    share_standing Standing = standing(Stage.Wait, Rank, Query.Workspace);
+    Plan.Standing = std::max(Plan.Standing, Standing);
+    if (Standing != share_standing::Within)
+      Plan.LateWait = std::max(Plan.LateWait, Late);
     Plan.Needed = std::max(Plan.Needed, Ends.back());
   }
   Plan.Needed += Query.FirstByte;
--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -20,6 +20,7 @@
   std::vector<std::uint32_t> Pieces;
   /// Parts of the prompt, the last one the request's own.
   std::vector<std::uint64_t> Parts;
+  workspace_id Workspace;
   core_time Sent;
   core_time Deadline;
   /// The host ended, or the caller left; nothing is owed.
@@ -35,6 +36,9 @@
 
   bool answered() const { return Refused || Status || BrokenOff || Ended; }
   bool complete() const { return Ended || (Status && *Status == 200); }
+  bool onTime() const {
+    return complete() && FirstByteAt && *FirstByteAt - Sent <= Route.Goal;
+  }
 };
 
 class serving_book {
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -46,6 +46,9 @@
 inline constexpr const char *Label = "label";
 } // namespace world_route
 
+/// Workspaces whose callers may ask for labels.
+inline constexpr std::size_t WorldWorkspaces = 8;
+
 class serving_world {
 public:
   serving_world(const world_options &Options, std::uint64_t Seed);
@@ -59,6 +62,8 @@
   /// Shared: the parts of the prompt before the request's own.
   void ask(std::size_t Host, const std::string &Route,
            const std::vector<std::uint64_t> &Shared);
+  /// Workspace of the callers of labels from now on.
+  void setWorkspace(std::size_t Workspace) { Caller = Workspace; }
   /// The caller of one of the requests in progress leaves.
   void leaveOne();
 
@@ -135,6 +140,8 @@
   friend class world_host;
   friend class world_server;
 
+  std::size_t Caller = 0;
+
   struct server_slot {
     std::unique_ptr<world_server> Server;
     pool_id Pool;
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -33,8 +33,10 @@
   LimitsKept,
   /// A server that asks a host for a pause gets nothing more from it meanwhile.
   PausesKept,
+  /// No workspace is served less than a quarter as well as another one.
+  SharesKept,
 };
-inline constexpr std::size_t PromiseCount = 11;
+inline constexpr std::size_t PromiseCount = 12;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -4,6 +4,7 @@
 #include "jasminecroft/testing/serving_world.h"
 
 #include <array>
+#include <map>
 #include <optional>
 
 namespace jasminecroft::testing {
@@ -32,6 +33,12 @@
 constexpr std::size_t CrashingRequests = 40;
 constexpr core_duration CrashingPause = milliseconds(300);
 constexpr std::uint32_t MostLossPermille = 100;
+/// Each round, every workspace asks once and one of them this often more.
+constexpr std::size_t GreedyRequests = 9;
+constexpr core_duration SharingRound = milliseconds(170);
+constexpr std::size_t SharingRounds = 40;
+/// No workspace is served less than this part as well as another one.
+constexpr std::size_t MinShareDivisor = 4;
 
 struct weighted {
   std::uint32_t Weight;
@@ -166,6 +173,41 @@
                          "them too late");
 }
 
+// One workspace wants ten times as much as each other one, and all together
+// more labels than the servers make.
+void playSharing(serving_world &World) {
+  World.calm();
+  core_time Begin = World.now();
+  for (std::size_t Round = 0; Round < SharingRounds; ++Round) {
+    for (std::size_t I = 0; I < WorldWorkspaces + GreedyRequests; ++I) {
+      World.setWorkspace(I < WorldWorkspaces ? I : 0);
+      World.ask(anyHost(World), world_route::Label);
+      World.run(SharingRound / (WorldWorkspaces + GreedyRequests));
+    }
+  }
+  World.setWorkspace(0);
+  World.run(QuietTime);
+  std::map<workspace_id, std::size_t> OnTime;
+  std::map<workspace_id, std::size_t> Asked;
+  for (const std::pair<const caller_request_id, booked_request> &Entry :
+       World.book().requests())
+    if (Entry.second.Sent >= Begin) {
+      ++Asked[Entry.second.Workspace];
+      OnTime[Entry.second.Workspace] += Entry.second.onTime() ? 1 : 0;
+    }
+  for (const std::pair<const workspace_id, std::size_t> &Other : Asked)
+    for (const std::pair<const workspace_id, std::size_t> &Best : Asked)
+      if (MinShareDivisor * OnTime[Other.first] * Best.second <
+          OnTime[Best.first] * Other.second) {
+        World.book().add(
+            promise::SharesKept, World.now(),
+            Other.first.Value + " gets " + std::to_string(OnTime[Other.first]) +
+                " of " + std::to_string(Other.second) + " in time, " +
+                Best.first.Value + " " + std::to_string(OnTime[Best.first]) +
+                " of " + std::to_string(Best.second));
+      }
+}
+
 void playCalm(serving_world &World) {
   World.calm();
   World.run(CalmTime);
@@ -200,6 +242,7 @@
                          " bytes of results were never freed");
   playConfigs(World);
   playCrashingPart(World);
+  playSharing(World);
 }
 
 } // namespace
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -26,6 +26,14 @@
 /// Parts that belong to one request are numbered from here.
 constexpr std::uint64_t OwnParts = 1'000'000;
 
+workspace_id workspaceOf(std::size_t Number) {
+  return workspace_id("w" + std::to_string(Number));
+}
+
+workspace_key keyOf(std::size_t Number) {
+  return workspace_key("key-" + std::to_string(Number));
+}
+
 } // namespace
 
 batch_rules world_options::defaultBatches() {
@@ -74,8 +82,8 @@
   Route.Timeout = seconds(4);
   Route.Goal = Options.Goal;
   Route.MaxAttempts = 2;
-  Route.Public = true;
   std::string_view Kind = Name;
+  Route.Public = Kind != world_route::Label;
   Route.Repeatable = Kind == world_route::Read;
   Route.Streamed = Kind == world_route::Draft || Kind == world_route::Label;
   Route.Resumable = Kind == world_route::Draft;
@@ -108,6 +116,9 @@
     if (Kind == "first" || Kind == "second")
       Pool.Batches = Options.Batches;
   }
+  Config->KeysRequired = true;
+  for (std::size_t I = 0; I < WorldWorkspaces; ++I)
+    Config->Keys[keyOf(I)].Workspace = workspaceOf(I);
   return Config;
 }
 
@@ -225,6 +236,8 @@
   Request.Message = std::move(Message);
   Request.Pieces = Booked.Pieces;
   Request.PieceKey = "key";
+  Request.Key = keyOf(Caller);
+  Booked.Workspace = workspaceOf(Caller);
   Booked.Parts = Shared;
   Booked.Parts.push_back(OwnParts + LastRequest);
   for (std::uint64_t Part : Booked.Parts)
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -27,6 +27,8 @@
     return "line 10, limits of backend servers";
   case promise::PausesKept:
     return "line 11, pauses that backend servers ask for";
+  case promise::SharesKept:
+    return "line 12, shares of workspaces";
   }
   return "";
 }
--- a/packages/testing/test/serving-load-test.cc
+++ b/packages/testing/test/serving-load-test.cc
@@ -53,8 +53,7 @@
     const booked_request &Request = Entry.second;
     load_result &Result = Results[Request.Route.Name.Value];
     ++Result.Asked;
-    bool OnTime = Request.complete() && Request.FirstByteAt &&
-                  *Request.FirstByteAt - Request.Sent <= Request.Route.Goal;
+    bool OnTime = Request.onTime();
     Result.OnTime += OnTime ? 1 : 0;
     Result.Late += Request.complete() && !OnTime ? 1 : 0;
     Result.Refused += Request.Refused ? 1 : 0;
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -11,6 +11,7 @@
 constexpr std::size_t MaxInputsPerJob = 512;
 constexpr std::size_t MaxResults = 1'024;
 constexpr std::size_t MaxBackends = 4'096;
+constexpr std::size_t MaxOverShare = 256;
 
 cbor_value writeHost(const batching_host &Host) {
   return writeRecord(Host.Host.Value, Host.Zone.Value, Host.Address.Value,
@@ -52,6 +53,15 @@
     Count = Reader.number32("count");
 }
 
+cbor_value writeOverShare(const over_share &Entry) {
+  return writeRecord(Entry.Workspace.Value, Entry.Rank);
+}
+
+void readOverShare(field_reader &Reader, over_share &Entry) {
+  Reader.id("workspace", Entry.Workspace);
+  Entry.Rank = Reader.number32("rank");
+}
+
 cbor_value writeMade(const completed_piece &Piece) {
   return writeRecord(Piece.Piece, Piece.Result.Value, Piece.Zone.Value);
 }
@@ -263,7 +273,8 @@
 cbor_value writeBody(const pieces_accepted &Body) {
   return writeRecord(Body.Job.Value, writeTimes(Body.Wait.OnTime),
                      writeTimes(Body.Wait.Late), Body.Wait.Call.count(),
-                     writeTimes(Body.Wait.Planned));
+                     writeTimes(Body.Wait.Planned),
+                     writeList(Body.Wait.OverShare, writeOverShare));
 }
 void readBody(field_reader &Reader, pieces_accepted &Body) {
   Reader.version("job", Body.Job);
@@ -271,6 +282,7 @@
   Reader.record("wait_late", Body.Wait.Late, readTimes);
   Body.Wait.Call = core_duration(Reader.signedNumber("call"));
   Reader.record("planned", Body.Wait.Planned, readTimes);
+  Reader.list("over_share", Body.Wait.OverShare, MaxOverShare, readOverShare);
 }
 
 cbor_value writeBody(const pieces_completed &Body) {
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -259,7 +259,10 @@
     return piece_request{anyJob()};
   case 15:
     return pieces_accepted{anyNumber<piece_job_id>(),
-                           {anyTimes(), anyTimes(), anyDuration(), anyTimes()}};
+                           {anyTimes(), anyTimes(), anyDuration(), anyTimes(),
+                            some<over_share>(4, [] {
+                              return over_share{anyId<workspace_id>(), any32()};
+                            })}};
   case 16:
     return pieces_completed{
         anyNumber<piece_job_id>(), anyId<caller_request_id>(),
