--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -39,8 +39,10 @@
   EnginesRanked,
   /// A cold server gets no more requests a second than it bears.
   ColdServersSpared,
+  /// No workspace is served less than a quarter as well as another one.
+  SharesKept,
 };
-inline constexpr std::size_t PromiseCount = 14;
+inline constexpr std::size_t PromiseCount = 15;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -33,6 +33,8 @@
     return "line 13, urgency of calls to engines";
   case promise::ColdServersSpared:
     return "line 14, requests a second to cold servers";
+  case promise::SharesKept:
+    return "line 15, shares of workspaces";
   }
   return "";
 }
