Bound what a host holds for callers and servers that read slowly

Cause: answers that callers do not read, answers that arrive and bodies of requests had a bound each, two of them fixed, so that together they could be more than a small machine has; a stream was read from its server as fast as it came; the system's send buffer of a caller that does not read grew to 3.5 MB; nothing bounded the bytes of requests towards one server. Change: held_memory is one account of the process, with shares by kind from memory_mb and a bound for all together; only unread answers yield to other kinds, the one unread for longest first, and the time begins anew with each write that the caller has taken. read_pacing lets a stream wait for its caller, 1 s at most. request_bytes is an admission source: large requests avoid servers with large ones in progress, and are never refused for it. Callers' sockets take over 32 KiB that is not sent yet (TCP_NOTSENT_LOWAT). 217 and metrics. answer_memory is replaced; its two tests went to held-memory-test unchanged in what they check.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -37,6 +37,7 @@
   PiecesFailed = 213,
   BatchEnded = 214,
   PromisedNotRun = 215,
+  SlowReaderEnded = 217,
   ClaimTaken = 301,
   ClaimDuplicate = 302,
   ClaimUndecided = 303,
--- a/packages/core/include/jasminecroft/core/serving/call_admission.h
+++ b/packages/core/include/jasminecroft/core/serving/call_admission.h
@@ -32,6 +32,8 @@
   Paused,
   Limited,
   Backoff,
+  /// It has enough large requests of this host in progress.
+  RequestBytes,
 };
 std::string_view toText(admission_obstacle Obstacle);
 
@@ -45,6 +47,8 @@
   bool Quarantined = false;
   /// The limited server for which another host has counted the request.
   std::optional<backend_id> CountedFor;
+  /// Size of the request's body, if that matters.
+  std::size_t RequestBytes = 0;
 };
 
 struct admission_answer {
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -137,6 +137,8 @@
   /// used then, a late copy of its reply could pass for the reply to this call.
   bool MayReuseConnection = true;
   bool Streamed = false;
+  /// Its caller's request.
+  request_id Request;
 };
 
 enum class call_failure {
--- a/packages/core/src/serving/call_admission.cc
+++ b/packages/core/src/serving/call_admission.cc
@@ -18,6 +18,8 @@
     return "limited";
   case admission_obstacle::Backoff:
     return "backoff";
+  case admission_obstacle::RequestBytes:
+    return "request_bytes";
   }
   return "not_usable";
 }
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -72,8 +72,14 @@
   ++State.Attempts;
   State.Ledger.begin(Server->Entry.Id);
   Servers.onCallStarted(Server->Entry.Id);
-  Calls[Id] = {call_kind::Forward, State.Request.Number, batch_id(),
-               Server->Entry, Now};
+  std::size_t Bytes = State.Request.Message->Body.size();
+  BytesInProgress.begin(Server->Entry.Id, Bytes);
+  Calls[Id] = {call_kind::Forward,
+               State.Request.Number,
+               batch_id(),
+               Server->Entry,
+               Now,
+               Bytes};
   forward_call Forward;
   Forward.Server = Server->Entry;
   Forward.Message = State.Request.Message;
@@ -84,6 +90,7 @@
   Forward.ResumeAfter = State.LastEvent;
   Forward.Streamed = State.Route->Streamed;
   Forward.MayReuseConnection = FirstSend;
+  Forward.Request = State.Request.Number;
   bool Repeatable = State.Route->Repeatable || State.Route->Resumable;
   if (Repeatable && State.Attempts < State.Route->MaxAttempts)
     addTimer(Now + attemptTimeout(State, *Server), timer_kind::AttemptTimeout,
@@ -103,8 +110,10 @@
   auto Found = Calls.find(Call);
   if (Found == Calls.end())
     return;
-  if (Found->second.Kind == call_kind::Forward)
+  if (Found->second.Kind == call_kind::Forward) {
     Servers.onCallEnded(Found->second.Server.Id);
+    BytesInProgress.end(Found->second.Server.Id, Found->second.RequestBytes);
+  }
   if (active_request *State = callRequest(Call))
     State->CurrentCall.reset();
   Calls.erase(Call);
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -25,11 +25,19 @@
 
 using namespace detail;
 
-call_subject serving_impl::subjectOf(const active_request &State) const {
+// The size of a request only leads it to another server: if none is left, it is
+// not considered.
+call_subject serving_impl::subjectOf(const active_request &State) {
   call_subject Subject;
   Subject.Quarantined =
       !Quarantine.empty() && !State.Trial && blockingPart(State).has_value();
   Subject.CountedFor = State.Permit;
+  if (!BytesInProgress.active(Now))
+    return Subject;
+  Subject.RequestBytes = State.Request.Message->Body.size();
+  if (Subject.RequestBytes > LargeRequestBytes &&
+      Admission.candidates(State.Pool, Subject, Now).empty())
+    Subject.RequestBytes = 0;
   return Subject;
 }
 
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -109,7 +109,9 @@
                   return limitCounter(Server) == this->Settings.Self.Host;
                 }),
       Gossip(Hosts), Following(Hosts), Budget(Settings.Retries),
-      Owner(*this, Servers, Admission, Budget) {}
+      Owner(*this, Servers, Admission, Budget) {
+  Admission.addSource(BytesInProgress);
+}
 
 active_request *serving_impl::find(request_id Request) {
   auto Found = Requests.find(Request);
@@ -135,6 +137,7 @@
        {"routes", std::to_string(Config->Routes.size())},
        {"keys", std::to_string(Config->Keys.size())}});
   Owner.configure(Config->Pools);
+  BytesInProgress.setBound(Config->Bounds.MaxBodyBytes);
   View = std::make_shared<const config_view>(std::move(Config));
   ConfigText = std::move(Text);
   Gossip.onConfig(View->Config->Version, Now);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -5,6 +5,7 @@
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
+#include "jasminecroft/core/serving/request_bytes.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
 
@@ -127,6 +128,8 @@
   batch_id Batch;
   backend_entry Server;
   core_time SentAt;
+  /// Size of the request's body.
+  std::size_t RequestBytes = 0;
 };
 
 /// Kind of a timer; determines what its id refers to.
@@ -209,6 +212,7 @@
   std::string ConfigText;
   backend_directory Servers;
   fleet_hosts Hosts;
+  request_bytes BytesInProgress;
   call_admission Admission;
   store_gossip Gossip;
   store_following Following;
@@ -351,7 +355,7 @@
   void on(const host_run &Sender, const part_rulings &Body);
 
   // Choice of servers: serving_choice.cc.
-  call_subject subjectOf(const active_request &State) const;
+  call_subject subjectOf(const active_request &State);
   std::vector<backend_state *> openServers(const active_request &State);
   bool hasUntriedServer(const active_request &State);
   backend_state *chooseServer(const active_request &State);
--- a/packages/entry/src/connection_pool.h
+++ b/packages/entry/src/connection_pool.h
@@ -1,9 +1,9 @@
 // Idle connections to servers, kept for reuse.
 #pragma once
 
-#include "answer_memory.h"
 #include "http_exchange.h"
 #include "io_types.h"
+#include "jasminecroft/core/serving/held_memory.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,7 +22,8 @@
 /// and probes that end a connection whose peer has gone silent.
 void prepareSocket(tcp_socket &Socket);
 
-/// Bytes of answers that may be read and not whole at one time.
+/// Bytes of answers that may be read and not whole at one time, in a process
+/// without an account of its own.
 inline constexpr std::size_t MaxAnswersBytes = 33'554'432;
 /// Room for what is received and not decoded yet, of one answer.
 inline constexpr std::size_t MaxUndecodedBytes = 131'072;
@@ -44,10 +45,13 @@
   using server_list = std::function<std::set<endpoint>()>;
 
   /// Listed: idle connections to servers that it has not had for a while are
-  /// closed; absent if servers do not leave.
+  /// closed; absent if servers do not leave. Account: of what the process
+  /// holds, must outlive the pool; null: the pool has its own.
   explicit connection_pool(boost::asio::io_context &Context,
-                           server_list Listed = nullptr)
-      : Listed(std::move(Listed)), Timer(Context) {}
+                           server_list Listed = nullptr,
+                           held_memory *Account = nullptr)
+      : Memory(Account ? *Account : OwnMemory), Listed(std::move(Listed)),
+        Timer(Context) {}
 
   /// The connection used last that is neither closed nor about to be closed by
   /// its server.
@@ -63,7 +67,7 @@
   void clear() { Idle.clear(); }
 
   connection_counters Counters;
-  answer_memory Memory{MaxAnswersBytes};
+  held_memory &Memory;
 
 private:
   struct idle_connection {
@@ -80,6 +84,7 @@
   void startTimer();
   void closeUnusable();
 
+  held_memory OwnMemory{memory_shares{0, MaxAnswersBytes, 0, MaxAnswersBytes}};
   server_list Listed;
   std::map<std::pair<endpoint, answer_naming>, std::deque<idle_connection>>
       Idle;
--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -63,7 +63,7 @@
 }
 
 class exchange_impl final : public http_exchange,
-                            private answer_memory::holder,
+                            private held_memory::holder,
                             public std::enable_shared_from_this<exchange_impl> {
 public:
   exchange_impl(asio::io_context &Context,
@@ -212,7 +212,8 @@
       complete();
       return;
     }
-    Pool->Memory.hold(*this, Parser->get().body().capacity());
+    Pool->Memory.hold(held_kind::ArrivingAnswer, *this,
+                      Parser->get().body().capacity());
     // It may have given up.
     if (Listener)
       readBody();
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -1,6 +1,8 @@
 // Connects, writes one call, reads its answer and keeps the connection.
 #include "backend_call.h"
 
+#include "../steady_time.h"
+#include "jasminecroft/core/serving/read_pacing.h"
 #include "jasminecroft/entry/settings.h"
 #include "jasminecroft/wire/http_framing.h"
 #include "platform/replica/replica_calls.h"
@@ -32,6 +34,8 @@
 constexpr std::chrono::milliseconds CloseMargin{700};
 /// Kept this long if the server does not say how long it keeps them.
 constexpr std::chrono::milliseconds UnsaidLifetime{400};
+/// While a stream is not read, its reader is looked at this often.
+constexpr std::chrono::milliseconds PacingInterval{50};
 constexpr unsigned StatusOk = 200;
 
 platform::http_head headOf(const http::response_header<> &Header) {
@@ -45,7 +49,7 @@
 
 class backend_call_impl final
     : public backend_call,
-      private answer_memory::holder,
+      private held_memory::holder,
       public std::enable_shared_from_this<backend_call_impl> {
 public:
   backend_call_impl(asio::io_context &Context,
@@ -53,7 +57,8 @@
                     backend_call_request Wanted,
                     std::shared_ptr<backend_call_listener> Listener)
       : Context(Context), Pool(std::move(Pool)), Wanted(std::move(Wanted)),
-        Listener(std::move(Listener)), Socket(Context), Timer(Context) {}
+        Listener(std::move(Listener)), Socket(Context), Timer(Context),
+        PacingTimer(Context) {}
 
   void start() {
     std::optional<tcp_socket> Reused;
@@ -214,7 +219,8 @@
       complete();
       return;
     }
-    Pool->Memory.hold(*this, Parser->get().body().capacity());
+    Pool->Memory.hold(held_kind::ArrivingAnswer, *this,
+                      Parser->get().body().capacity());
     // It may have given up.
     if (Listener)
       readBody();
@@ -245,7 +251,28 @@
     else if (Parser->is_done())
       complete();
     else
+      readWhenTaken();
+  }
+
+  // Reads on unless the reader of the stream has to take more first.
+  void readWhenTaken() {
+    if (!Listener)
+      return;
+    if (Pacing.mayRead(Listener->unreadBytes(), now())) {
       readStream();
+      return;
+    }
+    if (!ReceivesLess) {
+      ReceivesLess = true;
+      error Ignored;
+      Socket.set_option(
+          asio::socket_base::receive_buffer_size(WaitingReceiveBytes), Ignored);
+    }
+    PacingTimer.expires_after(PacingInterval);
+    PacingTimer.async_wait([Self = shared_from_this()](const error &Error) {
+      if (!Error)
+        Self->readWhenTaken();
+    });
   }
 
   void complete() {
@@ -302,6 +329,7 @@
     Listener.reset();
     Pool->Memory.release(*this);
     Timer.cancel();
+    PacingTimer.cancel();
     error Ignored;
     Socket.close(Ignored);
   }
@@ -313,6 +341,8 @@
   std::shared_ptr<backend_call_listener> Listener;
   tcp_socket Socket;
   io_timer Timer;
+  io_timer PacingTimer;
+  read_pacing Pacing;
   std::optional<http::response_parser<http::string_body>> Parser;
   beast::flat_buffer Buffer{MaxUndecodedBytes};
   platform::http_head Head;
@@ -321,6 +351,8 @@
   bool MayHaveLeft = false;
   bool WriteFailed = false;
   bool Streaming = false;
+  /// The socket's buffer is bounded, since reading has waited.
+  bool ReceivesLess = false;
   /// The answer that is being read is not the one to this call.
   bool Foreign = false;
   /// No answer on the connection has left open which request it belongs to.
--- a/packages/entry/src/serving/backend_call.h
+++ b/packages/entry/src/serving/backend_call.h
@@ -50,6 +50,8 @@
   virtual void onStreamText(std::string Text) = 0;
   virtual void onStreamEnd(answer_end End) = 0;
   virtual void onFailed(call_failure Failure) = 0;
+  /// What the reader of the stream has not taken yet.
+  virtual std::size_t unreadBytes() const { return 0; }
 };
 
 class backend_call {
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -1,6 +1,7 @@
 // Reading of requests within the callers' bounds, and writing of answers.
 #include "caller_session.h"
 
+#include "jasminecroft/core/serving/read_pacing.h"
 #include "jasminecroft/wire/http_framing.h"
 #include "platform/front/caller_requests.h"
 
@@ -8,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace jasminecroft::detail {
@@ -25,6 +27,9 @@
 constexpr std::chrono::seconds LingerTime{1};
 /// Text of one stream that its caller has not read yet.
 constexpr std::size_t MaxUnsentBytes = 2'097'152;
+/// Text that the system has taken over and not sent yet. By itself it would
+/// take megabytes for a caller that does not read.
+constexpr int UnsentSocketBytes = 32'768;
 constexpr std::size_t ReadBytes = 8'192;
 /// Room beside a head for what is received and not parsed yet, such as the size
 /// line of a chunk.
@@ -70,6 +75,9 @@
     : Socket(std::move(Socket)), Owner(Owner), Buffer(MaxUnparsedBytes) {
   error Ignored;
   this->Socket.set_option(tcp::no_delay(true), Ignored);
+  // Without it only more memory is taken.
+  ::setsockopt(this->Socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &UnsentSocketBytes, sizeof UnsentSocketBytes);
 }
 
 void caller_session::start() { awaitRequest(); }
@@ -89,8 +97,9 @@
   Deadline.reset();
   if (Phase == phase::Reading)
     refuseEarly(RequestTimeout, "request did not arrive in time");
-  else if (Phase == phase::Idle || Phase == phase::Finishing ||
-           Phase == phase::Lingering)
+  else if (Phase == phase::Finishing)
+    endSlowReader("time");
+  else if (Phase == phase::Idle || Phase == phase::Lingering)
     close();
 }
 
@@ -181,7 +190,7 @@
 bool caller_session::reserveBody(std::size_t Bytes) {
   if (Bytes <= ReservedBody)
     return true;
-  if (!Owner.reserveBody(ReservedBody, Bytes)) {
+  if (!Owner.memory().reserveBody(ReservedBody, Bytes)) {
     refuseEarly(Unavailable, "no memory for the request's body");
     return false;
   }
@@ -190,7 +199,7 @@
 }
 
 void caller_session::releaseBody() {
-  Owner.releaseBody(std::exchange(ReservedBody, 0));
+  Owner.memory().releaseBody(std::exchange(ReservedBody, 0));
 }
 
 void caller_session::readBody() {
@@ -321,6 +330,11 @@
   if (Unsent.size() <= MaxUnsentBytes || !Request)
     return;
   // The caller reads too slowly to keep the rest in memory.
+  endSlowReader("own_bound");
+}
+
+void caller_session::endSlowReader(std::string_view Why) {
+  Owner.onSlowReader(CallerId, unreadBytes(), Why);
   closeUnread();
 }
 
@@ -333,6 +347,7 @@
 
 // The owner may be in the middle of another request.
 void caller_session::giveUpAnswer() {
+  Owner.onSlowReader(CallerId, unreadBytes(), "memory");
   Unsent.clear();
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
     if (Self->Phase != phase::Closed)
@@ -366,11 +381,18 @@
 }
 
 void caller_session::countUnread() {
-  std::size_t Bytes = Unsent.size() + Writing.size();
-  if (Phase == phase::Closed || Bytes == 0)
-    Owner.unreadAnswers().release(*this);
-  else
-    Owner.unreadAnswers().hold(*this, Bytes);
+  std::size_t Bytes = unreadBytes();
+  if (Phase == phase::Closed || Bytes == 0) {
+    Owner.memory().release(*this);
+    return;
+  }
+  // Sockets hold more: the caller's, and that of a stream's server, which is
+  // not read meanwhile.
+  if (Bytes > MaxAheadBytes)
+    Bytes += UnsentSocketBytes;
+  if (Phase == phase::Streaming && Bytes > MaxAheadBytes)
+    Bytes += WaitingReceiveBytes;
+  Owner.memory().hold(held_kind::UnreadAnswer, *this, Bytes);
 }
 
 void caller_session::writeNext() {
@@ -396,6 +418,8 @@
     return;
   }
   writeNext();
+  // What is unread now came later.
+  Owner.memory().release(*this);
   countUnread();
 }
 
@@ -433,7 +457,7 @@
     return;
   Phase = phase::Closed;
   Deadline.reset();
-  Owner.unreadAnswers().release(*this);
+  Owner.memory().release(*this);
   releaseBody();
   error Ignored;
   Socket.close(Ignored);
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -2,8 +2,8 @@
 // streams out.
 #pragma once
 
-#include "../answer_memory.h"
 #include "../io_types.h"
+#include "jasminecroft/core/serving/held_memory.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "platform/http_text.h"
 
@@ -37,17 +37,17 @@
   virtual void onRefusedEarly(std::string_view CallerId, unsigned Status,
                               std::string_view Why) = 0;
   virtual void onClosed(const caller_session &Session) = 0;
-  /// Counts the answers that callers have not read yet.
-  virtual answer_memory &unreadAnswers() = 0;
-  /// Counts Bytes instead of Before for the body of a request in progress;
-  /// false if all together would be too many.
-  virtual bool reserveBody(std::size_t Before, std::size_t Bytes) = 0;
-  virtual void releaseBody(std::size_t Bytes) = 0;
+  /// An answer ends before its caller has read it.
+  virtual void onSlowReader(std::string_view CallerId, std::size_t Unread,
+                            std::string_view Why) = 0;
+  /// Counts bodies of requests in progress and answers that callers have not
+  /// read yet.
+  virtual held_memory &memory() = 0;
 };
 
 /// Lives as long as an operation of its socket or the owner's table holds it.
 class caller_session : public std::enable_shared_from_this<caller_session>,
-                       private answer_memory::holder {
+                       private held_memory::holder {
 public:
   using clock = std::chrono::steady_clock;
 
@@ -67,6 +67,8 @@
   /// Closes the connection if it waits for a request.
   void closeIfIdle();
   bool busy() const;
+  /// Bytes of the answer that the caller has not read.
+  std::size_t unreadBytes() const { return Unsent.size() + Writing.size(); }
 
 private:
   using error = boost::system::error_code;
@@ -108,6 +110,7 @@
   void close();
   void giveUpAnswer() override;
   void closeUnread();
+  void endSlowReader(std::string_view Why);
   void countUnread();
   bool willClose() const;
   void setDeadline(std::chrono::microseconds Time);
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -35,13 +35,15 @@
 
 /// A caller's request. Streams are handed on by whole events.
 class forward_listener final : public backend_call_listener,
-                               private answer_memory::holder {
+                               private held_memory::holder {
 public:
   forward_listener(serving_backends &Backends, backend_results &Results,
                    std::shared_ptr<connection_pool> Pool, call_id Call,
                    const forward_call &Forward)
       : Backends(Backends), Results(Results), Pool(std::move(Pool)), Call(Call),
-        Server(Forward.Server), Answered{Forward.CallerId, Forward.Server.Id} {}
+        Server(Forward.Server),
+        Request(Forward.Request), Answered{Forward.CallerId,
+                                           Forward.Server.Id} {}
   ~forward_listener() override { Pool->Memory.release(*this); }
   forward_listener(const forward_listener &) = delete;
   forward_listener &operator=(const forward_listener &) = delete;
@@ -74,7 +76,7 @@
       if (Pending.size() > MaxEventBytes)
         fail();
       else if (Pending.size() > MinCountedBytes)
-        Pool->Memory.hold(*this, Pending.capacity());
+        Pool->Memory.hold(held_kind::ArrivingAnswer, *this, Pending.capacity());
       return;
     }
     std::string Whole = Pending.substr(0, End + 2);
@@ -106,6 +108,10 @@
     Results.onCallFailed(Call, Failure);
   }
 
+  std::size_t unreadBytes() const override {
+    return Results.unreadBytes(Request);
+  }
+
 private:
   void giveUpAnswer() override { fail(); }
 
@@ -140,6 +146,7 @@
   std::shared_ptr<connection_pool> Pool;
   call_id Call;
   backend_entry Server;
+  request_id Request;
   platform::answered_call Answered;
   /// Beginning of an event that is not whole yet.
   std::string Pending;
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -30,14 +30,18 @@
   virtual void onPiecesRefused(call_id Call, bool WrongServer) = 0;
   virtual void onServerLoad(const backend_id &Server,
                             const std::optional<pieces_load> &Load) = 0;
+  /// Bytes of the answer that the request's caller has not read.
+  virtual std::size_t unreadBytes(request_id Request) const = 0;
 };
 
 class serving_backends {
 public:
   serving_backends(boost::asio::io_context &Context, backend_results &Results,
-                   connection_pool::server_list Listed = nullptr)
+                   connection_pool::server_list Listed = nullptr,
+                   held_memory *Account = nullptr)
       : Context(Context), Results(Results),
-        Pool(std::make_shared<connection_pool>(Context, std::move(Listed))) {}
+        Pool(std::make_shared<connection_pool>(Context, std::move(Listed),
+                                               Account)) {}
 
   void forward(call_id Call, call_permit Permit, const forward_call &Forward);
   void runPieces(call_id Call, call_permit Permit,
--- a/packages/entry/src/serving/serving_front.cc
+++ b/packages/entry/src/serving/serving_front.cc
@@ -14,16 +14,14 @@
 constexpr std::chrono::milliseconds SweepInterval{250};
 /// Pause when no descriptor is left for another connection.
 constexpr std::chrono::milliseconds AcceptPause{50};
-constexpr std::size_t SmallBodyBytes = 65'536;
 
 } // namespace
 
 serving_front::serving_front(asio::io_context &Context,
                              serving_front_listener &Listener,
-                             std::size_t MaxConnections,
-                             std::size_t MaxBodyBytes)
-    : Listener(Listener), MaxConnections(MaxConnections),
-      MaxBodyBytes(MaxBodyBytes), Acceptor(Context), Sweeper(Context) {}
+                             std::size_t MaxConnections, held_memory &Memory)
+    : Listener(Listener), MaxConnections(MaxConnections), Memory(Memory),
+      Acceptor(Context), Sweeper(Context) {}
 
 serving_front::~serving_front() = default;
 
@@ -126,16 +124,6 @@
   Listener.onRefusedEarly(CallerId, Status, Why);
 }
 
-bool serving_front::reserveBody(std::size_t Before, std::size_t Bytes) {
-  // Large bodies leave a quarter of the room to small ones.
-  std::size_t Room =
-      Bytes > SmallBodyBytes ? MaxBodyBytes / 4 * 3 : MaxBodyBytes;
-  if (BodyBytes - Before + Bytes > Room)
-    return false;
-  BodyBytes += Bytes - Before;
-  return true;
-}
-
 void serving_front::onClosed(const caller_session &Session) {
   Sessions.erase(&Session);
 }
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -9,9 +9,6 @@
 
 namespace jasminecroft::detail {
 
-/// Bytes of answers that callers have not read, all together.
-inline constexpr std::size_t MaxUnreadBytes = 33'554'432;
-
 /// Hears what callers want.
 class serving_front_listener {
 public:
@@ -20,6 +17,8 @@
   virtual void onCallerDisconnected(request_id Request) = 0;
   virtual void onRefusedEarly(std::string_view CallerId, unsigned Status,
                               std::string_view Why) = 0;
+  virtual void onSlowReader(std::string_view CallerId, std::size_t Unread,
+                            std::string_view Why) = 0;
   virtual caller_bounds bounds() const = 0;
 };
 
@@ -27,14 +26,12 @@
 public:
   serving_front(boost::asio::io_context &Context,
                 serving_front_listener &Listener, std::size_t MaxConnections,
-                std::size_t MaxBodyBytes);
+                held_memory &Memory);
   ~serving_front() override;
 
   /// False if the address cannot be listened on.
   bool start(const boost::asio::ip::tcp::endpoint &Address);
   void stopAccepting();
-  /// For bodies that arrive from now on.
-  void setMaxBodyBytes(std::size_t Bytes) { MaxBodyBytes = Bytes; }
   /// Connections end with the answer in progress.
   void closeAfterAnswers() { Closing = true; }
   void closeIdle();
@@ -62,18 +59,17 @@
   void onRefusedEarly(std::string_view CallerId, unsigned Status,
                       std::string_view Why) override;
   void onClosed(const caller_session &Session) override;
-  answer_memory &unreadAnswers() override { return Unread; }
-  bool reserveBody(std::size_t Before, std::size_t Bytes) override;
-  void releaseBody(std::size_t Bytes) override { BodyBytes -= Bytes; }
+  void onSlowReader(std::string_view CallerId, std::size_t Unread,
+                    std::string_view Why) override {
+    Listener.onSlowReader(CallerId, Unread, Why);
+  }
+  held_memory &memory() override { return Memory; }
 
   serving_front_listener &Listener;
   std::size_t MaxConnections;
-  /// Bodies of requests in progress, all together.
-  std::size_t MaxBodyBytes;
-  std::size_t BodyBytes = 0;
+  held_memory &Memory;
   tcp_acceptor Acceptor;
   io_timer Sweeper;
-  answer_memory Unread{MaxUnreadBytes, give_up_order::Oldest};
   session_table Sessions;
   std::unordered_map<request_id, std::weak_ptr<caller_session>> Waiting;
   std::uint64_t LastRequest = 0;
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -7,6 +7,7 @@
 #include "line_log.h"
 #include "page_listener.h"
 #include "platform/front/caller_requests.h"
+#include "process_facts.h"
 #include "serving_backends.h"
 #include "serving_front.h"
 #include "serving_metrics.h"
@@ -16,7 +17,6 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
-#include <sys/resource.h>
 
 namespace jasminecroft {
 
@@ -27,8 +27,6 @@
 
 namespace {
 
-/// Of the machine's memory, one part in so many is for requests' bodies.
-constexpr std::size_t BodyShare = 4;
 constexpr std::size_t BytesPerMegabyte = 1'000'000;
 
 /// The balancer sends new connections until it has missed two answers, one a
@@ -41,35 +39,6 @@
 constexpr milliseconds GraceMargin{500};
 /// Callers have this long to read the final replies before the process ends.
 constexpr milliseconds LastReplyLead{300};
-constexpr std::size_t FallbackDescriptors = 1'024;
-/// Share of the descriptors that callers may hold.
-constexpr std::size_t CallersDescriptorDivisor = 2;
-
-std::size_t maxCallers() {
-  rlimit Descriptors{};
-  std::size_t Limit = FallbackDescriptors;
-  if (getrlimit(RLIMIT_NOFILE, &Descriptors) == 0)
-    Limit = Descriptors.rlim_cur;
-  return Limit / CallersDescriptorDivisor;
-}
-
-std::optional<asio::ip::tcp::endpoint> toSocket(const endpoint &Address) {
-  std::optional<ip_port> Parts = splitEndpoint(Address);
-  if (!Parts)
-    return std::nullopt;
-  error Error;
-  asio::ip::address Ip = asio::ip::make_address(Parts->Address, Error);
-  if (Error)
-    return std::nullopt;
-  return asio::ip::tcp::endpoint(Ip, Parts->Port);
-}
-
-incarnation thisRun() {
-  return incarnation(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count()));
-}
 
 class serving_host final : private serving_actions,
                            private serving_front_listener,
@@ -79,12 +48,13 @@
   serving_host(const serving_host_settings &Settings, std::string File)
       : Settings(Settings),
         File(std::move(File)), Self{Settings.Host, thisRun()},
+        Held(sharesOf(Settings.MemoryBytes)),
         Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
-        Core(coreSettings(), *this),
-        Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
-        Backends(Context, *this,
-                 [this] { return Core.backends().listedAddresses(); }),
+        Core(coreSettings(), *this), Front(Context, *this, maxCallers(), Held),
+        Backends(
+            Context, *this,
+            [this] { return Core.backends().listedAddresses(); }, &Held),
         Store(Context, Settings.Store, Core, Log, [this] { arm(); }) {}
 
   std::variant<exit_code, settings_error> run() {
@@ -172,6 +142,10 @@
     Gauges.UnreadableObjects = Store.unreadableObjects();
     Gauges.StoreSilences = Store.silences();
     Gauges.StoreCalls = Store.calls();
+    Gauges.HeldRequestBytes = Held.held(held_kind::RequestBody);
+    Gauges.HeldArrivingBytes = Held.held(held_kind::ArrivingAnswer);
+    Gauges.HeldUnreadBytes = Held.held(held_kind::UnreadAnswer);
+    Gauges.SlowReadersEnded = SlowReaders;
     return Metrics.render(Core.counters(), Gauges);
   }
 
@@ -203,7 +177,7 @@
       New.Grace = Settings.Grace;
     settings_changes Changes = takeOver(Settings, New);
     Core.setRetryLimits(Settings.Retries);
-    Front.setMaxBodyBytes(Settings.MemoryBytes / BodyShare);
+    Held.setShares(sharesOf(Settings.MemoryBytes));
     write(event_number::SettingsReloaded,
           Changes.AtRestart.empty() ? event_severity::Info
                                     : event_severity::Warning,
@@ -312,6 +286,16 @@
            {"why", std::string(Why)},
            {"calls", "none"}});
   }
+  void onSlowReader(std::string_view CallerId, std::size_t Unread,
+                    std::string_view Why) override {
+    ++SlowReaders;
+    write(event_number::SlowReaderEnded, event_severity::Warning,
+          "answer ended before its caller read it",
+          {{"request", std::string(CallerId)},
+           {"unread", std::to_string(Unread)},
+           {"why", std::string(Why)},
+           {"held", std::to_string(Held.total())}});
+  }
   caller_bounds bounds() const override {
     std::shared_ptr<const route_config> Config = Core.config();
     return Config ? Config->Bounds : caller_bounds();
@@ -447,6 +431,11 @@
     arm();
   }
 
+  std::size_t unreadBytes(request_id Request) const override {
+    std::shared_ptr<caller_session> Session = Front.session(Request);
+    return Session ? Session->unreadBytes() : 0;
+  }
+
   // peer_transport_listener
   void onReceived(peer_message Message) override {
     Core.onPeer(Message.Sender, Message.Body, now());
@@ -471,6 +460,8 @@
   serving_host_settings Settings;
   std::string File;
   host_run Self;
+  /// What callers and calls hold, also while Context ends.
+  held_memory Held;
   asio::io_context Context{1};
   asio::signal_set Signals;
   io_timer WakeTimer;
@@ -486,6 +477,7 @@
   std::unique_ptr<page_listener> MetricsPage;
   /// Time that WakeTimer waits for; absent if it does not run.
   std::optional<core_time> ArmedFor;
+  std::uint64_t SlowReaders = 0;
   bool ShuttingDown = false;
   bool IdleClosed = false;
   std::chrono::steady_clock::time_point StopBegan;
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -130,6 +130,11 @@
               static_cast<double>(Silence.second.count()));
   for (const std::pair<std::string, std::uint64_t> &Calls : Gauges.StoreCalls)
     Impl->set("store_calls_" + Calls.first, static_cast<double>(Calls.second));
+  Impl->set("held_request_bytes", static_cast<double>(Gauges.HeldRequestBytes));
+  Impl->set("held_arriving_bytes",
+            static_cast<double>(Gauges.HeldArrivingBytes));
+  Impl->set("held_unread_bytes", static_cast<double>(Gauges.HeldUnreadBytes));
+  Impl->set("slow_readers_ended", static_cast<double>(Gauges.SlowReadersEnded));
   return prometheus::TextSerializer().Serialize(Impl->Registry.Collect());
 }
 
--- a/packages/entry/src/serving/serving_metrics.h
+++ b/packages/entry/src/serving/serving_metrics.h
@@ -29,6 +29,12 @@
       StoreSilences;
   /// Calls of the store since the start, by kind of objects and purpose.
   std::vector<std::pair<std::string, std::uint64_t>> StoreCalls;
+  /// Bytes held for callers and servers, by kind.
+  std::size_t HeldRequestBytes = 0;
+  std::size_t HeldArrivingBytes = 0;
+  std::size_t HeldUnreadBytes = 0;
+  /// Answers that ended because their callers did not read them.
+  std::uint64_t SlowReadersEnded = 0;
 };
 
 class serving_metrics {
--- a/packages/entry/test/shell-parts-test.cc
+++ b/packages/entry/test/shell-parts-test.cc
@@ -1,7 +1,6 @@
 // The shell's small parts: callers' requests, server-sent events, backend
 // answers, restarts and log lines.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "../src/answer_memory.h"
 #include "../src/backend_answer.h"
 #include "../src/sse_reader.h"
 #include "../src/stream_digest.h"
@@ -181,52 +180,3 @@
   CHECK(formatEvent(Record) == "[E401] configuration applied version=3 "
                                "by=\"Ana \\\"A\\\" B\"");
 }
-
-namespace {
-
-class reader final : public answer_memory::holder {
-public:
-  explicit reader(answer_memory &Memory) : Memory(Memory) {}
-  ~reader() override { Memory.release(*this); }
-  void giveUpAnswer() override { GaveUp = true; }
-  answer_memory &Memory;
-  bool GaveUp = false;
-};
-
-} // namespace
-
-TEST_CASE("the answer that has not been read for longest gives up when all "
-          "together are too large") {
-  answer_memory Memory(100, give_up_order::Oldest);
-  reader First(Memory);
-  reader Second(Memory);
-  reader Third(Memory);
-  Memory.hold(First, 20);
-  Memory.hold(Second, 30);
-  Memory.release(First);
-  Memory.hold(First, 20);
-  Memory.hold(Third, 60);
-  CHECK(Second.GaveUp);
-  CHECK_FALSE(First.GaveUp);
-  CHECK_FALSE(Third.GaveUp);
-  CHECK(Memory.total() == 80);
-}
-
-TEST_CASE("the largest of the answers that are read gives up when all together "
-          "are too large") {
-  answer_memory Memory(100);
-  reader Small(Memory);
-  reader Large(Memory);
-  Memory.hold(Small, 40);
-  Memory.hold(Large, 50);
-  CHECK_FALSE(Large.GaveUp);
-  Memory.hold(Small, 45);
-  Memory.hold(Small, 45);
-  CHECK_FALSE(Large.GaveUp);
-  Memory.hold(Small, 49);
-  CHECK(Memory.total() == 99);
-  Memory.hold(Large, 52);
-  CHECK(Large.GaveUp);
-  CHECK_FALSE(Small.GaveUp);
-  CHECK(Memory.total() == 49);
-}
--- a/packages/testing/processes/include/jasminecroft/processes/http_call.h
+++ b/packages/testing/processes/include/jasminecroft/processes/http_call.h
@@ -31,7 +31,8 @@
 /// One connection to 127.0.0.1; used from one thread.
 class http_connection {
 public:
-  explicit http_connection(std::uint16_t Port);
+  /// ReceiveBytes: room for what is received and not read; 0: the system's.
+  explicit http_connection(std::uint16_t Port, int ReceiveBytes = 0);
   ~http_connection();
   http_connection(const http_connection &) = delete;
   http_connection &operator=(const http_connection &) = delete;
--- a/packages/testing/processes/src/http_call.cc
+++ b/packages/testing/processes/src/http_call.cc
@@ -74,8 +74,11 @@
 
 } // namespace
 
-http_connection::http_connection(std::uint16_t Port) {
+http_connection::http_connection(std::uint16_t Port, int ReceiveBytes) {
   Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (ReceiveBytes > 0)
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
+               sizeof ReceiveBytes);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Port);
