Check the operator's configuration before it is sent

Cause: a configuration of the platform's operator was first checked by the hosts, which refuse only what they cannot read: a route that is hidden, a stage on a pool without batch rules or a key of two workspaces was found by callers. Change: jasminecroftctl config check FILE [--against FILE] [--json] prints errors, entries that can never match, limits that contradict each other, and what differs from another version, without a platform. route_config_check is pure; hosts and the check share the reader of the text. Keys are masked. Exit codes 23 and 24. The version in force is a file: the store has another interface than the one that jasminecroftctl speaks. Conclusion: what hosts would take over in silence is told beforehand.

--- a/packages/ctl/include/jasminecroft/ctl/command_line.h
+++ b/packages/ctl/include/jasminecroft/ctl/command_line.h
@@ -39,6 +39,12 @@
 struct config_diff_command {
   std::string File;
 };
+/// Checks a configuration of the platform's operator.
+struct config_check_command {
+  std::string File;
+  /// The version to compare with; empty: none.
+  std::string Against;
+};
 struct config_history_command {
   std::size_t Count = 20;
 };
@@ -59,13 +65,12 @@
 struct status_command {};
 struct explain_command {};
 
-using command =
-    std::variant<help_command, version_command, config_init_command,
-                 config_get_command, config_edit_command, config_set_command,
-                 config_diff_command, config_history_command,
-                 config_find_command, exception_add_command,
-                 exception_list_command, exception_remove_command,
-                 effective_command, status_command, explain_command>;
+using command = std::variant<
+    help_command, version_command, config_init_command, config_get_command,
+    config_edit_command, config_set_command, config_diff_command,
+    config_history_command, config_find_command, exception_add_command,
+    exception_list_command, exception_remove_command, effective_command,
+    status_command, explain_command, config_check_command>;
 
 struct invocation {
   ctl_settings Settings;
--- a/packages/ctl/include/jasminecroft/ctl/exit_code.h
+++ b/packages/ctl/include/jasminecroft/ctl/exit_code.h
@@ -15,6 +15,8 @@
   OutcomeUnknown = 20,
   Conflict = 21,
   Refused = 22,
+  CheckFailed = 23,
+  NeverMatches = 24,
   Internal = 70,
 };
 
--- a/packages/ctl/src/command_line.cc
+++ b/packages/ctl/src/command_line.cc
@@ -36,6 +36,8 @@
   std::int64_t Value = 0;
   bool HasValue = false;
   std::size_t Count = 20;
+  std::string Against;
+  bool Json = false;
   bool Help = false;
   bool Version = false;
   std::vector<std::string> Words;
@@ -64,6 +66,9 @@
   Add("pool", options::value(&Raw.Pool), "scope");
   Add("zone", options::value(&Raw.Zone), "scope");
   Add("count", options::value(&Raw.Count), "changes to show");
+  Add("against", options::value(&Raw.Against),
+      "version that config check compares with");
+  Add("json", options::bool_switch(&Raw.Json), "the same as --output json");
   Add("help", options::bool_switch(&Raw.Help), "this text");
   Add("version", options::bool_switch(&Raw.Version), "the program's version");
   return Known;
@@ -183,16 +188,19 @@
     return parseSet(Words);
   if (Verb == "history")
     return config_history_command{Raw.Count};
-  bool TakesWord =
-      Verb == "init" || Verb == "edit" || Verb == "diff" || Verb == "find";
+  bool TakesWord = Verb == "init" || Verb == "edit" || Verb == "diff" ||
+                   Verb == "find" || Verb == "check";
   if (!TakesWord)
-    return usage("config", "needs init, get, edit, set, diff, history or find");
+    return usage("config",
+                 "needs init, get, edit, set, diff, history, find or check");
   if (Words.size() != 3)
     return usage("config " + Verb, "needs one file or change id");
   if (Verb == "init")
     return config_init_command{Words[2]};
   if (Verb == "edit")
     return config_edit_command{Words[2]};
+  if (Verb == "check")
+    return config_check_command{Words[2], Raw.Against};
   if (Verb == "diff")
     return config_diff_command{Words[2]};
   return config_find_command{change_id(Words[2])};
@@ -244,6 +252,7 @@
 bool needsPlatform(const command &Command) {
   return !std::holds_alternative<help_command>(Command) &&
          !std::holds_alternative<version_command>(Command) &&
+         !std::holds_alternative<config_check_command>(Command) &&
          !std::holds_alternative<status_command>(Command) &&
          !std::holds_alternative<explain_command>(Command);
 }
@@ -301,7 +310,8 @@
     return *Error;
   invocation Call;
   Call.Command = std::get<command>(std::move(Parsed));
-  Call.Output = Raw.Output == "json" ? output_form::Json : output_form::Text;
+  Call.Output =
+      Raw.Json || Raw.Output == "json" ? output_form::Json : output_form::Text;
   Call.Author = operator_name(Raw.Author);
   Call.Reason = Raw.Reason;
   if (std::optional<usage_error> Error = fillSettings(Raw, Call.Settings))
@@ -320,6 +330,8 @@
           "  config edit FILE         put an edited configuration in force\n"
           "  config set NAME VALUE    change a fleet-wide default\n"
           "  config diff FILE         compare a file with what is in force\n"
+          "  config check FILE        check a configuration of the platform's "
+          "operator\n"
           "  config history           changes, newest first\n"
           "  config find ID           tell whether a change was accepted\n"
           "  exception add            --id --setting --value --review-by and a "
--- a/packages/ctl/src/commands.cc
+++ b/packages/ctl/src/commands.cc
@@ -1,6 +1,7 @@
 // Carries out the commands that read or change the configuration.
 #include "jasminecroft/ctl/commands.h"
 
+#include "check_command.h"
 #include "jasminecroft/wire/json_codec.h"
 #include "render.h"
 #include "status_commands.h"
@@ -49,6 +50,9 @@
   exit_code operator()(const config_edit_command &Command);
   exit_code operator()(const config_set_command &Command);
   exit_code operator()(const config_diff_command &Command);
+  exit_code operator()(const config_check_command &Command) {
+    return checkConfigFile(Command, asJson(), Environment);
+  }
   exit_code operator()(const config_history_command &Command);
   exit_code operator()(const config_find_command &Command);
   exit_code operator()(const exception_add_command &Command);
--- a/packages/ctl/test/commands-test.cc
+++ b/packages/ctl/test/commands-test.cc
@@ -92,6 +92,15 @@
   return Text.find(Part) != std::string::npos;
 }
 
+/// The operator's configuration of the examples.
+std::string operatorConfig() {
+  std::ifstream File(std::string(JASMINECROFT_SOURCE_DIR) +
+                     "/examples/operator-config.json");
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
 std::string replaced(std::string Text, const std::string &Old,
                      const std::string &New) {
   std::size_t Place = Text.find(Old);
@@ -185,3 +194,62 @@
   CHECK(Terminal.change({"config", "init", Wrong.Path}).Code == 8);
   CHECK(Terminal.change({"config", "set", "max_attempts", "99"}).Code == 22);
 }
+
+TEST_CASE("an operator's configuration is checked without a platform") {
+  terminal Terminal;
+  scratch_file Sound(operatorConfig());
+  result Result = Terminal.run({"config", "check", Sound.Path});
+  CHECK(Result.Code == 0);
+  CHECK(Result.Out == "no findings\n");
+  std::variant<invocation, usage_error> Parsed =
+      parseCommandLine({"config", "check", Sound.Path}, Now);
+  CHECK(std::holds_alternative<invocation>(Parsed));
+  CHECK(Terminal.run({"config", "check"}).Code == 2);
+  CHECK(Terminal.run({"config", "check", "/nowhere"}).Code == 3);
+  scratch_file Text("{");
+  CHECK(Terminal.run({"config", "check", Text.Path}).Code == 4);
+  scratch_file Type(replaced(operatorConfig(), "\"read\"", "7"));
+  CHECK(Terminal.run({"config", "check", Type.Path}).Code == 9);
+}
+
+TEST_CASE("the exit code of a check tells faults from entries that never "
+          "match") {
+  terminal Terminal;
+  scratch_file Unused(replaced(operatorConfig(), "\"services\": [",
+                               "\"services\": [{\"name\":\"spare\"},"));
+  result Result = Terminal.run({"config", "check", Unused.Path});
+  CHECK(Result.Code == 24);
+  CHECK(Result.Out == "never_matches: pool spare: unused_pool\n");
+  scratch_file Goal(
+      replaced(operatorConfig(), "\"goal_ms\": 500", "\"goal_ms\": 5000"));
+  Result = Terminal.run({"config", "check", Goal.Path, "--json"});
+  CHECK(Result.Code == 23);
+  CHECK(Result.Out ==
+        "{\"version\":3,\"findings\":[{\"class\":\"contradiction\","
+        "\"kind\":\"goal_above_timeout\",\"where\":\"route read\","
+        "\"detail\":\"goal 5000 ms, timeout 3000 ms\"}]}\n");
+}
+
+TEST_CASE("a check tells what differs from another version and no key") {
+  terminal Terminal;
+  scratch_file Old(operatorConfig());
+  scratch_file New(replaced(
+      replaced(replaced(operatorConfig(), "\"version\": 3", "\"version\": 4"),
+               "a-very-secret-key", "another-secret-key"),
+      ": 48", ": 64"));
+  result Result =
+      Terminal.run({"config", "check", New.Path, "--against", Old.Path});
+  CHECK(Result.Code == 0);
+  CHECK(Result.Out == "no findings\n"
+                      "difference: pool plain, connections: 48 -> 64\n"
+                      "difference: key a-ve... of workspace w1: present -> "
+                      "absent\n"
+                      "difference: key anot... of workspace w1: absent -> "
+                      "present\n");
+  Result = Terminal.run(
+      {"config", "check", New.Path, "--against", Old.Path, "--json"});
+  CHECK(contains(Result.Out, "\"against\":3"));
+  CHECK(contains(Result.Out, "{\"where\":\"pool plain, connections\","
+                             "\"before\":\"48\",\"after\":\"64\"}"));
+  CHECK_FALSE(contains(Result.Out, "secret"));
+}
