--- a/packages/core/include/jasminecroft/core/serving/call_admission.h
+++ b/packages/core/include/jasminecroft/core/serving/call_admission.h
@@ -34,6 +34,8 @@
   Backoff,
   ZoneEmptied,
   Cold,
+  /// It has enough large requests of this host in progress.
+  RequestBytes,
 };
 std::string_view toText(admission_obstacle Obstacle);
 
@@ -47,6 +49,8 @@
   bool Quarantined = false;
   /// The limited server for which another host has counted the request.
   std::optional<backend_id> CountedFor;
+  /// Size of the request's body, if that matters.
+  std::size_t RequestBytes = 0;
 };
 
 struct admission_answer {
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -141,6 +141,8 @@
   bool Streamed = false;
   /// Rank at a model engine, 0 to 9, 0 being the first; absent: not ranked.
   std::optional<std::uint32_t> Urgency;
+  /// Its caller's request.
+  request_id Request;
 };
 
 enum class call_failure {
--- a/packages/core/src/serving/call_admission.cc
+++ b/packages/core/src/serving/call_admission.cc
@@ -22,6 +22,8 @@
     return "zone_emptied";
   case admission_obstacle::Cold:
     return "cold";
+  case admission_obstacle::RequestBytes:
+    return "request_bytes";
   }
   return "not_usable";
 }
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -112,6 +112,7 @@
       Budget(Settings.Retries), Owner(*this, Servers, Admission, Budget) {
   Admission.addSource(Emptied);
   Admission.addSource(ColdServers);
+  Admission.addSource(BytesInProgress);
 }
 
 active_request *serving_impl::find(request_id Request) {
@@ -139,6 +140,7 @@
        {"keys", std::to_string(Config->Keys.size())}});
   Owner.configure(Config->Pools);
   ColdServers.configure(Config->Pools);
+  BytesInProgress.setBound(Config->Bounds.MaxBodyBytes);
   View = std::make_shared<const config_view>(std::move(Config));
   ConfigText = std::move(Text);
   Gossip.onConfig(View->Config->Version, Now);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -1,7 +1,9 @@
-// Internal state of the serving core: requests and their stages, calls to
+// Internal state of the serving core and its parts: requests, stages, calls to
 // backend servers, jobs at queue owners, peers.
 #pragma once
 
+#include "serving_records.h"
+
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/cold_servers.h"
@@ -9,6 +11,7 @@
 #include "jasminecroft/core/serving/engine_model.h"
 #include "jasminecroft/core/serving/engine_urgency.h"
 #include "jasminecroft/core/serving/fleet_hosts.h"
+#include "jasminecroft/core/serving/request_bytes.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
 
@@ -18,146 +21,6 @@
 
 namespace jasminecroft::detail {
 
-/// Retry-After if a pool has no usable server: about the time in which lost
-/// servers are registered again.
-inline constexpr core_duration NoBackendRetryAfter =
-    std::chrono::milliseconds(700);
-
-/// Name of a part of a prompt in logs: as callers send it.
-std::string partName(prompt_part_id Part);
-
-/// A configuration with its route index. A request keeps the configuration that
-/// was in force when it arrived.
-struct config_view {
-  explicit config_view(std::shared_ptr<const route_config> Config)
-      : Config(std::move(Config)), Routes(*this->Config),
-        Ranked(findRankedPools(*this->Config)),
-        Competing(callersCompete(*this->Config)) {}
-  std::shared_ptr<const route_config> Config;
-  route_index Routes;
-  ranked_pools Ranked;
-  bool Competing;
-};
-
-enum class stage_phase {
-  /// Inputs are incomplete or the stage is not yet requested.
-  Waiting,
-  /// A job is pending at a queue owner.
-  Requested,
-  /// A job is pending, and the inputs are no longer needed.
-  InputsFetched,
-  Done,
-};
-
-struct stage_state {
-  stage_phase Phase = stage_phase::Waiting;
-  std::vector<completed_piece> Results;
-  /// Valid while a job is pending.
-  piece_job_id Job;
-  /// Queue owner that produced the results; notified when they are released.
-  entry_host_id Owner;
-  bool Released = false;
-  /// Zone of the queue that the job is or will be submitted to.
-  zone_id QueueZone;
-  core_time RequestedAt;
-  /// Time from the first submission until done.
-  core_duration Duration{0};
-};
-
-/// What has arrived of a call's reply.
-enum class call_progress { Sent, Head, Events };
-
-struct active_request {
-  serving_request Request;
-  std::shared_ptr<const config_view> View;
-  const serving_route *Route = nullptr;
-  pool_id Pool;
-  workspace_id Workspace;
-  std::uint32_t Priority = 0;
-  core_time Arrived;
-  /// Time by which the caller gets its final reply.
-  core_time Deadline;
-  core_time GoalAt;
-  /// Zone of the backend server that was selected when the request arrived;
-  /// the final stages run near it.
-  zone_id PlannedZone;
-  std::vector<stage_state> Stages;
-  /// Number of recomputations of lost results.
-  std::uint32_t Recomputations = 0;
-  core_time StagesDoneAt;
-  /// Time to the first byte of the response, as estimated on arrival.
-  core_duration Forecast{0};
-  way_plan Way;
-
-  /// Call in flight, if any.
-  std::optional<call_id> CurrentCall;
-  backend_entry Server;
-  core_time SentAt;
-  std::set<backend_id> TriedServers;
-  /// Number of calls whose first byte may have been sent.
-  std::uint32_t Attempts = 0;
-  call_ledger Ledger;
-  bool HeadRelayed = false;
-  call_progress Progress = call_progress::Sent;
-  std::optional<core_time> FirstByteAt;
-  std::optional<std::uint64_t> LastEvent;
-  /// Of the last events.
-  core_time LastEventAt;
-  /// The first event of the current call, and when it arrived.
-  std::uint64_t CallEvent = 0;
-  core_time CallEventAt;
-  /// The limited server for which it has asked for a permit.
-  std::optional<backend_id> PermitAskedOf;
-  core_time PermitAskedAt;
-  /// Number of servers asked for since it last could go on.
-  std::uint32_t PermitAsks = 0;
-  /// The limited server to which it may be sent.
-  std::optional<backend_id> Permit;
-  /// The quarantined part because of which it ends.
-  std::optional<prompt_part_id> QuarantinedPart;
-  /// Allowed to run despite quarantined parts.
-  bool Trial = false;
-};
-
-struct job_state {
-  request_id Request;
-  std::uint32_t Stage = 0;
-  /// Host that the job is assigned to.
-  entry_host_id Owner;
-  zone_id QueueZone;
-  bool Accepted = false;
-  /// The owner accepted it at some time, so that a call may be running.
-  bool EverAccepted = false;
-  core_time RequestedAt;
-};
-
-enum class call_kind { Forward, Pieces };
-
-struct call_state {
-  call_kind Kind = call_kind::Forward;
-  /// Kind Forward only.
-  request_id Request;
-  /// Kind Pieces only.
-  batch_id Batch;
-  backend_entry Server;
-  core_time SentAt;
-  /// Priority of a stream that has no event yet.
-  std::optional<std::uint32_t> WaitsAs;
-};
-
-/// Kind of a timer; determines what its id refers to.
-enum class timer_kind {
-  Deadline,
-  AttemptTimeout,
-  AcceptTimeout,
-  JobCheck,
-  PermitTimeout
-};
-struct timer {
-  timer_kind Kind = timer_kind::Deadline;
-  std::uint64_t Id = 0;
-};
-
 class serving_impl final : public batch_actions {
 public:
   serving_impl(const serving_settings &Settings, serving_actions &Actions);
@@ -240,6 +103,7 @@
   backend_directory Servers;
   fleet_hosts Hosts;
   emptied_zones Emptied;
+  request_bytes BytesInProgress;
   call_admission Admission;
   cold_servers ColdServers;
   store_gossip Gossip;
@@ -393,7 +257,7 @@
   void on(const host_run &Sender, const part_rulings &Body);
 
   // Choice of servers: serving_choice.cc.
-  call_subject subjectOf(const active_request &State) const;
+  call_subject subjectOf(const active_request &State);
   std::vector<backend_state *> openServers(const active_request &State);
   bool hasUntriedServer(const active_request &State);
   backend_state *chooseServer(const active_request &State);
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -8,6 +8,7 @@
 #include "line_log.h"
 #include "page_listener.h"
 #include "platform/front/caller_requests.h"
+#include "process_facts.h"
 #include "serving_backends.h"
 #include "serving_front.h"
 #include "serving_metrics.h"
@@ -27,8 +28,6 @@
 
 namespace {
 
-/// Of the machine's memory, one part in so many is for requests' bodies.
-constexpr std::size_t BodyShare = 4;
 constexpr std::size_t BytesPerMegabyte = 1'000'000;
 
 /// The balancer sends new connections until it has missed two answers, one a
@@ -50,12 +49,14 @@
   serving_host(const serving_host_settings &Settings, std::string File)
       : Settings(Settings),
         File(std::move(File)), Self{Settings.Host, thisRun()},
+        Held(sharesOf(Settings.MemoryBytes)),
         Signals(Context, SIGTERM, SIGINT, SIGHUP), WakeTimer(Context),
         StopTimer(Context), Log(Context, Settings.Host.Value, Settings.Log),
         Core(coreSettings(Settings, Self), *this),
-        Front(Context, *this, maxCallers(), Settings.MemoryBytes / BodyShare),
-        Backends(Context, *this,
-                 [this] { return Core.backends().listedAddresses(); }),
+        Front(Context, *this, maxCallers(), Held),
+        Backends(
+            Context, *this,
+            [this] { return Core.backends().listedAddresses(); }, &Held),
         Store(Context, Settings, Core, Log, [this] { arm(); }) {}
 
   std::variant<exit_code, settings_error> run() {
@@ -128,6 +129,10 @@
     Gauges.BackendConnectionsOpened = Backends.counters().Opened;
     Gauges.LogLinesDropped = Log.dropped();
     Store.addTo(Gauges);
+    Gauges.HeldRequestBytes = Held.held(held_kind::RequestBody);
+    Gauges.HeldArrivingBytes = Held.held(held_kind::ArrivingAnswer);
+    Gauges.HeldUnreadBytes = Held.held(held_kind::UnreadAnswer);
+    Gauges.SlowReadersEnded = SlowReaders;
     return Metrics.render(Core.counters(), Gauges);
   }
 
@@ -159,7 +164,7 @@
       New.Grace = Settings.Grace;
     settings_changes Changes = takeOver(Settings, New);
     Core.setRetryLimits(Settings.Retries);
-    Front.setMaxBodyBytes(Settings.MemoryBytes / BodyShare);
+    Held.setShares(sharesOf(Settings.MemoryBytes));
     write(event_number::SettingsReloaded,
           Changes.AtRestart.empty() ? event_severity::Info
                                     : event_severity::Warning,
@@ -268,6 +273,16 @@
            {"why", std::string(Why)},
            {"calls", "none"}});
   }
+  void onSlowReader(std::string_view CallerId, std::size_t Unread,
+                    std::string_view Why) override {
+    ++SlowReaders;
+    write(event_number::SlowReaderEnded, event_severity::Warning,
+          "answer ended before its caller read it",
+          {{"request", std::string(CallerId)},
+           {"unread", std::to_string(Unread)},
+           {"why", std::string(Why)},
+           {"held", std::to_string(Held.total())}});
+  }
   caller_bounds bounds() const override {
     std::shared_ptr<const route_config> Config = Core.config();
     return Config ? Config->Bounds : caller_bounds();
@@ -405,6 +420,11 @@
     arm();
   }
 
+  std::size_t unreadBytes(request_id Request) const override {
+    std::shared_ptr<caller_session> Session = Front.session(Request);
+    return Session ? Session->unreadBytes() : 0;
+  }
+
   // peer_transport_listener
   void onReceived(peer_message Message) override {
     Core.onPeer(Message.Sender, Message.Body, now());
@@ -429,6 +449,8 @@
   serving_host_settings Settings;
   std::string File;
   host_run Self;
+  /// What callers and calls hold, also while Context ends.
+  held_memory Held;
   asio::io_context Context{1};
   asio::signal_set Signals;
   io_timer WakeTimer;
@@ -444,6 +466,7 @@
   std::unique_ptr<page_listener> MetricsPage;
   /// Time that WakeTimer waits for; absent if it does not run.
   std::optional<core_time> ArmedFor;
+  std::uint64_t SlowReaders = 0;
   bool ShuttingDown = false;
   bool IdleClosed = false;
   std::chrono::steady_clock::time_point StopBegan;
