--- a/packages/core/include/jasminecroft/core/serving/placement.h
+++ b/packages/core/include/jasminecroft/core/serving/placement.h
@@ -39,7 +39,7 @@
 /// Returns the least loaded of the servers that rank first for the prompt's
 /// session, or another one if these are far busier than the rest. Returns null
 /// if there is none.
-backend_state *chooseEngine(std::vector<backend_state *> Admitted,
+backend_state *chooseEngine(const std::vector<backend_state *> &Admitted,
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now);
 
--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -111,7 +111,7 @@
   return Best;
 }
 
-backend_state *chooseEngine(std::vector<backend_state *> Admitted,
+backend_state *chooseEngine(const std::vector<backend_state *> &Admitted,
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now) {
   bool Shared = !Query.Prefix.empty();
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -73,7 +73,7 @@
     Query.Prefix.pop_back();
   const std::string &Caller = State.Request.CallerId.Value;
   Query.Spread = XXH3_64bits(Caller.data(), Caller.size());
-  return chooseEngine(std::move(Admitted), Query, *Pool->second.Engine, Now);
+  return chooseEngine(Admitted, Query, *Pool->second.Engine, Now);
 }
 
 // Returns the expected time from sending the request to Server until the first
--- a/packages/core/test/engine-model-test.cc
+++ b/packages/core/test/engine-model-test.cc
@@ -38,6 +38,7 @@
 
 std::vector<engine_time> times(std::uint32_t Streams, std::uint64_t Run = 1) {
   std::vector<engine_time> Times;
+  Times.reserve(Engines);
   for (int I = 0; I < Engines; ++I)
     Times.push_back({idOf(I), incarnation(Run),
                      milliseconds(isSlow(I) ? 66 : 30), Streams});
@@ -87,8 +88,7 @@
     Query.NearZone = zone_id("z0");
     Query.Prefix = {{1, 500}, {(I * 7'919) % 400 + 2, 1'000}};
     std::vector<backend_state *> Usable = Servers.usable(Pool, Now);
-    backend_id Server =
-        chooseEngine(std::move(Usable), Query, Rules, Now)->Entry.Id;
+    backend_id Server = chooseEngine(Usable, Query, Rules, Now)->Entry.Id;
     bool IsLong = I % 10 == 0;
     reader &Reader = Readers[Server];
     Reader.FreeAt = std::max(Reader.FreeAt, Now) +
@@ -108,7 +108,8 @@
               static_cast<double>(Times.size())};
 }
 
-void show(const std::string &Callers, const latency &Before, const latency &After) {
+void show(const std::string &Callers, const latency &Before,
+          const latency &After) {
   auto Ms = [](core_duration Time) { return Time.count() / 1'000; };
   MESSAGE(Callers, ": first event p50 ", Ms(Before.P50), " -> ", Ms(After.P50),
           " ms, p95 ", Ms(Before.P95), " -> ", Ms(After.P95), " ms, p99 ",
