Spread the returns of requests that a queue has shed

Cause: a request that a queue sheds was told 500 ms whatever waits there, and all at once the same, so that refused callers came back together to a queue that was still long. Nothing showed service by urgency. Change: it is told the wait behind equally and more urgent work, spread by its id, where priorities or workspaces differ. The metric requests_by_priority_total counts requests on time, late, refused and failed by urgency. Conclusion: with one priority and one workspace times to return are as before.

--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -155,6 +155,8 @@
   /// Time to the first byte; absent if no part of a reply was relayed.
   std::optional<core_duration> FirstByte;
   core_duration TotalTime{0};
+  std::uint32_t Priority = 0;
+  core_duration Goal{0};
 };
 
 /// Callbacks by which the serving core acts. Called while it handles an event.
--- a/packages/core/src/serving/queue_order.cc
+++ b/packages/core/src/serving/queue_order.cc
@@ -111,7 +111,7 @@
         Pieces += Jobs[Job].Pieces;
     std::size_t Expedited = Result.size();
     while (!ByPriority.empty()) {
-      auto Last = lastClass(ByPriority, Pieces);
+      jobs_by_priority::iterator Last = lastClass(ByPriority, Pieces);
       std::size_t Job = Last->second.back();
       Last->second.pop_back();
       if (Last->second.empty())
--- a/packages/core/src/serving/serving_batches.cc
+++ b/packages/core/src/serving/serving_batches.cc
@@ -191,7 +191,14 @@
     return;
   refusal_kind Kind = Failure == piece_failure::Late ? refusal_kind::Overloaded
                                                      : refusal_kind::NoBackend;
-  failRequest(*State, Kind, PieceFailureRetryAfter);
+  core_duration RetryAfter = PieceFailureRetryAfter;
+  if (Kind == refusal_kind::Overloaded && State->View->Competing)
+    RetryAfter = spreadReturn(
+        State->Request.CallerId,
+        std::max(
+            RetryAfter,
+            estimatedWait(*State, Stage).Late[urgencyRank(State->Priority)]));
+  failRequest(*State, Kind, RetryAfter);
 }
 
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -296,8 +296,9 @@
   std::optional<core_duration> FirstByte;
   if (State.FirstByteAt)
     FirstByte = *State.FirstByteAt - State.Arrived;
-  Actions.onRequestFinished(
-      {State.Route->Name, Outcome, FirstByte, Now - State.Arrived});
+  Actions.onRequestFinished({State.Route->Name, Outcome, FirstByte,
+                             Now - State.Arrived, State.Priority,
+                             State.Route->Goal});
   bool Succeeded = Outcome == "complete";
   std::vector<event_field> Fields = {
       {"request", State.Request.CallerId.Value},
--- a/packages/core/test/queue-sharing-test.cc
+++ b/packages/core/test/queue-sharing-test.cc
@@ -32,12 +32,14 @@
   }
 };
 
+/// By priority and workspace.
+using outcomes = std::map<std::pair<std::uint32_t, std::string>, outcome>;
+
 class player {
 public:
-  // Results by priority and workspace of the jobs asked for in this time.
-  std::map<std::pair<std::uint32_t, std::string>, outcome>
-  play(const std::vector<demand> &Demands, core_duration Time) {
-    std::map<std::pair<std::uint32_t, std::string>, outcome> Results;
+  // Returns what becomes of the jobs asked for in this time.
+  outcomes play(const std::vector<demand> &Demands, core_duration Time) {
+    outcomes Results;
     std::vector<asked_job> Asked;
     std::vector<double> Due(Demands.size());
     for (core_time End = Test.Now + Time; Test.Now < End;) {
@@ -90,7 +92,8 @@
       if (Test.Now - Start >= Takes)
         Test.answerAll(Call.first);
     }
-    for (const auto &Job : std::exchange(Test.Actions.Completed, {}))
+    for (const std::pair<const piece_job_id, std::vector<completed_piece>>
+             &Job : std::exchange(Test.Actions.Completed, {}))
       DoneAt[Job.first] = Test.Now;
   }
 
@@ -110,7 +113,8 @@
 // On-time share of all workspaces but the first.
 double shareOfOthers(player &Player, double First, core_duration Time) {
   outcome Others;
-  for (const auto &Entry : Player.play(eightWorkspaces(First), Time))
+  for (const outcomes::value_type &Entry :
+       Player.play(eightWorkspaces(First), Time))
     if (Entry.first.second != "w0") {
       Others.Asked += Entry.second.Asked;
       Others.OnTime += Entry.second.OnTime;
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace jasminecroft;
 using std::chrono::milliseconds;
@@ -407,3 +408,29 @@
     }
   CHECK(Refused > 20);
 }
+
+// Answers a burst of 40 requests at once to one server.
+TEST_CASE("refused callers return spread only where callers compete") {
+  for (bool Competing : {false, true}) {
+    serving_fixture Test;
+    std::shared_ptr<route_config> Config = serving_fixture::config();
+    if (Competing)
+      Config->Keys[workspace_key("other")] = {workspace_id("v"), std::nullopt};
+    Test.Core.onConfig(Config, "text", Test.Now);
+    for (const char *Pool : {"engine", "first", "second"})
+      Test.addServers(Pool, 1);
+    for (int I = 0; I < 40; ++I)
+      Test.sendRequest("staged", {8, 1});
+    std::size_t Refused = 0;
+    std::set<core_duration> Times;
+    for (const std::pair<const request_id, std::vector<refusal>> &Entry :
+         Test.Actions.Refusals)
+      for (const refusal &Refusal : Entry.second) {
+        ++Refused;
+        Times.insert(Refusal.RetryAfter);
+      }
+    REQUIRE(Refused > 20);
+    CAPTURE(Competing);
+    CHECK((Times.size() > Refused / 2) == Competing);
+  }
+}
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -22,6 +22,20 @@
 /// Routes beyond this number share one label.
 constexpr std::size_t MaxRoutes = 64;
 
+/// Whether the request was served as its caller needs it.
+std::string_view serviceOf(const finished_request &Answered) {
+  if (Answered.Outcome == "caller_left")
+    return "caller_left";
+  if (Answered.Outcome == "failed" || Answered.Outcome == "timed_out" ||
+      Answered.Outcome == "broken_off" || Answered.Outcome == "server_error")
+    return "failed";
+  if (Answered.Outcome != "complete")
+    return "refused";
+  return Answered.FirstByte.value_or(Answered.TotalTime) <= Answered.Goal
+             ? "on_time"
+             : "late";
+}
+
 double inSeconds(core_duration Time) {
   return std::chrono::duration<double>(Time).count();
 }
@@ -43,6 +57,10 @@
                      .Name("jasminecroft_requests_total")
                      .Help("Requests by route and outcome")
                      .Register(Registry)),
+        ByPriority(prometheus::BuildCounter()
+                       .Name("jasminecroft_requests_by_priority_total")
+                       .Help("Requests by priority: on time, late, refused")
+                       .Register(Registry)),
         Batches(prometheus::BuildHistogram()
                     .Name("jasminecroft_batch_pieces")
                     .Help("Pieces of each call to a batching backend server")
@@ -68,6 +86,7 @@
   prometheus::Family<prometheus::Histogram> &FirstByte;
   prometheus::Family<prometheus::Histogram> &TotalTime;
   prometheus::Family<prometheus::Counter> &Outcomes;
+  prometheus::Family<prometheus::Counter> &ByPriority;
   prometheus::Histogram &Batches;
   prometheus::Family<prometheus::Gauge> &Values;
   std::map<route_id, bool> Routes;
@@ -81,6 +100,10 @@
   Impl->Outcomes
       .Add({{"route", Route}, {"outcome", std::string(Answered.Outcome)}})
       .Increment();
+  Impl->ByPriority
+      .Add({{"priority", std::to_string(urgencyRank(Answered.Priority))},
+            {"service", std::string(serviceOf(Answered))}})
+      .Increment();
   if (Answered.FirstByte)
     Impl->FirstByte.Add({{"route", Route}}, LatencyBounds)
         .Observe(inSeconds(*Answered.FirstByte));
