Let callers of the soak read their answers late

Cause: every caller of the soak read as soon as it had sent. Change: one of fifteen has little room for what it receives and begins to read up to 1.5 s late.

--- a/packages/testing/processes/include/jasminecroft/processes/soak_caller.h
+++ b/packages/testing/processes/include/jasminecroft/processes/soak_caller.h
@@ -12,7 +12,8 @@
 namespace jasminecroft::processes {
 
 /// Sends on a connection of its own or on an open one, with the body whole or
-/// in chunks, and sometimes leaves before the answer. Used from one thread.
+/// in chunks, and sometimes reads the answer late or leaves before it. Used
+/// from one thread.
 class soak_caller {
 public:
   explicit soak_caller(std::chrono::seconds Bound) : Bound(Bound) {}
--- a/packages/testing/processes/src/soak_caller.cc
+++ b/packages/testing/processes/src/soak_caller.cc
@@ -14,6 +14,10 @@
 constexpr std::uint64_t ChunkedShare = 3;
 constexpr std::uint64_t LeavingShare = 12;
 constexpr std::uint64_t LongestStayMs = 20;
+/// One of so many callers begins to read late, with little room.
+constexpr std::uint64_t LateReaderShare = 15;
+constexpr std::uint64_t LongestUnreadMs = 1'500;
+constexpr int LateReceiveBytes = 4'096;
 
 std::string chunkedText(const http_call &Call) {
   std::string Text = Call.Method + ' ' + Call.Target +
@@ -39,6 +43,14 @@
           std::chrono::milliseconds(Random() % LongestStayMs));
     return {};
   }
+  if (Random() % LateReaderShare == 0) {
+    http_connection Late(Call.Port, LateReceiveBytes);
+    if (!Late.connected() || !Late.send(Text))
+      return {};
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(Random() % LongestUnreadMs));
+    return Late.readReply(Bound);
+  }
   std::unique_ptr<http_connection> &Open = Connections[Call.Port];
   if (!Open || Random() % 2 == 0)
     Open = std::make_unique<http_connection>(Call.Port);
