--- a/packages/core/src/serving/serving_records.h
+++ b/packages/core/src/serving/serving_records.h
@@ -1,9 +1,11 @@
 // What the serving core keeps of a request, its stages and jobs, and of a call.
 #pragma once
 
+#include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/engine_urgency.h"
 #include "jasminecroft/core/serving/serving_core.h"
+#include "jasminecroft/core/serving/way_plan.h"
 
 #include <map>
 #include <memory>
