--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -252,6 +252,9 @@
                                         const std::vector<waiting_job> &Waiting,
                                         const queue_order &Order,
                                         core_time Now);
+  static by_urgency<core_duration>
+  lateWaits(const std::vector<waiting_job> &Waiting, const queue_order &Order,
+            wait_estimator &Estimator);
   void shedLateJobs(const queue_key &Key,
                     const std::vector<waiting_job> &Waiting,
                     const queue_order &Order, wait_estimator &Estimator,
--- a/packages/core/include/jasminecroft/core/serving/cold_servers.h
+++ b/packages/core/include/jasminecroft/core/serving/cold_servers.h
@@ -17,7 +17,6 @@
 public:
   explicit cold_servers(const fleet_hosts &Hosts) : Hosts(Hosts), Rate(Hosts) {}
 
-  void start(core_time Now) { Rate.start(Now); }
   void configure(const std::map<pool_id, serving_pool> &Pools);
   /// Applies an entry of the platform's list before the directory does, which
   /// knows Known of it. A run that starts later than this host's first list is
@@ -26,9 +25,13 @@
                core_time Now);
   /// The entries of the first list have been applied.
   void onListRead() { ListRead = true; }
-  /// A server, or another host, says that it stays cold for a time. Never
-  /// shortens what is known. Returns whether it has become cold.
+  /// A server says that it stays cold for a time. Never shortens what is known.
+  /// Returns whether it has become cold.
   bool onStated(const backend_entry &Server, core_duration Left, core_time Now);
+  /// Another host says so. Never lengthens a cold time: hosts that repeat each
+  /// other's news would extend it without end. Returns whether the server has
+  /// become cold.
+  bool onTold(const backend_entry &Server, core_duration Left, core_time Now);
 
   /// Returns for how long a run is cold; zero if it is not.
   core_duration timeLeft(const backend_entry &Server, core_time Now) const;
--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -62,6 +62,13 @@
   /// Returns the number of live hosts, including this one.
   std::uint32_t liveCount() const;
   const batching_host &self() const { return Self; }
+  /// Adds a host that the platform lists; what hosts say of each other does
+  /// not count.
+  void addListed(const batching_host &Host, core_time Now);
+  /// The platform's whole list has been added.
+  void onListRead(core_time Now);
+  /// Returns since when the platform's list is known, in this run.
+  std::optional<core_time> listReadAt() const { return ListReadAt; }
   /// The platform no longer lists the host.
   void removeListed(const entry_host_id &Host, core_time Now);
   /// Returns the number of listed hosts that rank before this one, and of all
@@ -104,6 +111,7 @@
   /// platform has removed them from its list.
   std::map<entry_host_id, listed_host> Roster;
   std::uint64_t RosterGeneration = 0;
+  std::optional<core_time> ListReadAt;
   /// Owners of this generation. A hash over all hosts for each job would cost
   /// more processor time the larger the fleet is.
   mutable std::map<std::string, entry_host_id, std::less<>> Owners;
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -343,6 +343,8 @@
   void onStoreLost(store_kind Kind, core_time Now);
   void onHost(const batching_host &Host, core_time Now);
   void onHostRemoved(const entry_host_id &Host, core_time Now);
+  /// All hosts on the platform's list have been reported.
+  void onHostsRead(core_time Now);
   void onPeer(const host_run &Sender, const peer_body &Body, core_time Now);
 
   /// Messages to a peer were dropped. The peer may still be alive.
--- a/packages/core/include/jasminecroft/core/serving/shared_rate.h
+++ b/packages/core/include/jasminecroft/core/serving/shared_rate.h
@@ -33,12 +33,11 @@
 
 /// This host's shares. The holders are the first in rank of all hosts on the
 /// platform's list, suspected or not: hosts that cannot hear each other still
-/// agree about them.
+/// agree about them. A host that has not read the list has no share.
 class shared_rate {
 public:
   explicit shared_rate(const fleet_hosts &Hosts) : Hosts(Hosts) {}
 
-  void start(core_time Now) { StartedAt = Now; }
   /// Changes whenever a part may have changed.
   std::uint64_t generation(core_time Now) const;
   /// Returns this host's part of the rate that Key names; zero for most hosts.
@@ -46,7 +45,6 @@
 
 private:
   const fleet_hosts &Hosts;
-  core_time StartedAt;
 };
 
 } // namespace jasminecroft
--- a/packages/core/include/jasminecroft/core/serving/way_plan.h
+++ b/packages/core/include/jasminecroft/core/serving/way_plan.h
@@ -37,13 +37,17 @@
 };
 
 std::string_view toText(share_standing Standing);
+/// Over: the workspaces over their share in a queue.
+share_standing standingOf(const std::vector<over_share> &Over, std::size_t Rank,
+                          const workspace_id &Workspace);
 
 struct way_query {
   std::vector<way_stage> Stages;
   /// Expected time from the last stage to the first byte of the response.
   core_duration FirstByte{0};
-  /// Time left for the response to be on time.
+  /// Time left for the response to be on time, and to be of use at all.
   core_duration AimIn{0};
+  core_duration DeadlineIn{0};
   std::uint32_t Priority = 0;
   workspace_id Workspace;
 };
@@ -53,7 +57,7 @@
   Start,
   /// It will be late, but the queues on its way are short.
   StartLate,
-  /// It would be late behind a long queue.
+  /// It would be late behind a long queue, or come after its deadline.
   Refuse,
 };
 
@@ -74,8 +78,9 @@
 
 /// Work that hosts plan to submit to a later stage adds to its queue; the time
 /// until the request reaches the stage, in which the servers drain the queue,
-/// is subtracted. Only equally and more urgent work counts. A long queue is no
-/// reason to refuse a workspace within its share.
+/// is subtracted. Of the work that will be late only equally and more urgent
+/// one counts. A long queue is no reason to refuse a workspace within its
+/// share, as long as its request ends before the deadline.
 way_plan planWay(const way_query &Query);
 
 /// Returns a time after RoomIn, the same for each call with the same id. Times
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -169,33 +169,25 @@
 }
 
 // Fails jobs that cannot be completed before their deadline. Late jobs without
-// completed work are shed too if equally and more urgent jobs alone make the
-// queue long: their callers get a response sooner by retrying than by waiting
-// behind the jobs that can be on time.
+// completed work are shed too if they would wait long: their callers get a
+// response sooner by retrying than by waiting behind the jobs that can be on
+// time. Those of workspaces within their share stay.
 void batch_owner::shedLateJobs(const queue_key &Key,
                                const std::vector<waiting_job> &Waiting,
                                const queue_order &Order,
                                wait_estimator &Estimator, core_time Now) {
   core_duration Least = expectedCallTime(Pools[Key.Pool], 1);
   const std::vector<job_key> Keys = queue(Key);
-  std::map<std::uint32_t, std::size_t> PiecesByPriority;
-  for (const waiting_job &Job : Waiting)
-    PiecesByPriority[Job.Priority] += Job.Pieces;
-  std::optional<std::uint32_t> LongFrom;
-  std::size_t Ahead = 0;
-  for (const std::pair<const std::uint32_t, std::size_t> &Class :
-       PiecesByPriority) {
-    Ahead += Class.second;
-    if (Estimator.waitBehind(Ahead) > MaxLateQueueWait) {
-      LongFrom = Class.first;
-      break;
-    }
-  }
+  const by_urgency<core_duration> LateWaits =
+      lateWaits(Waiting, Order, Estimator);
+  const std::vector<over_share> Over = findOverShare(Key, Waiting, Order, Now);
   for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
     const waiting_job &Job = Waiting[Order.Jobs[Place]];
+    std::size_t Rank = urgencyRank(Job.Priority);
     bool Late = Place >= Order.OnTime;
-    if (Job.DeadlineIn < Least ||
-        (Late && !Job.HasProgress && LongFrom && Job.Priority >= *LongFrom))
+    bool Long = LateWaits[Rank] > MaxLateQueueWait &&
+                standingOf(Over, Rank, Job.Workspace) != share_standing::Within;
+    if (Job.DeadlineIn < Least || (Late && !Job.HasProgress && Long))
       failJob(Keys[Order.Jobs[Place]], piece_failure::Late, Now);
   }
 }
--- a/packages/core/src/serving/batch_waits.cc
+++ b/packages/core/src/serving/batch_waits.cc
@@ -108,6 +108,26 @@
   return Result;
 }
 
+// Returns the wait of a late job by its rank: behind all jobs that can be on
+// time, and the late ones that are equally or more urgent.
+by_urgency<core_duration>
+batch_owner::lateWaits(const std::vector<waiting_job> &Waiting,
+                       const queue_order &Order, wait_estimator &Estimator) {
+  std::size_t Ahead = 0;
+  by_urgency<std::size_t> Late{};
+  for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
+    const waiting_job &Job = Waiting[Order.Jobs[Place]];
+    (Place < Order.OnTime ? Ahead : Late[urgencyRank(Job.Priority)]) +=
+        Job.Pieces;
+  }
+  by_urgency<core_duration> Waits{};
+  for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
+    Ahead += Late[Rank];
+    Waits[Rank] = Estimator.waitBehind(Ahead);
+  }
+  return Waits;
+}
+
 queue_wait batch_owner::expectedWait(const pool_id &Pool, const zone_id &Zone,
                                      core_time Now) {
   if (!Pools.contains(Pool))
@@ -126,17 +146,12 @@
   wait_estimator Estimator = makeWaitEstimator(Key, Planned);
   const std::vector<waiting_job> Waiting = waitingJobs(Key, Now);
   queue_order Order = orderQueue(Waiting, Estimator);
-  std::size_t AllOnTime = 0;
   by_urgency<std::size_t> Before{};
-  by_urgency<std::size_t> LateBefore{};
-  for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
+  for (std::size_t Place = 0; Place < Order.OnTime; ++Place) {
     const waiting_job &Job = Waiting[Order.Jobs[Place]];
-    bool OnTime = Place < Order.OnTime;
-    (OnTime ? Before : LateBefore)[urgencyRank(Job.Priority)] += Job.Pieces;
-    AllOnTime += OnTime ? Job.Pieces : 0;
+    Before[urgencyRank(Job.Priority)] += Job.Pieces;
   }
   std::size_t Ahead = 0;
-  std::size_t AheadOfLate = AllOnTime;
   std::size_t ForecastPieces = 0;
   for (std::size_t Rank = 0; Rank < UrgencyRanks; ++Rank) {
     Ahead += Before[Rank];
@@ -147,9 +162,8 @@
     Result.OnTime[Rank] = Estimator.waitBehind(Ahead);
     Result.Planned[Rank] =
         Estimator.waitBehind(Ahead + ForecastPieces) - Result.OnTime[Rank];
-    AheadOfLate += LateBefore[Rank];
-    Result.Late[Rank] = Estimator.waitBehind(AheadOfLate);
   }
+  Result.Late = lateWaits(Waiting, Order, Estimator);
   Result.Call =
       core_duration(static_cast<std::int64_t>(Queues[Key].CallMicros));
   Result.OverShare = findOverShare(Key, Waiting, Order, Now);
--- a/packages/core/src/serving/cold_servers.cc
+++ b/packages/core/src/serving/cold_servers.cc
@@ -21,6 +21,8 @@
 constexpr core_duration CountedTime = seconds(1);
 /// Servers end their cold time by their own clocks.
 constexpr core_duration EndMargin = milliseconds(200);
+/// News of other hosts about less than this count for nothing.
+constexpr core_duration MinToldTime = milliseconds(500);
 /// During the ramp the rate grows by this multiple of the cold one.
 constexpr double RampGrowth = 3;
 
@@ -91,6 +93,14 @@
   return setCold(Server, Left, false, Now);
 }
 
+bool cold_servers::onTold(const backend_entry &Server, core_duration Left,
+                          core_time Now) {
+  // What is left is less than the delay of news that repeat each other.
+  if (Left < MinToldTime || timeLeft(Server, Now) > core_duration{0})
+    return false;
+  return setCold(Server, Left - EndMargin, false, Now);
+}
+
 core_duration cold_servers::timeLeft(const backend_entry &Server,
                                      core_time Now) const {
   auto Found = Records.find(Server.Id);
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -49,10 +49,6 @@
 void fleet_hosts::add(const batching_host &Host, core_time Now) {
   if (Host.Host == Self.Host)
     return;
-  listed_host &Listed = Roster[Host.Host];
-  if (Listed.Host != Host)
-    ++RosterGeneration;
-  Listed = {Host, std::nullopt};
   host_state &State = Hosts[Host.Host];
   if (State.Host != Host)
     setChanged();
@@ -111,6 +107,21 @@
   return true;
 }
 
+void fleet_hosts::addListed(const batching_host &Host, core_time Now) {
+  add(Host, Now);
+  if (Host.Host == Self.Host)
+    return;
+  listed_host &Listed = Roster[Host.Host];
+  if (Listed.Host != Host)
+    ++RosterGeneration;
+  Listed = {Host, std::nullopt};
+}
+
+void fleet_hosts::onListRead(core_time Now) {
+  if (!ListReadAt)
+    ListReadAt = Now;
+}
+
 void fleet_hosts::removeListed(const entry_host_id &Host, core_time Now) {
   auto Found = Roster.find(Host);
   if (Found != Roster.end() && !Found->second.RemovedAt)
--- a/packages/core/src/serving/held_memory.cc
+++ b/packages/core/src/serving/held_memory.cc
@@ -9,6 +9,9 @@
 
 /// Of the machine's memory, one part in so many is the share of a kind.
 constexpr std::size_t KindDivisor = 4;
+/// The same for answers that arrive: with all bodies they leave room to answers
+/// that callers have just been sent.
+constexpr std::size_t ArrivingDivisor = 8;
 /// The same for all kinds together; the rest is for the process itself.
 constexpr std::size_t TogetherDivisor = 2;
 /// More answers at one time are of no use on larger machines.
@@ -20,8 +23,9 @@
 memory_shares sharesOf(std::size_t MemoryBytes) {
   memory_shares Shares;
   Shares.RequestBodies = MemoryBytes / KindDivisor;
-  Shares.ArrivingAnswers = std::min(MaxAnswersBytes, MemoryBytes / KindDivisor);
-  Shares.UnreadAnswers = Shares.ArrivingAnswers;
+  Shares.ArrivingAnswers =
+      std::min(MaxAnswersBytes, MemoryBytes / ArrivingDivisor);
+  Shares.UnreadAnswers = std::min(MaxAnswersBytes, MemoryBytes / KindDivisor);
   Shares.Together = MemoryBytes / TogetherDivisor;
   return Shares;
 }
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -26,8 +26,8 @@
 
 using namespace detail;
 
-// The size of a request only leads it to another server: if none is left, it is
-// not considered.
+// The size of a request only leads it to another server: if no untried one is
+// left, it is not considered.
 call_subject serving_impl::subjectOf(const active_request &State) {
   call_subject Subject;
   Subject.Quarantined =
@@ -36,8 +36,15 @@
   if (!BytesInProgress.active(Now))
     return Subject;
   Subject.RequestBytes = State.Request.Message->Body.size();
-  if (Subject.RequestBytes > LargeRequestBytes &&
-      Admission.candidates(State.Pool, Subject, Now).empty())
+  if (Subject.RequestBytes <= LargeRequestBytes)
+    return Subject;
+  std::vector<backend_state *> Admitted =
+      Admission.candidates(State.Pool, Subject, Now);
+  bool HasUntried = std::any_of(
+      Admitted.begin(), Admitted.end(), [&State](const backend_state *Server) {
+        return !State.TriedServers.contains(Server->Entry.Id);
+      });
+  if (!HasUntried)
     Subject.RequestBytes = 0;
   return Subject;
 }
--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -32,6 +32,8 @@
     ConfigCurrent = Current;
   else if (Kind == store_kind::Backends)
     BackendsCurrent = Current;
+  else
+    ZonesCurrent = Current;
 }
 
 void serving_impl::resyncAll() {
@@ -44,7 +46,7 @@
 // Returns whether this host may tell others that what it knows is current.
 bool serving_impl::storeCurrent() const {
   return Source == store_source::Watch && ConfigCurrent && BackendsCurrent &&
-         !Leaving;
+         (ZonesCurrent || !Settings.EmptiedZones) && !Leaving;
 }
 
 void serving_impl::onBackendRemoved(const backend_id &Id,
@@ -169,6 +171,7 @@
     return;
   ConfigCurrent = false;
   BackendsCurrent = false;
+  ZonesCurrent = false;
   resyncAll();
 }
 
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -149,6 +149,7 @@
   }
   Query.FirstByte = firstByteTime(State);
   Query.AimIn = State.GoalAt - Now;
+  Query.DeadlineIn = State.Deadline - Now;
   Query.Priority = State.Priority;
   Query.Workspace = State.Workspace;
   return Query;
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -26,7 +26,6 @@
   LastWakeup = Now;
   Gossip.start(Now);
   Following.start(Now);
-  ColdServers.start(Now);
 }
 
 host_heartbeat serving_impl::makeHeartbeat(bool WantsReply) const {
@@ -101,7 +100,7 @@
 }
 
 void serving_impl::onHost(const batching_host &Host, core_time) {
-  Hosts.add(Host, Now);
+  Hosts.addListed(Host, Now);
   Hosts.markAlive(Host.Host);
   askAtStart(Host);
   transferQueues();
@@ -394,6 +393,10 @@
   event_scope Event(*Impl, Now);
   Impl->onHostRemoved(Host);
 }
+void serving_core::onHostsRead(core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->Hosts.onListRead(Now);
+}
 void serving_core::onPeer(const host_run &Sender, const peer_body &Body,
                           core_time Now) {
   event_scope Event(*Impl, Now);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -227,7 +227,7 @@
 
   // Zones that the operator empties: serving_zones.cc.
   void logZone(const zone_order &Order, std::string_view Source);
-  void announceZones(const std::vector<zone_order> &Changed);
+  void announceZones(const std::vector<zone_order> &Read);
   bool poolEmptied(const pool_id &Pool);
   bool refuseEmptied(active_request &State);
   void refuseForEmptiedZones(active_request &State);
@@ -361,6 +361,9 @@
   /// The last call of this kind was answered.
   bool ConfigCurrent = false;
   bool BackendsCurrent = false;
+  bool ZonesCurrent = false;
+  /// Orders that this host has read and told to all others.
+  std::map<zone_id, zone_order> ToldZones;
   core_time LastWakeup;
   /// Exponentially smoothed time in which owners accept jobs, in microseconds.
   std::map<entry_host_id, double> AcceptMicros;
--- a/packages/core/src/serving/serving_warm_up.cc
+++ b/packages/core/src/serving/serving_warm_up.cc
@@ -64,7 +64,7 @@
   for (const cold_server_news &News : Body.Servers) {
     const backend_state *Server = Servers.find(News.Server);
     if (Server && Server->Entry.Run == News.Run &&
-        ColdServers.onStated(Server->Entry, News.Left, Now))
+        ColdServers.onTold(Server->Entry, News.Left, Now))
       logCold(Server->Entry, "peer");
   }
 }
@@ -85,7 +85,8 @@
   bool Patient = State.GoalAt - Now >= PatientFactor * firstByteTime(State);
   auto Preferred = [&](const backend_state *Server) {
     bool IsCold = ColdServers.timeLeft(Server->Entry, Now) > core_duration{0};
-    return IsCold == Patient;
+    return IsCold == Patient && Server->AvoidUntil <= Now &&
+           !State.TriedServers.contains(Server->Entry.Id);
   };
   if (std::any_of(Admitted.begin(), Admitted.end(), Preferred))
     std::erase_if(Admitted, [&](const backend_state *Server) {
--- a/packages/core/src/serving/serving_zones.cc
+++ b/packages/core/src/serving/serving_zones.cc
@@ -18,9 +18,8 @@
 using namespace detail;
 
 void serving_impl::onZoneOrder(const zone_order &Order) {
-  if (!Emptied.apply(Order))
-    return;
-  logZone(Order, "store");
+  if (Emptied.apply(Order))
+    logZone(Order, "store");
   announceZones({Order});
 }
 
@@ -31,15 +30,33 @@
   std::vector<zone_order> Changed = Emptied.replaceAll(Listed, Revision);
   for (const zone_order &Order : Changed)
     logZone(Order, "store");
+  for (const zone_order &Order : Listed)
+    if (std::find(Changed.begin(), Changed.end(), Order) == Changed.end())
+      Changed.push_back(Order);
   if (!First)
     announceZones(Changed);
 }
 
-void serving_impl::announceZones(const std::vector<zone_order> &Changed) {
-  if (Changed.empty())
+// Tells all hosts the orders that this host has not yet told them, also those
+// that it heard from another host, which may have failed before it told all.
+void serving_impl::announceZones(const std::vector<zone_order> &Read) {
+  zone_orders Untold;
+  for (const zone_order &Order : Read) {
+    auto Told = ToldZones.find(Order.Zone);
+    bool IsTold =
+        Told != ToldZones.end() &&
+        (Order.Revision < Told->second.Revision || Order == Told->second);
+    if (IsTold || Emptied.isOutdated(Order))
+      continue;
+    ToldZones[Order.Zone] = Order;
+    Untold.Orders.push_back(Order);
+  }
+  if (ToldZones.size() > MaxZoneOrdersPerMessage)
+    ToldZones.clear();
+  if (Untold.Orders.empty())
     return;
   for (const batching_host &Host : Hosts.ring())
-    sendToHost(Host.Host, zone_orders{Changed});
+    sendToHost(Host.Host, Untold);
 }
 
 // A sender that does not know later orders is told.
--- a/packages/core/src/serving/shared_rate.cc
+++ b/packages/core/src/serving/shared_rate.cc
@@ -10,8 +10,8 @@
 /// Hosts that hold a share. More would lose less with one of them, but each may
 /// send one call more in any second.
 constexpr std::size_t Holders = 4;
-/// A host that has just started does not know all hosts yet and would rank too
-/// high.
+/// The list may lack hosts that started together with this one, which would
+/// rank too high.
 constexpr core_duration RosterTime = std::chrono::seconds(3);
 /// Until then a small fleet may be a large one of which little is known.
 constexpr core_duration SmallRosterTime = std::chrono::seconds(15);
@@ -48,17 +48,19 @@
 }
 
 std::uint64_t shared_rate::generation(core_time Now) const {
-  std::uint64_t Phase = Now < StartedAt + RosterTime        ? 0
-                        : Now < StartedAt + SmallRosterTime ? 1
-                                                            : 2;
+  std::optional<core_time> ReadAt = Hosts.listReadAt();
+  std::uint64_t Phase = !ReadAt || Now < *ReadAt + RosterTime ? 0
+                        : Now < *ReadAt + SmallRosterTime     ? 1
+                                                              : 2;
   return 3 * Hosts.rosterGeneration() + Phase;
 }
 
 double shared_rate::fraction(std::string_view Key, core_time Now) const {
-  if (Now < StartedAt + RosterTime)
+  std::optional<core_time> ReadAt = Hosts.listReadAt();
+  if (!ReadAt || Now < *ReadAt + RosterTime)
     return 0;
   std::size_t Known = Hosts.rosterCount();
-  bool Settled = Known >= Holders || Now >= StartedAt + SmallRosterTime;
+  bool Settled = Known >= Holders || Now >= *ReadAt + SmallRosterTime;
   if (!Settled && Known == 1)
     return 0;
   if (Hosts.rosterRankOfSelf(Key) >= Holders)
--- a/packages/core/src/serving/way_plan.cc
+++ b/packages/core/src/serving/way_plan.cc
@@ -37,12 +37,10 @@
   return "over";
 }
 
-namespace {
-
-share_standing standing(const queue_wait &Wait, std::size_t Rank,
-                        const workspace_id &Workspace) {
+share_standing standingOf(const std::vector<over_share> &Over, std::size_t Rank,
+                          const workspace_id &Workspace) {
   share_standing Result = share_standing::Undisputed;
-  for (const over_share &Entry : Wait.OverShare) {
+  for (const over_share &Entry : Over) {
     if (Entry.Rank != Rank)
       continue;
     if (Entry.Workspace == Workspace)
@@ -52,20 +50,28 @@
   return Result;
 }
 
-} // namespace
-
 way_plan planWay(const way_query &Query) {
   way_plan Plan;
   std::size_t Rank = urgencyRank(Query.Priority);
   constexpr core_duration None{0};
   std::vector<core_duration> Ends;
   Ends.reserve(Query.Stages.size());
+  // The same if the request waits behind those that can be on time.
+  std::vector<core_duration> LateEnds;
+  LateEnds.reserve(Query.Stages.size());
+  core_duration NeededLate = None;
+  core_duration LateWaitOutsideShare = None;
   for (const way_stage &Stage : Query.Stages) {
     core_duration Start = None;
     for (std::uint32_t Before : Stage.After)
       if (Before < Ends.size())
         Start = std::max(Start, Ends[Before]);
+    core_duration LateStart = None;
+    for (std::uint32_t Before : Stage.After)
+      if (Before < LateEnds.size())
+        LateStart = std::max(LateStart, LateEnds[Before]);
     Ends.push_back(Start);
+    LateEnds.push_back(LateStart);
     Plan.Waits.push_back(None);
     if (!Stage.HasPieces)
       continue;
@@ -76,17 +82,25 @@
     core_duration Late =
         std::max(None, Stage.Wait.Late[Rank] + Planned - Start);
     Ends.back() = Start + OnTime + Stage.Call;
+    core_duration AfterLateStart =
+        std::max(None, Stage.Wait.Late[Rank] + Planned - LateStart);
+    LateEnds.back() = LateStart + AfterLateStart + Stage.Call;
+    NeededLate = std::max(NeededLate, LateEnds.back());
     Plan.Waits.back() = OnTime;
-    share_standing Standing = standing(Stage.Wait, Rank, Query.Workspace);
+    share_standing Standing =
+        standingOf(Stage.Wait.OverShare, Rank, Query.Workspace);
     Plan.Standing = std::max(Plan.Standing, Standing);
+    Plan.LateWait = std::max(Plan.LateWait, Late);
     if (Standing != share_standing::Within)
-      Plan.LateWait = std::max(Plan.LateWait, Late);
+      LateWaitOutsideShare = std::max(LateWaitOutsideShare, Late);
     Plan.Needed = std::max(Plan.Needed, Ends.back());
   }
   Plan.Needed += Query.FirstByte;
+  bool EndsInTime = NeededLate + Query.FirstByte <= Query.DeadlineIn;
   if (Plan.Needed <= Query.AimIn)
     Plan.Decision = way_decision::Start;
-  else if (Plan.LateWait < MaxLateQueueWait)
+  else if (LateWaitOutsideShare < MaxLateQueueWait &&
+           (Plan.LateWait < MaxLateQueueWait || EndsInTime))
     Plan.Decision = way_decision::StartLate;
   else
     Plan.Decision = way_decision::Refuse;
--- a/packages/core/test/cold-servers-test.cc
+++ b/packages/core/test/cold-servers-test.cc
@@ -52,9 +52,9 @@
   deciding_host(std::size_t Self, core_time Now)
       : Hosts(host(Self)), Cold(Hosts) {
     for (std::size_t I = 0; I < HostCount; ++I)
-      Hosts.add(host(I), Now);
+      Hosts.addListed(host(I), Now);
+    Hosts.onListRead(Now - seconds(60));
     Cold.configure(pools());
-    Cold.start(Now - seconds(60));
     Admission.addSource(Cold);
   }
   void list(const backend_entry &Entry, core_time Now) {
@@ -274,13 +274,35 @@
   CHECK_FALSE(Host.Cold.active(Now));
 }
 
+TEST_CASE("hosts that repeat each other's news do not keep a server cold") {
+  core_time Now{seconds(1'000)};
+  deciding_host First(0, Now);
+  deciding_host Second(1, Now);
+  backend_entry Server = entry(1, 5);
+  for (deciding_host *Host : {&First, &Second})
+    Host->list(Server, Now);
+  First.Cold.onStated(Server, ColdTime, Now);
+  core_time End = Now + ColdTime + seconds(1);
+  for (; Now < End; Now += milliseconds(50)) {
+    for (const cold_server_news &News : First.Cold.all(Now))
+      Second.Cold.onTold(Server, News.Left, Now + milliseconds(20));
+    for (const cold_server_news &News : Second.Cold.all(Now))
+      First.Cold.onTold(Server, News.Left, Now + milliseconds(20));
+  }
+  CHECK(First.Cold.count(End) == 0);
+  CHECK(Second.Cold.count(End) == 0);
+}
+
 TEST_CASE("a host that has just started takes no share") {
   core_time Now{seconds(1'000)};
   fleet_hosts Hosts(host(0));
   shared_rate Rate(Hosts);
-  Rate.start(Now);
+  // What hosts say of each other is no list.
+  Hosts.add(host(2), Now);
+  CHECK(Rate.fraction("server", Now + seconds(60)) == 0);
+  Hosts.onListRead(Now);
   CHECK(Rate.fraction("server", Now + seconds(4)) == 0);
-  Hosts.add(host(1), Now);
+  Hosts.addListed(host(1), Now);
   CHECK(Rate.fraction("server", Now) == 0);
   CHECK(Rate.fraction("server", Now + seconds(4)) == 0.25);
   CHECK(Rate.fraction("server", Now + seconds(15)) == 0.5);
@@ -330,6 +352,7 @@
   warm_up_fixture Test;
   Test.Core.onHost({entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 0},
                    Test.Now);
+  Test.Core.onHostsRead(Test.Now);
   Test.addServers("plain", 2);
   Test.Core.onBackendList({plainEntry("plain0", 1), plainEntry("plain1", 1)},
                           object_version(1), Test.Now);
--- a/packages/core/test/emptied-zones-test.cc
+++ b/packages/core/test/emptied-zones-test.cc
@@ -142,6 +142,21 @@
   CHECK(Test.zonesUsed() == std::set<zone_id>{Far});
 }
 
+TEST_CASE(
+    "a host tells all others an order that it reads after a peer told it") {
+  two_zones Test;
+  Test.addPeer();
+  Test.hear(order(Near, 5, true));
+  std::size_t Before = Test.sentTo<zone_orders>(Test.Peer.Host);
+  Test.empty(Near, 5);
+  CHECK(Test.sentTo<zone_orders>(Test.Peer.Host) == Before + 1);
+  // The removal at 6 was missed.
+  Test.Core.onZoneList({order(Near, 7, true)}, object_version(7), Test.Now);
+  CHECK(Test.sentTo<zone_orders>(Test.Peer.Host) == Before + 2);
+  Test.Core.onZoneList({order(Near, 7, true)}, object_version(8), Test.Now);
+  CHECK(Test.sentTo<zone_orders>(Test.Peer.Host) == Before + 2);
+}
+
 TEST_CASE("an order for a zone without servers changes nothing") {
   two_zones Test;
   Test.empty(zone_id("elsewhere"), 5);
--- a/packages/core/test/held-memory-test.cc
+++ b/packages/core/test/held-memory-test.cc
@@ -40,7 +40,8 @@
     CHECK(Shares.Together == Machine / 2);
     CHECK(Shares.RequestBodies == Machine / 4);
     CHECK(Shares.UnreadAnswers <= Machine / 4);
-    CHECK(Shares.RequestBodies + Shares.ArrivingAnswers <= Shares.Together);
+    CHECK(Shares.RequestBodies + Shares.ArrivingAnswers <=
+          Shares.Together - Machine / 8);
   }
   CHECK(sharesOf(4'000 * Megabyte).UnreadAnswers == 33'554'432);
 }
--- a/packages/core/test/way-plan-test.cc
+++ b/packages/core/test/way-plan-test.cc
@@ -60,6 +60,24 @@
   CHECK(planWay(Query).Decision == way_decision::Start);
 }
 
+// Load: a workspace within its share, in a queue that others fill for 4 s.
+TEST_CASE("a workspace within its share is refused only if it cannot end") {
+  way_query Query = threeStages(1);
+  Query.Workspace = workspace_id("small");
+  queue_wait &Wait = Query.Stages[2].Wait;
+  Wait.OnTime.fill(seconds(4));
+  Wait.Late.fill(seconds(4));
+  Query.DeadlineIn = seconds(6);
+  CHECK(planWay(Query).Decision == way_decision::Refuse);
+  Wait.OverShare = {{workspace_id("large"), 1}};
+  CHECK(planWay(Query).Decision == way_decision::StartLate);
+  Query.DeadlineIn = seconds(4);
+  CHECK(planWay(Query).Decision == way_decision::Refuse);
+  Query.DeadlineIn = seconds(6);
+  Query.Workspace = workspace_id("large");
+  CHECK(planWay(Query).Decision == way_decision::Refuse);
+}
+
 TEST_CASE("refused callers return when there is room, not together") {
   std::set<core_duration> Times;
   for (int I = 0; I < 200; ++I) {
--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -305,7 +305,8 @@
     std::chrono::milliseconds Lifetime = UnsaidLifetime;
     if (std::optional<std::chrono::seconds> Said = platform::keepAliveOf(Head))
       Lifetime = *Said - CloseMargin;
-    if (Lifetime.count() > 0)
+    // Another answer needs the whole buffer.
+    if (Lifetime.count() > 0 && !ReceivesLess)
       Pool->give(Wanted.Address, naming(), std::move(Socket), Lifetime);
   }
 
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -347,6 +347,7 @@
 
 // The owner may be in the middle of another request.
 void caller_session::giveUpAnswer() {
+  GaveUp = true;
   Owner.onSlowReader(CallerId, unreadBytes(), "memory");
   Unsent.clear();
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
@@ -374,6 +375,8 @@
 }
 
 void caller_session::send(std::string_view Text) {
+  if (GaveUp)
+    return;
   Unsent += Text;
   if (Writing.empty())
     writeNext();
@@ -382,7 +385,7 @@
 
 void caller_session::countUnread() {
   std::size_t Bytes = unreadBytes();
-  if (Phase == phase::Closed || Bytes == 0) {
+  if (Phase == phase::Closed || GaveUp || Bytes == 0) {
     Owner.memory().release(*this);
     return;
   }
@@ -396,7 +399,7 @@
 }
 
 void caller_session::writeNext() {
-  if (Phase == phase::Closed)
+  if (Phase == phase::Closed || GaveUp)
     return;
   if (Unsent.empty()) {
     if (Phase == phase::Finishing)
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -137,6 +137,9 @@
   /// Text being written, and text that waits behind it.
   std::string Writing;
   std::string Unsent;
+  /// The answer was given up: nothing of it is sent any more, and the
+  /// connection closes.
+  bool GaveUp = false;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -8,7 +8,6 @@
 #include "line_log.h"
 #include "page_listener.h"
 #include "platform/front/caller_requests.h"
-#include "process_facts.h"
 #include "serving_backends.h"
 #include "serving_front.h"
 #include "serving_metrics.h"
--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -141,11 +141,14 @@
       if (!Object.Deleted)
         Emptied.push_back(readZoneOrder(Object));
     Core.onZoneList(Emptied, Current, now());
+    Core.onStoreRead(store_kind::EmptiedZones, now());
     Changed();
     return;
   }
   for (const platform::store_object &Object : Objects)
     onChange(Kind, Object);
+  if (Kind == platform::EntryHostKind)
+    Core.onHostsRead(now());
   if (std::optional<store_kind> Of = coreKind(Kind))
     Core.onStoreRead(*Of, now());
 }
--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -208,7 +208,7 @@
       << (Proxied ? Proxies.at(peerProxy(Host))->port() : Peers)
       << "\",\"store\":\"127.0.0.1:" << StorePort
       << "\",\"seeds\":[],\"retry_ratio\":0.2,"
-      << "\"retry_slack\":50,\"grace_s\":8}";
+      << "\"retry_slack\":50,\"memory_mb\":256,\"grace_s\":8}";
 }
 
 void users_fleet::changeSettings(std::size_t Host, const std::string &From,
--- a/packages/testing/processes/test/slow-readers-test.cc
+++ b/packages/testing/processes/test/slow-readers-test.cc
@@ -27,7 +27,7 @@
 /// Goal of the plain routes, four times.
 constexpr milliseconds InTime{2'000};
 /// A server cuts a response that remains unread for longer.
-constexpr milliseconds UnreadBound{3'500};
+constexpr milliseconds UnreadBound{2'500};
 constexpr std::size_t SilentReaders = 250;
 constexpr std::size_t SlowReaders = 100;
 constexpr int ReceiveBytes = 16'384;
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -79,6 +79,7 @@
         Core.onHost(Peer, Now);
       });
     }
+    handle([](serving_core &Core, core_time Now) { Core.onHostsRead(Now); });
   });
 }
 
