--- a/packages/core/test/engine-model-test.cc
+++ b/packages/core/test/engine-model-test.cc
@@ -7,6 +7,7 @@
 #include "jasminecroft/core/serving/placement.h"
 
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace jasminecroft;
 using std::chrono::milliseconds;
@@ -204,3 +205,35 @@
   for (const std::pair<const backend_id, int> &Entry : Chosen)
     CHECK(Entry.second < 20);
 }
+
+TEST_CASE("whole streams show a slow engine, which then gets fewer requests") {
+  serving_fixture Fixture;
+  Fixture.configure();
+  Fixture.addServers("engine", 5);
+  const backend_id SlowOne("engine2");
+  std::size_t ToSlow = 0;
+  std::size_t Before = 0;
+  for (int Request = 0; Request < 400; ++Request) {
+    Before = Request == 200 ? std::exchange(ToSlow, 0) : Before;
+    Fixture.sendRequest("stream");
+    call_id Call = Fixture.Actions.LastForward;
+    bool Slow = Fixture.lastForward().Server.Id == SlowOne;
+    ToSlow += Slow ? 1 : 0;
+    Fixture.Core.onStreamHead(Call, serving_fixture::successHead(),
+                              Fixture.Now);
+    for (std::uint64_t Event = 1; Event <= 6; ++Event) {
+      Fixture.advance(milliseconds(Slow ? 66 : 30));
+      Fixture.Core.onStreamEvents(Call, "e", Event, Event, Fixture.Now);
+    }
+    Fixture.Core.onStreamEnd(Call, Fixture.Now);
+  }
+  CHECK(ToSlow < Before);
+  std::size_t Told = 0;
+  for (const event_record &Record : Fixture.Actions.Log)
+    if (Record.Number == event_number::EngineSlow) {
+      ++Told;
+      CHECK(Record.Fields[0] == event_field{"server", SlowOne.Value});
+      CHECK(Record.Fields[2] == event_field{"source", "streams"});
+    }
+  CHECK(Told >= 1);
+}
