Take the last changes of cold servers

Change: cold times that a host was told are not told on; the ramp after the cold time is for requests, as queues have one owner; the world's followers hear of cold servers from entries.

--- a/packages/core/include/jasminecroft/core/serving/cold_servers.h
+++ b/packages/core/include/jasminecroft/core/serving/cold_servers.h
@@ -28,14 +28,15 @@
   /// A server says that it stays cold for a time. Never shortens what is known.
   /// Returns whether it has become cold.
   bool onStated(const backend_entry &Server, core_duration Left, core_time Now);
-  /// Another host says so. Never lengthens a cold time: hosts that repeat each
-  /// other's news would extend it without end. Returns whether the server has
-  /// become cold.
+  /// The same, said by another host. It is not told on: hosts that repeat to
+  /// each other what they were told would never end.
   bool onTold(const backend_entry &Server, core_duration Left, core_time Now);
 
   /// Returns for how long a run is cold; zero if it is not.
   core_duration timeLeft(const backend_entry &Server, core_time Now) const;
-  /// Returns the cold servers, for hosts that may lack them.
+  /// Returns the time left by what the server itself or its entry said.
+  core_duration statedLeft(const backend_entry &Server, core_time Now) const;
+  /// Returns the servers that said so, for hosts that may lack them.
   std::vector<cold_server_news> all(core_time Now) const;
   /// Returns the servers that have become warm since the last time.
   std::vector<backend_id> takeWarm(core_time Now);
@@ -45,9 +46,9 @@
   std::size_t count(core_time Now) const;
 
   bool active(core_time) const override { return !Records.empty(); }
-  admission_answer check(const backend_state &Server, const call_subject &,
-                         core_time Now) override;
-  void onAdmitted(const backend_state &Server, const call_subject &,
+  admission_answer check(const backend_state &Server,
+                         const call_subject &Subject, core_time Now) override;
+  void onAdmitted(const backend_state &Server, const call_subject &Subject,
                   core_time Now) override;
 
 private:
@@ -55,6 +56,8 @@
     pool_id Pool;
     incarnation Run;
     core_time ColdUntil;
+    /// The end by what the server itself or its entry said.
+    core_time StatedUntil;
     /// Until then its load grows.
     core_time RampEnd;
     /// This host's calls, while cold and after it.
@@ -67,8 +70,13 @@
   };
 
   record *find(const backend_entry &Server);
+  const record *find(const backend_entry &Server) const;
+  bool binds(const record &Record, const call_subject &Subject,
+             core_time Now) const;
   bool setCold(const backend_entry &Server, core_duration Left, bool Started,
                core_time Now);
+  void noteStated(const backend_entry &Server, core_duration Left,
+                  core_time Now);
   double coldRate(const backend_id &Server, record &Record, core_time Now);
   double rampRate(const record &Record, core_time Now) const;
   /// Brings the bucket in force up to date and returns its rate.
--- a/packages/core/src/serving/cold_servers.cc
+++ b/packages/core/src/serving/cold_servers.cc
@@ -21,8 +21,6 @@
 constexpr core_duration CountedTime = seconds(1);
 /// Servers end their cold time by their own clocks.
 constexpr core_duration EndMargin = milliseconds(200);
-/// News of other hosts about less than this count for nothing.
-constexpr core_duration MinToldTime = milliseconds(500);
 /// During the ramp the rate grows by this multiple of the cold one.
 constexpr double RampGrowth = 3;
 
@@ -49,6 +47,13 @@
   return Same ? &Found->second : nullptr;
 }
 
+const cold_servers::record *
+cold_servers::find(const backend_entry &Server) const {
+  auto Found = Records.find(Server.Id);
+  bool Same = Found != Records.end() && Found->second.Run == Server.Run;
+  return Same ? &Found->second : nullptr;
+}
+
 bool cold_servers::setCold(const backend_entry &Server, core_duration Left,
                            bool Started, core_time Now) {
   auto Rule = Rules.find(Server.Pool);
@@ -57,7 +62,7 @@
   auto Known = Records.find(Server.Id);
   if (Known != Records.end() && Server.Run < Known->second.Run)
     return false;
-  core_time Until = Now + std::min(Left, MaxColdTime) + EndMargin;
+  Left = std::min(Left, MaxColdTime);
   record *Same = find(Server);
   bool WasCold = Same && Now < Same->ColdUntil;
   if (!WasCold) {
@@ -67,7 +72,7 @@
     Same->Run = Server.Run;
     Same->Cold = share_bucket(0, Started ? Now : Now + CountedTime);
   }
-  Same->ColdUntil = std::max(Same->ColdUntil, Until);
+  Same->ColdUntil = std::max(Same->ColdUntil, Now + Left + EndMargin);
   Same->RampEnd = Same->ColdUntil + Rule->second.ColdTime;
   Same->Ramp =
       share_bucket(pointOf(Hosts.self().Host, Server.Id), Same->ColdUntil);
@@ -80,41 +85,55 @@
   if (!NewRun &&
       (Entry.Run < Known->Entry.Run || Entry.Revision <= Known->Entry.Revision))
     return false;
-  if (Entry.ColdLeft)
-    return setCold(Entry, *Entry.ColdLeft, NewRun, Now);
   auto Rule = Rules.find(Entry.Pool);
-  if (!NewRun || !ListRead || Rule == Rules.end())
+  bool Assumed = NewRun && ListRead && Rule != Rules.end();
+  if (!Entry.ColdLeft && !Assumed)
     return false;
-  return setCold(Entry, Rule->second.ColdTime, true, Now);
+  core_duration Left = Entry.ColdLeft ? *Entry.ColdLeft : Rule->second.ColdTime;
+  bool Began = setCold(Entry, Left, NewRun, Now);
+  noteStated(Entry, Left, Now);
+  return Began;
 }
 
 bool cold_servers::onStated(const backend_entry &Server, core_duration Left,
                             core_time Now) {
-  return setCold(Server, Left, false, Now);
+  bool Began = setCold(Server, Left, false, Now);
+  noteStated(Server, Left, Now);
+  return Began;
 }
 
 bool cold_servers::onTold(const backend_entry &Server, core_duration Left,
                           core_time Now) {
-  // What is left is less than the delay of news that repeat each other.
-  if (Left < MinToldTime || timeLeft(Server, Now) > core_duration{0})
-    return false;
-  return setCold(Server, Left - EndMargin, false, Now);
+  return setCold(Server, Left, false, Now);
+}
+
+void cold_servers::noteStated(const backend_entry &Server, core_duration Left,
+                              core_time Now) {
+  if (record *Record = find(Server))
+    Record->StatedUntil =
+        std::max(Record->StatedUntil, Now + std::min(Left, MaxColdTime));
 }
 
 core_duration cold_servers::timeLeft(const backend_entry &Server,
                                      core_time Now) const {
-  auto Found = Records.find(Server.Id);
-  if (Found == Records.end() || Found->second.Run != Server.Run)
-    return core_duration{0};
-  return std::max(Found->second.ColdUntil - Now, core_duration{0});
+  const record *Record = find(Server);
+  return Record ? std::max(Record->ColdUntil - Now, core_duration{0})
+                : core_duration{0};
+}
+
+core_duration cold_servers::statedLeft(const backend_entry &Server,
+                                       core_time Now) const {
+  const record *Record = find(Server);
+  return Record ? std::max(Record->StatedUntil - Now, core_duration{0})
+                : core_duration{0};
 }
 
 std::vector<cold_server_news> cold_servers::all(core_time Now) const {
   std::vector<cold_server_news> Result;
   for (const std::pair<const backend_id, record> &Entry : Records)
-    if (Now < Entry.second.ColdUntil)
+    if (Now < Entry.second.StatedUntil)
       Result.push_back(
-          {Entry.first, Entry.second.Run, Entry.second.ColdUntil - Now});
+          {Entry.first, Entry.second.Run, Entry.second.StatedUntil - Now});
   return Result;
 }
 
@@ -186,10 +205,20 @@
   return {Bucket, PerSecond};
 }
 
+// The ramp is for requests: any host may send those. Each queue has one owner,
+// which sends one call at a time to a server.
+bool cold_servers::binds(const record &Record, const call_subject &Subject,
+                         core_time Now) const {
+  bool Ramps = Subject.Purpose == admission_purpose::Request;
+  return Now < (Ramps ? Record.RampEnd : Record.ColdUntil) &&
+         Rules.contains(Record.Pool);
+}
+
 admission_answer cold_servers::check(const backend_state &Server,
-                                     const call_subject &, core_time Now) {
+                                     const call_subject &Subject,
+                                     core_time Now) {
   record *Record = find(Server.Entry);
-  if (!Record || Now >= Record->RampEnd || !Rules.contains(Record->Pool))
+  if (!Record || !binds(*Record, Subject, Now))
     return {};
   std::pair<share_bucket *, double> Filled =
       fill(Server.Entry.Id, *Record, Now);
@@ -201,10 +230,10 @@
   return {admission_obstacle::Cold, Wait ? std::min(Now + *Wait, End) : End};
 }
 
-void cold_servers::onAdmitted(const backend_state &Server, const call_subject &,
-                              core_time Now) {
+void cold_servers::onAdmitted(const backend_state &Server,
+                              const call_subject &Subject, core_time Now) {
   record *Record = find(Server.Entry);
-  if (!Record || Now >= Record->RampEnd || !Rules.contains(Record->Pool))
+  if (!Record || !binds(*Record, Subject, Now))
     return;
   fill(Server.Entry.Id, *Record, Now).first->take();
 }
--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -88,7 +88,7 @@
   for (const backend_entry &Entry : Changes.Listed)
     News.Backends.push_back({Entry.Id, Entry.Revision, true, Entry.Pool,
                              Entry.Address, Entry.Zone, Entry.Draining,
-                             Entry.Run, ColdServers.timeLeft(Entry, Now)});
+                             Entry.Run, ColdServers.statedLeft(Entry, Now)});
   for (const std::pair<backend_id, object_version> &Removed :
        Changes.Unlisted) {
     backend_news Entry;
--- a/packages/core/src/serving/serving_warm_up.cc
+++ b/packages/core/src/serving/serving_warm_up.cc
@@ -53,7 +53,7 @@
     return;
   logCold(Server, "reply");
   cold_server_list List{
-      {{Server.Id, Server.Run, ColdServers.timeLeft(Server, Now)}}};
+      {{Server.Id, Server.Run, ColdServers.statedLeft(Server, Now)}}};
   for (const batching_host &Host : Hosts.ring())
     sendToHost(Host.Host, List);
 }
--- a/packages/core/test/cold-servers-test.cc
+++ b/packages/core/test/cold-servers-test.cc
@@ -365,6 +365,26 @@
   CHECK(Test.lastForward().Server.Id != backend_id("p"));
 }
 
+TEST_CASE("what another host told of a cold server is not told on") {
+  warm_up_fixture Test;
+  const host_run Peer{entry_host_id("h1"), incarnation(1)};
+  Test.Core.onHost({Peer.Host, zone_id("z0"), endpoint("h1:1"), 0}, Test.Now);
+  backend_entry Server = plainEntry("p", 5);
+  Test.Core.onBackendList({Server}, Server.Revision, Test.Now);
+  Test.Core.onPeer(
+      Peer, cold_server_list{{{Server.Id, Server.Run, seconds(5)}}}, Test.Now);
+  CHECK(Test.Core.counters().ColdServers == 1);
+  host_heartbeat Question;
+  Question.Self = {Peer.Host, zone_id("z0"), endpoint("h1:1"), 0};
+  Question.WantsReply = true;
+  Test.Core.onPeer(Peer, Question, Test.Now);
+  CHECK(Test.sentTo<host_heartbeat>(Peer.Host) > 0);
+  CHECK(Test.sentTo<cold_server_list>(Peer.Host) == 0);
+  Test.Core.onServerCold(Server, seconds(6), Test.Now);
+  Test.Core.onPeer(Peer, Question, Test.Now);
+  CHECK(Test.sentTo<cold_server_list>(Peer.Host) == 1);
+}
+
 TEST_CASE("a follower hears from a watcher whether a server is cold") {
   warm_up_fixture Test;
   const host_run Peer{entry_host_id("h1"), incarnation(1)};
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -183,6 +183,11 @@
   for (const std::unique_ptr<world_server> &Server : World.Leaving)
     if (Server->Up)
       Entries.push_back(Server->Entry);
+  // Servers write their entries anew while they are cold.
+  for (backend_entry &Entry : Entries)
+    if (Entry.ColdLeft)
+      Entry.ColdLeft = std::max(World.server(Entry.Id)->ColdUntil - World.now(),
+                                core_duration{0});
   handle([&](serving_core &Core, core_time Now) {
     Core.onBackendList(Entries, object_version(World.LastRevision), Now);
     Core.onStoreRead(store_kind::Backends, Now);
