Refuse and shed by the whole queue again, and heavy workspaces earlier

Change: whether a queue is long depends on all its jobs again. A workspace above its share is refused from half the wait; the others are not exempt. Conclusion: the order of queues by urgency and share stays.

--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -168,34 +168,23 @@
       flushFrees(Tracked.first, Tracked.second, Now);
 }
 
-// Fails jobs that cannot be completed before their deadline. Late jobs without
-// completed work are shed too if equally and more urgent jobs alone make the
-// queue long: their callers get a response sooner by retrying than by waiting
-// behind the jobs that can be on time.
+// Fails jobs that cannot be completed before their deadline. In a long queue,
+// late jobs without completed work are shed too: their callers get a response
+// sooner by retrying than by waiting behind the jobs that can be on time.
 void batch_owner::shedLateJobs(const queue_key &Key,
                                const std::vector<waiting_job> &Waiting,
                                const queue_order &Order,
                                wait_estimator &Estimator, core_time Now) {
   core_duration Least = expectedCallTime(Pools[Key.Pool], 1);
   const std::vector<job_key> Keys = queue(Key);
-  std::map<std::uint32_t, std::size_t> PiecesByPriority;
+  std::size_t All = 0;
   for (const waiting_job &Job : Waiting)
-    PiecesByPriority[Job.Priority] += Job.Pieces;
-  std::optional<std::uint32_t> LongFrom;
-  std::size_t Ahead = 0;
-  for (const std::pair<const std::uint32_t, std::size_t> &Class :
-       PiecesByPriority) {
-    Ahead += Class.second;
-    if (Estimator.waitBehind(Ahead) > MaxLateQueueWait) {
-      LongFrom = Class.first;
-      break;
-    }
-  }
+    All += Job.Pieces;
+  bool Long = Estimator.waitBehind(All) > MaxLateQueueWait;
   for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
     const waiting_job &Job = Waiting[Order.Jobs[Place]];
     bool Late = Place >= Order.OnTime;
-    if (Job.DeadlineIn < Least ||
-        (Late && !Job.HasProgress && LongFrom && Job.Priority >= *LongFrom))
+    if (Job.DeadlineIn < Least || (Late && !Job.HasProgress && Long))
       failJob(Keys[Order.Jobs[Place]], piece_failure::Late, Now);
   }
 }
--- a/packages/core/src/serving/way_plan.cc
+++ b/packages/core/src/serving/way_plan.cc
@@ -10,6 +10,9 @@
 
 /// Part of the time until there is room over which callers return.
 constexpr int ReturnSpreadDivisor = 2;
+/// A workspace above its share is refused from half the wait, so that the queue
+/// does not become too long for the others.
+constexpr core_duration MaxOverShareWait = MaxLateQueueWait / 2;
 
 } // namespace
 
@@ -74,19 +77,20 @@
     core_duration OnTime =
         std::max(None, Stage.Wait.OnTime[Rank] + Planned - Start);
     core_duration Late =
-        std::max(None, Stage.Wait.Late[Rank] + Planned - Start);
+        std::max(None, Stage.Wait.Late.back() + Planned - Start);
     Ends.back() = Start + OnTime + Stage.Call;
     Plan.Waits.back() = OnTime;
     share_standing Standing = standing(Stage.Wait, Rank, Query.Workspace);
     Plan.Standing = std::max(Plan.Standing, Standing);
-    if (Standing != share_standing::Within)
-      Plan.LateWait = std::max(Plan.LateWait, Late);
+    Plan.LateWait = std::max(Plan.LateWait, Late);
     Plan.Needed = std::max(Plan.Needed, Ends.back());
   }
   Plan.Needed += Query.FirstByte;
   if (Plan.Needed <= Query.AimIn)
     Plan.Decision = way_decision::Start;
-  else if (Plan.LateWait < MaxLateQueueWait)
+  else if (Plan.LateWait < (Plan.Standing == share_standing::Over
+                                ? MaxOverShareWait
+                                : MaxLateQueueWait))
     Plan.Decision = way_decision::StartLate;
   else
     Plan.Decision = way_decision::Refuse;
--- a/packages/core/test/way-plan-test.cc
+++ b/packages/core/test/way-plan-test.cc
@@ -46,7 +46,7 @@
     Decisions[Priority] = planWay(Query).Decision;
   }
   CHECK(Decisions[0] == way_decision::Start);
-  CHECK(Decisions[1] == way_decision::StartLate);
+  CHECK(Decisions[1] == way_decision::Refuse);
   CHECK(Decisions[2] == way_decision::Refuse);
 }
 
@@ -60,6 +60,20 @@
   CHECK(planWay(Query).Decision == way_decision::Start);
 }
 
+TEST_CASE("a workspace above its share is refused from a shorter wait") {
+  way_query Query = threeStages(1);
+  queue_wait &Wait = Query.Stages[0].Wait;
+  Wait.OnTime.fill(milliseconds(750));
+  Wait.Late.fill(milliseconds(750));
+  Query.Workspace = workspace_id("w");
+  CHECK(planWay(Query).Decision == way_decision::StartLate);
+  Wait.OverShare = {{workspace_id("other"), 1}, {workspace_id("w"), 0}};
+  CHECK(planWay(Query).Decision == way_decision::StartLate);
+  CHECK(planWay(Query).Standing == share_standing::Within);
+  Wait.OverShare.push_back({workspace_id("w"), 1});
+  CHECK(planWay(Query).Decision == way_decision::Refuse);
+}
+
 TEST_CASE("refused callers return when there is room, not together") {
   std::set<core_duration> Times;
   for (int I = 0; I < 200; ++I) {
