--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -168,25 +168,22 @@
       flushFrees(Tracked.first, Tracked.second, Now);
 }
 
-// Fails jobs that cannot be completed before their deadline. Late jobs without
-// completed work are shed too if they would wait long: their callers get a
-// response sooner by retrying than by waiting behind the jobs that can be on
-// time. Those of workspaces within their share stay.
+// Fails jobs that cannot be completed before their deadline. In a long queue,
+// late jobs without completed work are shed too: their callers get a response
+// sooner by retrying than by waiting behind the jobs that can be on time.
 void batch_owner::shedLateJobs(const queue_key &Key,
                                const std::vector<waiting_job> &Waiting,
                                const queue_order &Order,
                                wait_estimator &Estimator, core_time Now) {
   core_duration Least = expectedCallTime(Pools[Key.Pool], 1);
   const std::vector<job_key> Keys = queue(Key);
-  const by_urgency<core_duration> LateWaits =
-      lateWaits(Waiting, Order, Estimator);
-  const std::vector<over_share> Over = findOverShare(Key, Waiting, Order, Now);
+  std::size_t All = 0;
+  for (const waiting_job &Job : Waiting)
+    All += Job.Pieces;
+  bool Long = Estimator.waitBehind(All) > MaxLateQueueWait;
   for (std::size_t Place = 0; Place < Order.Jobs.size(); ++Place) {
     const waiting_job &Job = Waiting[Order.Jobs[Place]];
-    std::size_t Rank = urgencyRank(Job.Priority);
     bool Late = Place >= Order.OnTime;
-    bool Long = LateWaits[Rank] > MaxLateQueueWait &&
-                standingOf(Over, Rank, Job.Workspace) != share_standing::Within;
     if (Job.DeadlineIn < Least || (Late && !Job.HasProgress && Long))
       failJob(Keys[Order.Jobs[Place]], piece_failure::Late, Now);
   }
--- a/packages/core/src/serving/way_plan.cc
+++ b/packages/core/src/serving/way_plan.cc
@@ -10,6 +10,9 @@
 
 /// Part of the time until there is room over which callers return.
 constexpr int ReturnSpreadDivisor = 2;
+/// A workspace above its share is refused from half the wait, so that the queue
+/// does not become too long for the others.
+constexpr core_duration MaxOverShareWait = MaxLateQueueWait / 2;
 
 } // namespace
 
@@ -37,10 +40,12 @@
   return "over";
 }
 
-share_standing standingOf(const std::vector<over_share> &Over, std::size_t Rank,
-                          const workspace_id &Workspace) {
+namespace {
+
+share_standing standing(const queue_wait &Wait, std::size_t Rank,
+                        const workspace_id &Workspace) {
   share_standing Result = share_standing::Undisputed;
-  for (const over_share &Entry : Over) {
+  for (const over_share &Entry : Wait.OverShare) {
     if (Entry.Rank != Rank)
       continue;
     if (Entry.Workspace == Workspace)
@@ -50,28 +55,20 @@
   return Result;
 }
 
+} // namespace
+
 way_plan planWay(const way_query &Query) {
   way_plan Plan;
   std::size_t Rank = urgencyRank(Query.Priority);
   constexpr core_duration None{0};
   std::vector<core_duration> Ends;
   Ends.reserve(Query.Stages.size());
-  // The same if the request waits behind those that can be on time.
-  std::vector<core_duration> LateEnds;
-  LateEnds.reserve(Query.Stages.size());
-  core_duration NeededLate = None;
-  core_duration LateWaitOutsideShare = None;
   for (const way_stage &Stage : Query.Stages) {
     core_duration Start = None;
     for (std::uint32_t Before : Stage.After)
       if (Before < Ends.size())
         Start = std::max(Start, Ends[Before]);
-    core_duration LateStart = None;
-    for (std::uint32_t Before : Stage.After)
-      if (Before < LateEnds.size())
-        LateStart = std::max(LateStart, LateEnds[Before]);
     Ends.push_back(Start);
-    LateEnds.push_back(LateStart);
     Plan.Waits.push_back(None);
     if (!Stage.HasPieces)
       continue;
@@ -80,27 +77,20 @@
     core_duration OnTime =
         std::max(None, Stage.Wait.OnTime[Rank] + Planned - Start);
     core_duration Late =
-        std::max(None, Stage.Wait.Late[Rank] + Planned - Start);
+        std::max(None, Stage.Wait.Late.back() + Planned - Start);
     Ends.back() = Start + OnTime + Stage.Call;
-    core_duration AfterLateStart =
-        std::max(None, Stage.Wait.Late[Rank] + Planned - LateStart);
-    LateEnds.back() = LateStart + AfterLateStart + Stage.Call;
-    NeededLate = std::max(NeededLate, LateEnds.back());
     Plan.Waits.back() = OnTime;
-    share_standing Standing =
-        standingOf(Stage.Wait.OverShare, Rank, Query.Workspace);
+    share_standing Standing = standing(Stage.Wait, Rank, Query.Workspace);
     Plan.Standing = std::max(Plan.Standing, Standing);
     Plan.LateWait = std::max(Plan.LateWait, Late);
-    if (Standing != share_standing::Within)
-      LateWaitOutsideShare = std::max(LateWaitOutsideShare, Late);
     Plan.Needed = std::max(Plan.Needed, Ends.back());
   }
   Plan.Needed += Query.FirstByte;
-  bool EndsInTime = NeededLate + Query.FirstByte <= Query.DeadlineIn;
   if (Plan.Needed <= Query.AimIn)
     Plan.Decision = way_decision::Start;
-  else if (LateWaitOutsideShare < MaxLateQueueWait &&
-           (Plan.LateWait < MaxLateQueueWait || EndsInTime))
+  else if (Plan.LateWait < (Plan.Standing == share_standing::Over
+                                ? MaxOverShareWait
+                                : MaxLateQueueWait))
     Plan.Decision = way_decision::StartLate;
   else
     Plan.Decision = way_decision::Refuse;
