--- a/packages/core/include/jasminecroft/core/serving/way_plan.h
+++ b/packages/core/include/jasminecroft/core/serving/way_plan.h
@@ -31,7 +31,7 @@
 enum class share_standing {
   /// No workspace wants more than its share.
   Undisputed,
-  /// Others want more than their shares; the queue places it before them.
+  /// Others want more than their shares.
   Within,
   Over,
 };
@@ -74,8 +74,8 @@
 
 /// Work that hosts plan to submit to a later stage adds to its queue; the time
 /// until the request reaches the stage, in which the servers drain the queue,
-/// is subtracted. Only equally and more urgent work counts. A long queue is no
-/// reason to refuse a workspace within its share.
+/// is subtracted. For being on time only equally and more urgent work counts;
+/// all work makes a queue long, for a workspace above its share half as much.
 way_plan planWay(const way_query &Query);
 
 /// Returns a time after RoomIn, the same for each call with the same id. Times
