--- a/packages/testing/processes/test/cut-heads-test.cc
+++ b/packages/testing/processes/test/cut-heads-test.cc
@@ -137,6 +137,8 @@
     Failed += Load ? 0 : 1;
   }
 
+  std::size_t unreadBytes(request_id) const override { return 0; }
+
   int Whole = 0;
   int Heads = 0;
   int Statements = 0;
