--- a/packages/testing/src/serving_world_zones.cc
+++ b/packages/testing/src/serving_world_zones.cc
@@ -9,6 +9,7 @@
     Emptied.push_back(Order.second);
   handle([&](serving_core &Core, core_time Now) {
     Core.onZoneList(Emptied, object_version(World.LastRevision), Now);
+    Core.onStoreRead(store_kind::EmptiedZones, Now);
   });
 }
 
