--- a/packages/core/include/jasminecroft/core/serving/placement.h
+++ b/packages/core/include/jasminecroft/core/serving/placement.h
@@ -5,6 +5,7 @@
 #include "jasminecroft/core/serving/backend_directory.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -28,6 +29,9 @@
   std::uint32_t LiveHosts = 1;
   /// Of the request: ranks engines for prompts without shared parts.
   std::uint64_t Spread = 0;
+  /// Long prompts that engines are known to be reading, as parts of the bound
+  /// of their pool.
+  std::map<backend_id, double> Reading;
 };
 
 /// Returns the server with the lowest expected response time of those that
@@ -43,4 +47,10 @@
                             const placement_query &Query,
                             const engine_rules &Rules, core_time Now);
 
+/// Returns all of them, the one that chooseEngine() returns first.
+std::vector<backend_state *>
+rankEngines(const std::vector<backend_state *> &Admitted,
+            const placement_query &Query, const engine_rules &Rules,
+            core_time Now);
+
 } // namespace jasminecroft
--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -31,6 +31,11 @@
 constexpr double CrossZonePenalty = 0.04;
 /// The same for each time that a slow engine takes longer than its pool.
 constexpr double SlowPenalty = 0.06;
+/// The same for long prompts being read that use the whole bound of an engine,
+/// and the most that they count: a wait as long as the bound costs less than a
+/// lost cache.
+constexpr double ReadingPenalty = 0.08;
+constexpr double MaxReading = 3;
 
 double freshness(const backend_state &Server, core_time Now) {
   if (!Server.Load)
@@ -76,7 +81,7 @@
   return Score + penalty(Server, Query, Now);
 }
 
-/// An engine and its position among those that are preferred for a session.
+/// An engine and what it is ordered by, the lowest first.
 struct ranked_engine {
   backend_state *Server = nullptr;
   double Rank = 0;
@@ -111,9 +116,10 @@
   return Best;
 }
 
-backend_state *chooseEngine(const std::vector<backend_state *> &Admitted,
-                            const placement_query &Query,
-                            const engine_rules &Rules, core_time Now) {
+std::vector<backend_state *>
+rankEngines(const std::vector<backend_state *> &Admitted,
+            const placement_query &Query, const engine_rules &Rules,
+            core_time Now) {
   bool Shared = !Query.Prefix.empty();
   // The last shared block identifies the session.
   std::uint64_t Session = Shared ? Query.Prefix.back().Id : Query.Spread;
@@ -121,12 +127,10 @@
   Engines.reserve(Admitted.size());
   for (backend_state *Server : Admitted)
     Engines.push_back({Server, rank(Session, *Server)});
-  std::sort(Engines.begin(), Engines.end(),
-            [](const ranked_engine &A, const ranked_engine &B) {
-              return A.Rank < B.Rank;
-            });
-  backend_state *Best = nullptr;
-  double BestScore = 0;
+  auto ByRank = [](const ranked_engine &A, const ranked_engine &B) {
+    return A.Rank < B.Rank;
+  };
+  std::sort(Engines.begin(), Engines.end(), ByRank);
   for (std::size_t I = 0; I < Engines.size(); ++I) {
     backend_state *Server = Engines[I].Server;
     double Slots = std::max(Rules.Slots, 1U);
@@ -138,13 +142,25 @@
       Score += NoAffinityPenalty * static_cast<double>(I) / 4;
     if (Server->Entry.Zone != Query.NearZone)
       Score += CrossZonePenalty;
-    Score += penalty(*Server, Query, Now);
-    if (!Best || Score < BestScore) {
-      Best = Server;
-      BestScore = Score;
-    }
+    auto Reading = Query.Reading.find(Server->Entry.Id);
+    if (Reading != Query.Reading.end())
+      Score += ReadingPenalty * std::min(Reading->second, MaxReading);
+    Engines[I].Rank = Score + penalty(*Server, Query, Now);
   }
-  return Best;
+  std::stable_sort(Engines.begin(), Engines.end(), ByRank);
+  std::vector<backend_state *> Result;
+  Result.reserve(Engines.size());
+  for (const ranked_engine &Engine : Engines)
+    Result.push_back(Engine.Server);
+  return Result;
+}
+
+backend_state *chooseEngine(const std::vector<backend_state *> &Admitted,
+                            const placement_query &Query,
+                            const engine_rules &Rules, core_time Now) {
+  std::vector<backend_state *> Ranked =
+      rankEngines(Admitted, Query, Rules, Now);
+  return Ranked.empty() ? nullptr : Ranked.front();
 }
 
 } // namespace jasminecroft
