Define the least urgency once and count raised ones right

Cause: MaxUrgency stood in two places, and RaisedUrgencies counted calls of priorities above 9 as raised, which only lose what engines do not tell apart.

Change: one constant in engine_urgency.h; the count compares with the priority as engines see it.

--- a/packages/core/include/jasminecroft/core/serving/engine_urgency.h
+++ b/packages/core/include/jasminecroft/core/serving/engine_urgency.h
@@ -11,6 +11,9 @@
 
 namespace jasminecroft {
 
+/// Least urgent rank that engines tell apart; 0 is the most urgent.
+inline constexpr std::uint32_t MaxUrgency = 9;
+
 /// Engine pools that requests of several priorities reach, with the most urgent
 /// of these. Calls to other pools carry no urgency.
 using ranked_pools = std::map<pool_id, std::uint32_t>;
--- a/packages/core/src/serving/engine_urgency.cc
+++ b/packages/core/src/serving/engine_urgency.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Least urgent rank that engines tell apart; 0 is the most urgent.
-constexpr std::uint32_t MaxUrgency = 9;
-
 // Returns the priorities of the requests that a route admits.
 std::set<std::uint32_t> prioritiesOf(const serving_route &Route,
                                      const route_config &Config) {
--- a/packages/core/src/serving/serving_engines.cc
+++ b/packages/core/src/serving/serving_engines.cc
@@ -1,6 +1,8 @@
 // Calls to model engines: their urgency, and what their streams show.
 #include "serving_state.h"
 
+#include <algorithm>
+
 namespace jasminecroft::detail {
 
 namespace {
@@ -22,7 +24,7 @@
       State.View->Ranked, State.Pool, State.Priority, State.Route->Goal, Now);
   if (!Urgency)
     return std::nullopt;
-  if (*Urgency < State.Priority)
+  if (*Urgency < std::min(State.Priority, MaxUrgency))
     ++Counters.RaisedUrgencies;
   if (State.Route->Streamed) {
     Calls.at(Call).WaitsAs = State.Priority;
