Add the messages by which hosts ask for room for a long prompt

Cause: the host that keeps the book of a pool's engines in a zone has to be asked, and told when a prompt has been read.

Change: prompt_room_request, prompt_room_reply and prompt_read, with their encoding and the codec test's entries.

--- a/packages/core/include/jasminecroft/core/peer_messages.h
+++ b/packages/core/include/jasminecroft/core/peer_messages.h
@@ -31,6 +31,7 @@
 inline constexpr std::size_t MaxLimitsPerMessage = 4'096;
 inline constexpr std::size_t MaxZoneOrdersPerMessage = 256;
 inline constexpr std::size_t MaxColdServersPerMessage = 4'096;
+inline constexpr std::size_t MaxPromptCandidates = 4;
 
 enum class member_state { Alive, Suspect, Dead, Left };
 std::string_view toText(member_state State);
@@ -393,6 +394,41 @@
   bool operator==(const engine_times &) const = default;
 };
 
+/// An engine at which a long prompt could be read.
+struct prompt_candidate {
+  backend_id Server;
+  /// Tokens of the prompt that are not cached there.
+  std::uint64_t Tokens = 0;
+  bool operator==(const prompt_candidate &) const = default;
+};
+/// Asks the host that keeps the book of a pool's engines in a zone where a long
+/// prompt may be read, and when.
+struct prompt_room_request {
+  request_id Request;
+  /// Number of the sending of the request.
+  std::uint32_t Attempt = 0;
+  pool_id Pool;
+  /// In the sender's order of preference.
+  std::vector<prompt_candidate> Candidates;
+  /// If there is no room within this time, the sender does not wait.
+  core_duration HoldAtMost{0};
+  bool operator==(const prompt_room_request &) const = default;
+};
+struct prompt_room_reply {
+  request_id Request;
+  std::uint32_t Attempt = 0;
+  backend_id Server;
+  /// Time for which the sender holds the request.
+  core_duration In{0};
+  bool operator==(const prompt_room_reply &) const = default;
+};
+/// A prompt for which room was asked has been read, or its call has ended.
+struct prompt_read {
+  request_id Request;
+  std::uint32_t Attempt = 0;
+  bool operator==(const prompt_read &) const = default;
+};
+
 using peer_body = std::variant<
     probe, probe_ack, indirect_probe, indirect_ack, config_pull, config_push,
     host_list_pull, host_list_push, claim_query, claim_query_reply, rumor,
@@ -401,7 +437,8 @@
     pieces_cancelled, results_released, inputs_fetched, demand_forecast,
     store_poll, store_news, crash_report, part_rulings, server_limit_list,
     send_permit_request, send_permit_reply, server_leaving, zone_orders,
-    engine_times, cold_server_list>;
+    engine_times, cold_server_list, prompt_room_request, prompt_room_reply,
+    prompt_read>;
 
 /// A message with its sender. Messages of other fleets are rejected.
 struct peer_message {
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -55,6 +55,9 @@
   ZoneOrders = 32,
   EngineTimes = 33,
   ColdServerList = 34,
+  PromptRoomRequest = 35,
+  PromptRoomReply = 36,
+  PromptRead = 37,
 };
 
 cbor_value writeMember(const member_update &Member) {
@@ -318,6 +321,14 @@
 template <>
 struct number_of<cold_server_list>
     : number_constant<body_number::ColdServerList> {};
+template <>
+struct number_of<prompt_room_request>
+    : number_constant<body_number::PromptRoomRequest> {};
+template <>
+struct number_of<prompt_room_reply>
+    : number_constant<body_number::PromptRoomReply> {};
+template <>
+struct number_of<prompt_read> : number_constant<body_number::PromptRead> {};
 
 struct body_numbering {
   template <typename Body> body_number operator()(const Body &) const {
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -192,6 +192,15 @@
   Server.Left = core_duration(Reader.signedNumber("left"));
 }
 
+cbor_value writePromptCandidate(const prompt_candidate &Candidate) {
+  return writeRecord(Candidate.Server.Value, Candidate.Tokens);
+}
+
+void readPromptCandidate(field_reader &Reader, prompt_candidate &Candidate) {
+  Reader.id("server", Candidate.Server);
+  Candidate.Tokens = Reader.number("tokens");
+}
+
 } // namespace
 
 cbor_value writeBody(const host_heartbeat &Body) {
@@ -309,6 +318,39 @@
   Reader.list("servers", Body.Servers, MaxColdServersPerMessage, readCold);
 }
 
+cbor_value writeBody(const prompt_room_request &Body) {
+  return writeRecord(Body.Request.Value, Body.Attempt, Body.Pool.Value,
+                     writeList(Body.Candidates, writePromptCandidate),
+                     Body.HoldAtMost.count());
+}
+void readBody(field_reader &Reader, prompt_room_request &Body) {
+  Reader.version("request", Body.Request);
+  Body.Attempt = Reader.number32("attempt");
+  Reader.id("pool", Body.Pool);
+  Reader.list("candidates", Body.Candidates, MaxPromptCandidates,
+              readPromptCandidate);
+  Body.HoldAtMost = core_duration(Reader.signedNumber("hold_at_most"));
+}
+
+cbor_value writeBody(const prompt_room_reply &Body) {
+  return writeRecord(Body.Request.Value, Body.Attempt, Body.Server.Value,
+                     Body.In.count());
+}
+void readBody(field_reader &Reader, prompt_room_reply &Body) {
+  Reader.version("request", Body.Request);
+  Body.Attempt = Reader.number32("attempt");
+  Reader.id("server", Body.Server);
+  Body.In = core_duration(Reader.signedNumber("in"));
+}
+
+cbor_value writeBody(const prompt_read &Body) {
+  return writeRecord(Body.Request.Value, Body.Attempt);
+}
+void readBody(field_reader &Reader, prompt_read &Body) {
+  Reader.version("request", Body.Request);
+  Body.Attempt = Reader.number32("attempt");
+}
+
 cbor_value writeBody(const send_permit_reply &Body) {
   return writeRecord(Body.Server.Value, Body.Request.Value, Body.Granted,
                      Body.RetryIn.count());
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -223,7 +223,7 @@
 }
 
 peer_body anyBody() {
-  switch (below(34)) {
+  switch (below(37)) {
   case 0:
     return probe{anyNumber<incarnation>().Value, anyGossip()};
   case 1:
@@ -338,6 +338,20 @@
       return cold_server_news{anyId<backend_id>(), anyNumber<incarnation>(),
                               anyDuration()};
     })};
+  case 33:
+    return prompt_room_request{
+        anyNumber<request_id>(), any32(), anyId<pool_id>(),
+        some<prompt_candidate>(
+            MaxPromptCandidates,
+            [] {
+              return prompt_candidate{anyId<backend_id>(), any32()};
+            }),
+        anyDuration()};
+  case 34:
+    return prompt_room_reply{anyNumber<request_id>(), any32(),
+                             anyId<backend_id>(), anyDuration()};
+  case 35:
+    return prompt_read{anyNumber<request_id>(), any32()};
   default:
     return config_changes{some<change_record>(3, anyChange),
                           anyNumber<incarnation>().Value};
