Hold long prompts in the host until an engine has room for them

Change: in pools that requests of several priorities reach, a request with a long prompt asks the host that keeps the book of its zone's engines; it goes to the engine that is named, at the time that is named. The grant is a rank: the admission and its permit stay the only way to a server. Short prompts prefer engines at which this host knows of no long one. Counters prompts_asked, prompts_held, prompts_unanswered; log events 621 and 622.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -69,6 +69,8 @@
   ZoneTakenBack = 616,
   EngineSlow = 619,
   EngineUsual = 620,
+  PromptHeld = 621,
+  PromptRoomUnanswered = 622,
   ServerCold = 617,
   ServerWarm = 618,
   PlatformAway = 701,
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -267,6 +267,11 @@
   std::uint64_t RaisedUrgencies = 0;
   /// Engines slower than their pool; a gauge.
   std::uint64_t SlowEngines = 0;
+  /// Long prompts for which room at an engine was asked, those that were held
+  /// for it, and those for which no answer came.
+  std::uint64_t PromptsAsked = 0;
+  std::uint64_t PromptsHeld = 0;
+  std::uint64_t PromptsUnanswered = 0;
   /// Servers that get a bounded number of calls after their start; a gauge.
   std::uint64_t ColdServers = 0;
 };
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -38,7 +38,7 @@
 using namespace detail;
 
 void serving_impl::sendCall(active_request &State) {
-  if (refuseQuarantined(State))
+  if (refuseQuarantined(State) || awaitPromptRoom(State))
     return;
   backend_state *Server = chooseServer(State);
   core_duration TimeLeft = State.Deadline - Now;
@@ -91,6 +91,7 @@
   Forward.ResumeAfter = State.LastEvent;
   Forward.Streamed = State.Route->Streamed;
   Forward.Urgency = beginStream(State, Id);
+  onPromptSent(State, *Server);
   Forward.MayReuseConnection = FirstSend;
   Forward.Request = State.Request.Number;
   bool Repeatable = State.Route->Repeatable || State.Route->Resumable;
@@ -118,8 +119,10 @@
   }
   if (Found->second.WaitsAs)
     Aging.onGivenUp(Found->second.Server.Pool, *Found->second.WaitsAs);
-  if (active_request *State = callRequest(Call))
+  if (active_request *State = callRequest(Call)) {
+    endPrompt(*State);
     State->CurrentCall.reset();
+  }
   Calls.erase(Call);
 }
 
@@ -353,6 +356,7 @@
   if (State->Progress != call_progress::Events) {
     onPartsServed(*State);
     onFirstEvent(Call);
+    onPromptRead(*State);
   } else {
     observePause(*State);
   }
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -70,26 +70,52 @@
                      });
 }
 
-backend_state *serving_impl::chooseServer(const active_request &State) {
-  if (backend_state *Unused = unusedLimitedServer(State))
-    return Unused;
+std::vector<backend_state *>
+serving_impl::admittedServers(const active_request &State) {
   std::vector<backend_state *> Admitted =
       Admission.candidates(State.Pool, subjectOf(State), Now);
   preferByWarmth(State, Admitted);
+  return Admitted;
+}
+
+placement_query serving_impl::placementOf(const active_request &State) const {
   placement_query Query;
   Query.NearZone = inputZone(State);
   Query.Avoid = State.TriedServers;
   Query.LiveHosts = Hosts.liveCount();
-  auto Pool = State.View->Config->Pools.find(State.Pool);
-  if (Pool == State.View->Config->Pools.end() || !Pool->second.Engine)
-    return choosePlain(Admitted, Query, Now);
+  return Query;
+}
+
+// Returns the engines that admit the request, the best first.
+std::vector<backend_state *>
+serving_impl::rankedEngines(const active_request &State,
+                            const engine_rules &Rules) {
+  placement_query Query = placementOf(State);
   // The last part of the prompt is not shared with other requests.
   Query.Prefix = State.Request.Prefix;
   if (!Query.Prefix.empty())
     Query.Prefix.pop_back();
   const std::string &Caller = State.Request.CallerId.Value;
   Query.Spread = XXH3_64bits(Caller.data(), Caller.size());
-  return chooseEngine(Admitted, Query, *Pool->second.Engine, Now);
+  if (const prompt_bound *Bound = promptBound(State))
+    Query.Reading = promptsBeingRead(*Bound);
+  return rankEngines(admittedServers(State), Query, Rules, Now);
+}
+
+// The engine at which a long prompt has room is taken if it admits the call and
+// has not failed.
+backend_state *serving_impl::chooseServer(const active_request &State) {
+  if (backend_state *Unused = unusedLimitedServer(State))
+    return Unused;
+  auto Pool = State.View->Config->Pools.find(State.Pool);
+  if (Pool == State.View->Config->Pools.end() || !Pool->second.Engine)
+    return choosePlain(admittedServers(State), placementOf(State), Now);
+  std::vector<backend_state *> Ranked =
+      rankedEngines(State, *Pool->second.Engine);
+  for (backend_state *Server : Ranked)
+    if (State.Prompt.Granted == Server->Entry.Id && Server->AvoidUntil <= Now)
+      return Server;
+  return Ranked.empty() ? nullptr : Ranked.front();
 }
 
 // Returns the expected time from sending the request to Server until the first
--- a/packages/core/src/serving/serving_records.h
+++ b/packages/core/src/serving/serving_records.h
@@ -4,6 +4,7 @@
 #include "jasminecroft/core/serving/batch_owner.h"
 #include "jasminecroft/core/serving/call_admission.h"
 #include "jasminecroft/core/serving/engine_urgency.h"
+#include "jasminecroft/core/serving/prompt_room.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/way_plan.h"
 
@@ -30,10 +31,12 @@
   explicit config_view(std::shared_ptr<const route_config> Config)
       : Config(std::move(Config)), Routes(*this->Config),
         Ranked(findRankedPools(*this->Config)),
+        Prompts(findPromptBounds(*this->Config)),
         Competing(callersCompete(*this->Config)) {}
   std::shared_ptr<const route_config> Config;
   route_index Routes;
   ranked_pools Ranked;
+  prompt_bounds Prompts;
   bool Competing;
 };
 
@@ -65,6 +68,34 @@
 /// What has arrived of a call's reply.
 enum class call_progress { Sent, Head, Events };
 
+enum class prompt_phase {
+  /// No room at an engine has been asked for.
+  None,
+  /// The answer of the host that keeps the book is awaited.
+  Asked,
+  /// Held until there is room.
+  Held,
+  /// It may be sent.
+  Ready,
+};
+
+/// A request's prompt before the first event of its call.
+struct prompt_wait {
+  prompt_phase Phase = prompt_phase::None;
+  /// Number of the sending for which room was asked last.
+  std::uint32_t Attempt = 0;
+  core_time AskedAt;
+  /// End of the phases Asked and Held.
+  core_time Until;
+  core_duration HoldAtMost{0};
+  /// The engine that was named.
+  std::optional<backend_id> Granted;
+  /// The host that may have booked it.
+  std::optional<entry_host_id> BookedAt;
+  /// Tokens that the engine that got the call has to read.
+  std::uint64_t Tokens = 0;
+};
+
 struct active_request {
   serving_request Request;
   std::shared_ptr<const config_view> View;
@@ -111,6 +142,7 @@
   std::uint32_t PermitAsks = 0;
   /// The limited server to which it may be sent.
   std::optional<backend_id> Permit;
+  prompt_wait Prompt;
   /// The quarantined part because of which it ends.
   std::optional<prompt_part_id> QuarantinedPart;
   /// Allowed to run despite quarantined parts.
@@ -151,7 +183,8 @@
   AttemptTimeout,
   AcceptTimeout,
   JobCheck,
-  PermitTimeout
+  PermitTimeout,
+  PromptRoom
 };
 struct timer {
   timer_kind Kind = timer_kind::Deadline;
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -373,6 +373,7 @@
     endCall(Call);
     Actions.cancelCall(Call);
   }
+  endPrompt(State);
   cancelJobs(State);
   releaseAll(State);
   Requests.erase(Found);
@@ -438,6 +439,9 @@
   case timer_kind::PermitTimeout:
     onPermitTimeout(request_id(Timer.Id));
     return;
+  case timer_kind::PromptRoom:
+    onPromptTimer(request_id(Timer.Id));
+    return;
   }
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -256,10 +256,40 @@
   void on(const host_run &Sender, const crash_report &Body);
   void on(const host_run &Sender, const part_rulings &Body);
 
+  // Long prompts beside short ones: serving_prompts.cc.
+  const prompt_bound *promptBound(const active_request &State) const;
+  std::uint64_t uncachedTokens(const active_request &State,
+                               const backend_state &Server) const;
+  core_duration readingTime(const pool_id &Pool, std::uint64_t Tokens,
+                            const backend_state *Server) const;
+  std::map<backend_id, double> promptsBeingRead(const prompt_bound &Bound);
+  bool awaitPromptRoom(active_request &State);
+  std::vector<prompt_candidate> promptCandidates(const active_request &State);
+  core_duration longestHold(const active_request &State,
+                            const prompt_bound &Bound,
+                            core_duration Reading) const;
+  entry_host_id promptOwner(const pool_id &Pool, const zone_id &Zone) const;
+  prompt_grant bookPrompt(const host_run &Asker,
+                          const prompt_room_request &Asked);
+  bool holdPrompt(active_request &State, const prompt_grant &Grant);
+  void onPromptTimer(request_id Request);
+  prompt_key promptKey(const active_request &State) const;
+  void onPromptSent(active_request &State, const backend_state &Server);
+  void onPromptRead(active_request &State);
+  void endPrompt(active_request &State);
+  void endBooking(active_request &State);
+  void on(const host_run &Sender, const prompt_room_request &Body);
+  void on(const host_run &Sender, const prompt_room_reply &Body);
+  void on(const host_run &Sender, const prompt_read &Body);
+
   // Choice of servers: serving_choice.cc.
   call_subject subjectOf(const active_request &State);
   std::vector<backend_state *> openServers(const active_request &State);
   bool hasUntriedServer(const active_request &State);
+  std::vector<backend_state *> admittedServers(const active_request &State);
+  placement_query placementOf(const active_request &State) const;
+  std::vector<backend_state *> rankedEngines(const active_request &State,
+                                             const engine_rules &Rules);
   backend_state *chooseServer(const active_request &State);
   core_duration expectedReplyTime(const active_request &State,
                                   const backend_state &Server) const;
@@ -372,6 +402,16 @@
   std::map<route_id, double> StreamMicros;
   urgency_aging Aging;
   engine_model Engines;
+  /// Of the pools and zones that this host keeps the book of.
+  prompt_room PromptBook;
+  /// Of this host's own calls.
+  prompt_room OwnPrompts;
+  reading_speed ReadingSpeed;
+  read_parts ReadParts;
+  /// When a prompt that is not long was sent to a pool last.
+  std::map<pool_id, core_time> ShortPromptAt;
+  /// Hosts that left a question unanswered are not asked until then.
+  std::map<entry_host_id, core_time> SilentOwners;
 };
 
 } // namespace jasminecroft::detail
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -144,6 +144,10 @@
               static_cast<double>(Counters.LatePauses[Rank]));
   Impl->set("raised_urgencies", static_cast<double>(Counters.RaisedUrgencies));
   Impl->set("slow_engines", static_cast<double>(Counters.SlowEngines));
+  Impl->set("prompts_asked", static_cast<double>(Counters.PromptsAsked));
+  Impl->set("prompts_held", static_cast<double>(Counters.PromptsHeld));
+  Impl->set("prompts_unanswered",
+            static_cast<double>(Counters.PromptsUnanswered));
   Impl->set("in_progress", static_cast<double>(Counters.InProgress));
   Impl->set("connections", static_cast<double>(Gauges.Connections));
   Impl->set("config_version", static_cast<double>(Gauges.ConfigVersion));
