--- a/packages/core/include/jasminecroft/core/serving/prompt_room.h
+++ b/packages/core/include/jasminecroft/core/serving/prompt_room.h
@@ -90,13 +90,19 @@
 /// the last ones counts.
 class reading_speed {
 public:
-  void observe(const pool_id &Pool, std::uint64_t Tokens, core_duration Time);
+  void observe(const pool_id &Pool, std::uint64_t Tokens, core_duration Time,
+               core_time Now);
   /// Returns the time that an engine takes to read the tokens.
-  core_duration timeFor(const pool_id &Pool, std::uint64_t Tokens) const;
+  core_duration timeFor(const pool_id &Pool, std::uint64_t Tokens,
+                        core_time Now) const;
 
 private:
-  /// Microseconds for a token, the latest last.
-  std::map<pool_id, std::deque<double>> Samples;
+  struct sample {
+    double TokenMicros = 0;
+    core_time At;
+  };
+  /// The latest last.
+  std::map<pool_id, std::deque<sample>> Samples;
 };
 
 /// Parts of prompts that this host's own requests had served at a run of an
--- a/packages/core/src/serving/prompt_room.cc
+++ b/packages/core/src/serving/prompt_room.cc
@@ -27,11 +27,14 @@
 constexpr int OverdueDivisor = 2;
 constexpr std::size_t MaxBookings = 4'096;
 
-/// Time for a token before the first sample: 10,000 tokens a second.
+/// Time for a token while there are too few samples: 10,000 tokens a second.
 constexpr double DefaultTokenMicros = 100;
 /// Of prompts with fewer tokens, what does not depend on them weighs too much.
 constexpr std::uint64_t MinSampleTokens = 1'024;
 constexpr std::size_t MaxSamples = 16;
+/// A single one may have waited, or come from a slow engine.
+constexpr std::size_t MinSamples = 4;
+constexpr core_duration SampleLifetime = seconds(60);
 /// More is not believed of a prompt.
 constexpr std::uint64_t MaxTokens = 100'000'000;
 /// The sample that counts is above this part of the others.
@@ -152,27 +155,30 @@
 }
 
 void reading_speed::observe(const pool_id &Pool, std::uint64_t Tokens,
-                            core_duration Time) {
+                            core_duration Time, core_time Now) {
   if (Tokens < MinSampleTokens)
     return;
-  std::deque<double> &Last = Samples[Pool];
-  Last.push_back(static_cast<double>(Time.count()) /
-                 static_cast<double>(Tokens));
+  std::deque<sample> &Last = Samples[Pool];
+  Last.push_back(
+      {static_cast<double>(Time.count()) / static_cast<double>(Tokens), Now});
   if (Last.size() > MaxSamples)
     Last.pop_front();
 }
 
-core_duration reading_speed::timeFor(const pool_id &Pool,
-                                     std::uint64_t Tokens) const {
-  double Micros = DefaultTokenMicros;
+core_duration reading_speed::timeFor(const pool_id &Pool, std::uint64_t Tokens,
+                                     core_time Now) const {
+  std::vector<double> Micros;
   auto Found = Samples.find(Pool);
-  if (Found != Samples.end()) {
-    std::vector<double> Sorted(Found->second.begin(), Found->second.end());
-    std::sort(Sorted.begin(), Sorted.end());
-    Micros = Sorted[Sorted.size() / QuantileDivisor];
-  }
+  if (Found != Samples.end())
+    for (const sample &Sample : Found->second)
+      if (Now - Sample.At <= SampleLifetime)
+        Micros.push_back(Sample.TokenMicros);
+  std::sort(Micros.begin(), Micros.end());
+  double TokenMicros = Micros.size() < MinSamples
+                           ? DefaultTokenMicros
+                           : Micros[Micros.size() / QuantileDivisor];
   return core_duration(static_cast<std::int64_t>(
-      Micros * static_cast<double>(std::min(Tokens, MaxTokens))));
+      TokenMicros * static_cast<double>(std::min(Tokens, MaxTokens))));
 }
 
 void read_parts::onRead(const backend_entry &Server,
--- a/packages/core/src/serving/serving_prompts.cc
+++ b/packages/core/src/serving/serving_prompts.cc
@@ -55,7 +55,7 @@
                                         std::uint64_t Tokens,
                                         const backend_state *Server) const {
   double Micros =
-      static_cast<double>(ReadingSpeed.timeFor(Pool, Tokens).count());
+      static_cast<double>(ReadingSpeed.timeFor(Pool, Tokens, Now).count());
   return core_duration(
       static_cast<std::int64_t>(Micros * (Server ? Server->Slowness : 1)));
 }
@@ -252,7 +252,8 @@
 void serving_impl::onPromptRead(active_request &State) {
   if (!promptBound(State))
     return;
-  ReadingSpeed.observe(State.Pool, State.Prompt.Tokens, Now - State.SentAt);
+  ReadingSpeed.observe(State.Pool, State.Prompt.Tokens, Now - State.SentAt,
+                       Now);
   ReadParts.onRead(State.Server, State.Request.Prefix, Now);
   endPrompt(State);
 }
--- a/packages/core/test/prompt-load-test.cc
+++ b/packages/core/test/prompt-load-test.cc
@@ -122,7 +122,7 @@
             static_cast<double>(bound().count());
     std::vector<backend_state *> Ranked =
         rankEngines(Host.Servers.usable(Pool, Now), Query, Rules, Now);
-    core_duration Reading = Speed.timeFor(Pool, Kind.Tokens);
+    core_duration Reading = Speed.timeFor(Pool, Kind.Tokens, Now);
     prompt_offer Offer{Ranked.front()->Entry.Id, Reading};
     core_duration Wait{0};
     if (Bounded && prompt_bound{bound(), true}.isLong(Reading)) {
--- a/packages/core/test/prompt-room-test.cc
+++ b/packages/core/test/prompt-room-test.cc
@@ -118,12 +118,17 @@
 
 TEST_CASE("reading time follows the quickest first events of larger prompts") {
   reading_speed Speed;
-  CHECK(Speed.timeFor(Pool, 5'000) == milliseconds(500));
-  Speed.observe(Pool, 100, milliseconds(80));
-  CHECK(Speed.timeFor(Pool, 5'000) == milliseconds(500));
+  core_time Now{seconds(100)};
   for (int I = 0; I < 9; ++I)
-    Speed.observe(Pool, 2'000, milliseconds(I % 3 == 0 ? 100 : 900));
-  CHECK(Speed.timeFor(Pool, 5'000) == milliseconds(250));
+    Speed.observe(Pool, 100, milliseconds(80), Now);
+  CHECK(Speed.timeFor(Pool, 5'000, Now) == milliseconds(500));
+  for (int I = 0; I < 9; ++I) {
+    if (I == 3)
+      CHECK(Speed.timeFor(Pool, 5'000, Now) == milliseconds(500));
+    Speed.observe(Pool, 2'000, milliseconds(I % 3 == 0 ? 100 : 900), Now);
+  }
+  CHECK(Speed.timeFor(Pool, 5'000, Now) == milliseconds(250));
+  CHECK(Speed.timeFor(Pool, 5'000, Now + seconds(61)) == milliseconds(500));
 }
 
 TEST_CASE("parts count as cached at one run, in order, for a while") {
