Judge in serving-fuzz what engines read of long prompts

Cause: the bound of long prompts had no promise in the fuzz.

Change: some of the drawn streams have long prompts, which engines take time to read; line 16: once faults have ended, hosts that send several at a time keep within a quarter of the objective at each engine. It does not count requests that would be late if they were held.

--- a/packages/testing/include/jasminecroft/testing/serving_book.h
+++ b/packages/testing/include/jasminecroft/testing/serving_book.h
@@ -21,6 +21,8 @@
   /// Parts of the prompt, the last one the request's own.
   std::vector<std::uint64_t> Parts;
   workspace_id Workspace;
+  /// Of a long prompt; others are read at once.
+  std::uint32_t PromptTokens = 0;
   core_time Sent;
   core_time Deadline;
   /// The host ended, or the caller left; nothing is owed.
@@ -64,6 +66,12 @@
   /// An engine that requests of several priorities reach gets a call.
   void onRanked(const caller_request_id &Id,
                 std::optional<std::uint32_t> Urgency, core_time Now);
+  /// An engine begins to read a long prompt, which takes this time.
+  void onPromptRead(const caller_request_id &Id, const backend_id &Server,
+                    core_duration Reading, core_time Now);
+  /// From now on, all hosts are in touch and nothing is lost: long prompts
+  /// count.
+  void judgePrompts(bool Judges) { JudgesPrompts = Judges; }
   /// Inputs of a piece, or of the request itself: (stage, piece) by request.
   struct input {
     caller_request_id Request;
@@ -161,6 +169,12 @@
   std::map<backend_id, std::vector<std::pair<core_time, std::size_t>>> Arrivals;
   std::vector<core_time> CrashingSent;
   std::vector<core_time> PartCrashes;
+  struct prompt_reading {
+    core_duration Reading{0};
+    core_time Until;
+  };
+  std::map<backend_id, std::vector<prompt_reading>> PromptsRead;
+  bool JudgesPrompts = false;
 };
 
 } // namespace jasminecroft::testing
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -66,6 +66,8 @@
            const std::vector<std::uint64_t> &Shared);
   /// Workspace of the callers of labels from now on.
   void setWorkspace(std::size_t Workspace) { Caller = Workspace; }
+  /// Tokens of the prompts of streams from now on; 0: they are short.
+  void setPromptTokens(std::uint32_t Tokens) { PromptTokens = Tokens; }
   /// The caller of one of the requests in progress leaves.
   void leaveOne();
 
@@ -149,6 +151,7 @@
   friend class world_server;
 
   std::size_t Caller = 0;
+  std::uint32_t PromptTokens = 0;
 
   struct server_slot {
     std::unique_ptr<world_server> Server;
--- a/packages/testing/include/jasminecroft/testing/violation.h
+++ b/packages/testing/include/jasminecroft/testing/violation.h
@@ -41,8 +41,10 @@
   ColdServersSpared,
   /// No workspace is served less than a quarter as well as another one.
   SharesKept,
+  /// Engines read only a bounded part of the long prompts at a time.
+  LongPromptsBounded,
 };
-inline constexpr std::size_t PromiseCount = 15;
+inline constexpr std::size_t PromiseCount = 16;
 
 std::string toText(promise Promise);
 
--- a/packages/testing/src/serving_book.cc
+++ b/packages/testing/src/serving_book.cc
@@ -33,6 +33,11 @@
 /// that watches the store has heard of one.
 constexpr core_duration EmptiedBound = std::chrono::seconds(5);
 constexpr core_duration EmptiedBoundAtWatchers = std::chrono::milliseconds(200);
+/// Of the shortest objective, the part for which an engine may read long
+/// prompts at a time.
+constexpr int PromptBoundDivisor = 4;
+/// A request that is held arrives this much before it would be late.
+constexpr core_duration PromptSlack = std::chrono::milliseconds(100);
 /// A call that was sent before its host was told arrives by then.
 constexpr core_duration OnTheWay = std::chrono::milliseconds(10);
 
@@ -297,6 +302,32 @@
             std::to_string(Request->Route.Priority));
 }
 
+// Requests that would be late if they were held are sent at once.
+void serving_book::onPromptRead(const caller_request_id &Id,
+                                const backend_id &Server, core_duration Reading,
+                                core_time Now) {
+  std::vector<prompt_reading> &Readings = PromptsRead[Server];
+  std::erase_if(Readings, [Now](const prompt_reading &Earlier) {
+    return Earlier.Until <= Now;
+  });
+  core_duration Sum = Reading;
+  core_time Free = Now;
+  for (const prompt_reading &Earlier : Readings) {
+    Sum += Earlier.Reading;
+    Free = std::max(Free, Earlier.Until);
+  }
+  bool Alone = Readings.empty();
+  Readings.push_back({Reading, Now + Reading});
+  const booked_request *Request = find(Id);
+  if (!JudgesPrompts || Alone || !Request ||
+      Sum <= Request->Route.Goal / PromptBoundDivisor ||
+      Free + Reading + PromptSlack > Request->Sent + Request->Route.Goal)
+    return;
+  add(promise::LongPromptsBounded, Now,
+      Server.Value + " reads " + std::to_string(Readings.size()) +
+          " long prompts at a time");
+}
+
 void serving_book::onInputs(const caller_request_id &Id,
                             std::optional<std::uint32_t> Stage,
                             const std::vector<input> &Inputs, core_time Now) {
--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -43,6 +43,14 @@
 /// No workspace is served less than this part as well as another one.
 constexpr std::size_t MinShareDivisor = 4;
 
+/// Long prompts: one of so many that are drawn, and their size.
+constexpr std::uint64_t LongShare = 6;
+constexpr std::uint32_t LongTokens = 5'000;
+/// So many at a time reach engines that have room for fewer.
+constexpr std::size_t LongRounds = 10;
+constexpr std::size_t LongPerRound = 3;
+constexpr core_duration LongPause = milliseconds(1'500);
+
 struct weighted {
   std::uint32_t Weight;
   void (*Act)(serving_world &World);
@@ -60,7 +68,9 @@
   constexpr std::array Routes = {world_route::Read, world_route::Once,
                                  world_route::Draft, world_route::Draft,
                                  world_route::Label};
+  World.setPromptTokens(World.random().below(LongShare) == 0 ? LongTokens : 0);
   World.ask(anyHost(World), Routes[World.random().below(Routes.size())]);
+  World.setPromptTokens(0);
 }
 
 void askMany(serving_world &World) {
@@ -217,6 +227,22 @@
       }
 }
 
+// Neighbouring hosts send long prompts together. They share no parts: engines
+// of this world cache none, and hosts would take them as cached.
+void playLongPrompts(serving_world &World) {
+  World.book().judgePrompts(true);
+  for (std::size_t Round = 0; Round < LongRounds; ++Round) {
+    World.setPromptTokens(LongTokens);
+    for (std::size_t I = 0; I < LongPerRound; ++I)
+      World.ask(Round + I, world_route::Label, {});
+    World.setPromptTokens(0);
+    World.ask(Round, world_route::Label, {1});
+    World.run(LongPause);
+  }
+  World.run(QuietTime);
+  World.book().judgePrompts(false);
+}
+
 void playCalm(serving_world &World) {
   World.calm();
   World.run(CalmTime);
@@ -252,6 +278,7 @@
   playConfigs(World);
   playCrashingPart(World);
   playSharing(World);
+  playLongPrompts(World);
 }
 
 } // namespace
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -251,6 +251,8 @@
   Request.PieceKey = "key";
   Request.Key = keyOf(Caller);
   Booked.Workspace = workspaceOf(Caller);
+  Booked.PromptTokens = Booked.Route.Streamed ? PromptTokens : 0;
+  Request.PromptTokens = Booked.PromptTokens;
   Booked.Parts = Shared;
   Booked.Parts.push_back(OwnParts + LastRequest);
   for (std::uint64_t Part : Booked.Parts)
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -15,6 +15,7 @@
 constexpr core_duration PlainTime = milliseconds(30);
 constexpr core_duration HeadTime = milliseconds(60);
 constexpr core_duration EventTime = milliseconds(20);
+constexpr core_duration TokenTime = std::chrono::microseconds(80);
 /// Calls that may wait at a server behind the one that it works on.
 constexpr std::size_t CallsWaiting = 2;
 constexpr unsigned StatusOk = 200;
@@ -103,19 +104,23 @@
     World.book().onRun(Call.CallerId, Entry.Id, World.now());
     World.book().onRanked(Call.CallerId, Call.Urgency, World.now());
     Streams.insert(Link);
+    core_duration Head = HeadTime + readingTime(Call.CallerId);
+    if (Head > HeadTime)
+      World.book().onPromptRead(Call.CallerId, Entry.Id, slowed(Head),
+                                World.now());
     bool Crashes = World.crashesEngines(Call.CallerId);
     if (Crashes)
       World.book().onCrashingSent(World.now());
-    after(slowed(HeadTime), [this, Link] {
+    after(slowed(Head), [this, Link] {
       if (Streams.contains(Link))
         answerHead(Link, false, [Link](serving_core &Core, core_time Now) {
           Core.onStreamHead(Link.Call, signedHead(), Now);
         });
     });
     if (Crashes)
-      crash(Link);
+      crash(Link, Head);
     else
-      send(Link, Call.ResumeAfter.value_or(0) + 1, HeadTime + EventTime);
+      send(Link, Call.ResumeAfter.value_or(0) + 1, Head + EventTime);
   }
 
   void cancel(const world_link &Link) override { Streams.erase(Link); }
@@ -128,8 +133,15 @@
     });
   }
 
-  void crash(const world_link &Link) {
-    after(slowed(HeadTime) + EventTime, [this, Link] {
+  core_duration readingTime(const caller_request_id &Request) const {
+    auto Found = World.book().requests().find(Request);
+    return Found == World.book().requests().end()
+               ? core_duration{0}
+               : TokenTime * Found->second.PromptTokens;
+  }
+
+  void crash(const world_link &Link, core_duration Head) {
+    after(slowed(Head) + EventTime, [this, Link] {
       if (!Streams.contains(Link))
         return;
       World.book().onPartCrash(World.now());
--- a/packages/testing/src/violation.cc
+++ b/packages/testing/src/violation.cc
@@ -35,6 +35,8 @@
     return "line 14, requests a second to cold servers";
   case promise::SharesKept:
     return "line 15, shares of workspaces";
+  case promise::LongPromptsBounded:
+    return "line 16, long prompts read at a time";
   }
   return "";
 }
