Remove a field that nothing uses

Cause: MaxOutputTokens of a request was decoded and read by nothing; memory for tokens is no bound of the choice.

--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -60,8 +60,6 @@
   /// Input of the pieces in stages that depend on no other stage.
   std::string PieceKey;
   std::uint32_t PromptTokens = 0;
-  /// Maximum number of tokens of the reply; 0 if the caller names none.
-  std::uint32_t MaxOutputTokens = 0;
   /// Parts of the prompt in order; the last one is not shared.
   std::vector<prompt_block> Prefix;
   /// Last stream event that the caller has received; absent for a new stream.
