Tell short prompts without ranking engines, and wait for lost results

Cause: read again: each short request in a ranked pool ranked its engines twice; and a held request whose stages' results were lost in the meantime would have been sent without them.

Change: a prompt that is short as a whole asks nobody and ranks nothing; a request that may be sent goes on only if its stages are done.

--- a/packages/core/src/serving/serving_prompts.cc
+++ b/packages/core/src/serving/serving_prompts.cc
@@ -60,6 +60,12 @@
       static_cast<std::int64_t>(Micros * (Server ? Server->Slowness : 1)));
 }
 
+bool serving_impl::isLongPrompt(const active_request &State,
+                                std::uint64_t Tokens) const {
+  const prompt_bound *Bound = promptBound(State);
+  return Bound && Bound->isLong(readingTime(State.Pool, Tokens, nullptr));
+}
+
 // Returns what engines are known to read of long prompts: this host's own, and
 // those in its book.
 std::map<backend_id, double>
@@ -132,16 +138,20 @@
   const prompt_bound *Bound = promptBound(State);
   if (!Bound || State.HeadRelayed || State.Permit)
     return false;
+  if (!isLongPrompt(State, promptTokens(State.Request))) {
+    ShortPromptAt[State.Pool] = Now;
+    return false;
+  }
   std::vector<prompt_candidate> Candidates = promptCandidates(State);
   if (Candidates.empty())
     return false;
-  const backend_state *Best = Servers.find(Candidates.front().Server);
-  core_duration Reading =
-      readingTime(State.Pool, Candidates.front().Tokens, Best);
-  if (!Bound->isLong(Reading)) {
+  std::uint64_t Tokens = Candidates.front().Tokens;
+  if (!isLongPrompt(State, Tokens)) {
     ShortPromptAt[State.Pool] = Now;
     return false;
   }
+  const backend_state *Best = Servers.find(Candidates.front().Server);
+  core_duration Reading = readingTime(State.Pool, Tokens, Best);
   auto Short = ShortPromptAt.find(State.Pool);
   if (!Bound->GoalsDiffer &&
       (Short == ShortPromptAt.end() || Now - Short->second > MixLifetime))
@@ -223,7 +233,14 @@
          {"book_at", Wait.BookedAt->Value}});
   }
   Wait.Phase = prompt_phase::Ready;
-  sendCall(*State);
+  sendReady(*State);
+}
+
+// Results of its stages may have been lost meanwhile: then it is sent once they
+// are made again.
+void serving_impl::sendReady(active_request &State) {
+  if (stagesDone(State))
+    sendCall(State);
 }
 
 prompt_key serving_impl::promptKey(const active_request &State) const {
@@ -234,8 +251,7 @@
 // is booked, the booking ends.
 void serving_impl::onPromptSent(active_request &State,
                                 const backend_state &Server) {
-  const prompt_bound *Bound = promptBound(State);
-  if (!Bound)
+  if (!promptBound(State))
     return;
   prompt_wait &Wait = State.Prompt;
   Wait.Phase = prompt_phase::None;
@@ -243,9 +259,10 @@
   if (Wait.Granted && *Wait.Granted != Server.Entry.Id)
     endBooking(State);
   Wait.Granted.reset();
-  core_duration Reading = readingTime(State.Pool, Wait.Tokens, &Server);
-  if (Bound->isLong(Reading))
-    OwnPrompts.add(promptKey(State), {Server.Entry.Id, Reading}, Now);
+  if (isLongPrompt(State, Wait.Tokens))
+    OwnPrompts.add(
+        promptKey(State),
+        {Server.Entry.Id, readingTime(State.Pool, Wait.Tokens, &Server)}, Now);
 }
 
 // The first event of a call arrived.
@@ -290,7 +307,7 @@
       State->Prompt.Attempt != Body.Attempt)
     return;
   if (!holdPrompt(*State, {Body.Server, Body.In}))
-    sendCall(*State);
+    sendReady(*State);
 }
 
 void serving_impl::on(const host_run &Sender, const prompt_read &Body) {
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -262,6 +262,7 @@
                                const backend_state &Server) const;
   core_duration readingTime(const pool_id &Pool, std::uint64_t Tokens,
                             const backend_state *Server) const;
+  bool isLongPrompt(const active_request &State, std::uint64_t Tokens) const;
   std::map<backend_id, double> promptsBeingRead(const prompt_bound &Bound);
   bool awaitPromptRoom(active_request &State);
   std::vector<prompt_candidate> promptCandidates(const active_request &State);
@@ -273,6 +274,7 @@
                           const prompt_room_request &Asked);
   bool holdPrompt(active_request &State, const prompt_grant &Grant);
   void onPromptTimer(request_id Request);
+  void sendReady(active_request &State);
   prompt_key promptKey(const active_request &State) const;
   void onPromptSent(active_request &State, const backend_state &Server);
   void onPromptRead(active_request &State);
