Keep limits that servers name in a cut fleet too

Cause: the requests of all hosts to a limited server were counted at the live host that ranks first, and calls for pieces at the owner of their queue. Each piece of a cut fleet has its own first host and its own owners, so that a server got up to as many times 0.7 of its limit as there were pieces.

Change: the hosts that shared_rate names hold fixed parts of 0.7 of the limit (four; two below 2 a second), from the platform's list, whoever hears whom. All other hosts ask one of them by the existing messages, the next one if it is silent or has nothing left, four asks at most; a refusal names the earliest time that was heard. Owners of queues need such a permit for each call as well. Holders begin with different parts of a call. limit_source stays the one place that admits.

Worlds of the tests can cut hosts from each other while servers hear all.

A holder that is away loses its part until the list drops it, and 60 s more.

--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -111,6 +111,11 @@
   bool isLimited(const backend_entry &Entry) const {
     return Limits.find(Entry.Id, Entry.Run).has_value();
   }
+  /// A call of a queue waits for a limited server.
+  void wantPermit(const backend_entry &Entry) {
+    if (isLimited(Entry))
+      Limits.want(Entry.Id);
+  }
   server_limits &limits() { return Limits; }
   const server_limits &limits() const { return Limits; }
   bool isLeaving(const backend_id &Id) const;
--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -97,6 +97,8 @@
 
   /// Queues a job and returns the expected queue wait of its pieces.
   queue_wait submit(const host_run &Host, const piece_job &Job, core_time Now);
+  /// A server may admit calls that waited for a permit.
+  void onPermit() { Changed = true; }
   /// Removes a job and frees its results, including those still in flight.
   void cancel(const host_run &Host, piece_job_id Job, core_time Now);
   /// Frees results, including those produced for an earlier owner.
--- a/packages/core/include/jasminecroft/core/serving/call_admission.h
+++ b/packages/core/include/jasminecroft/core/serving/call_admission.h
@@ -97,8 +97,7 @@
 
 class call_admission {
 public:
-  /// CountsHere returns whether this host counts the requests of all hosts to a
-  /// limited server.
+  /// CountsHere returns whether this host counts requests to a limited server.
   call_admission(backend_directory &Servers,
                  std::function<bool(const backend_id &)> CountsHere);
   ~call_admission();
--- a/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
+++ b/packages/core/include/jasminecroft/core/serving/fleet_hosts.h
@@ -76,6 +76,9 @@
   /// cannot hear each other agree about these.
   std::size_t rosterRankOfSelf(std::string_view Key) const;
   std::size_t rosterCount() const { return Roster.size() + 1; }
+  /// Returns up to Count of all listed hosts in descending rank.
+  std::vector<batching_host> rosterRanked(std::string_view Key,
+                                          std::size_t Count) const;
   /// Increases whenever a rank among the listed hosts may have changed.
   std::uint64_t rosterGeneration() const { return RosterGeneration; }
   /// Increases whenever an owner or a rank may have changed.
--- a/packages/core/include/jasminecroft/core/serving/shared_rate.h
+++ b/packages/core/include/jasminecroft/core/serving/shared_rate.h
@@ -36,12 +36,26 @@
 /// agree about them. A host that has not read the list has no share.
 class shared_rate {
 public:
+  /// Hosts that hold a share. More would lose less with one of them, but each
+  /// may send one call more in any second.
+  static constexpr std::size_t Holders = 4;
+
   explicit shared_rate(const fleet_hosts &Hosts) : Hosts(Hosts) {}
 
   /// Changes whenever a part may have changed.
   std::uint64_t generation(core_time Now) const;
   /// Returns this host's part of the rate that Key names; zero for most hosts.
-  double fraction(std::string_view Key, core_time Now) const;
+  /// At most Most hosts hold a part.
+  double fraction(std::string_view Key, core_time Now,
+                  std::size_t Most = Holders) const;
+  /// Returns the hosts that hold a part, whether they can be reached or not.
+  std::vector<batching_host> holders(std::string_view Key,
+                                     std::size_t Most = Holders) const {
+    return Hosts.rosterRanked(Key, Most);
+  }
+  /// Returns with which part of a call this host begins if all holders begin
+  /// together: their first calls then follow each other.
+  double firstTokens(std::string_view Key, std::size_t Most = Holders) const;
 
 private:
   const fleet_hosts &Hosts;
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -204,6 +204,8 @@
     if (!Answer.admitted() && !Answer.Until)
       continue;
     tracked_server &Tracked = TrackedServers[Server.Id];
+    if (Answer.Obstacle == admission_obstacle::Limited && !Tracked.Running)
+      Servers.wantPermit(Server);
     Tracked.CapacityBytes = Rules.ResultCapacityBytes;
     planned_server Planned;
     Planned.Id = Server.Id;
@@ -251,8 +253,10 @@
       continue;
     std::optional<call_permit> Permit =
         Admission.admit(Server->Entry.Id, {admission_purpose::LoadQuery}, Now);
-    if (!Permit)
+    if (!Permit) {
+      Servers.wantPermit(Server->Entry);
       continue;
+    }
     Tracked.LoadQueriedAt = Now;
     Actions.readServer(std::move(*Permit));
   }
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -349,11 +349,13 @@
     return;
   const call_subject Subject{admission_purpose::FreeResults};
   const backend_state *Server = Servers.find(Id);
-  std::optional<core_time> Until;
+  admission_answer Answer;
   if (Server)
-    Until = Admission.check(*Server, Subject, Now).Until;
-  if (Until) {
-    Tracked.FlushAt = *Until;
+    Answer = Admission.check(*Server, Subject, Now);
+  if (Answer.Until) {
+    if (Answer.Obstacle == admission_obstacle::Limited)
+      Servers.wantPermit(Server->Entry);
+    Tracked.FlushAt = *Answer.Until;
     if (Tracked.PendingFrees.size() > MaxFreesPerCall)
       Tracked.PendingFrees.clear();
     return;
--- a/packages/core/src/serving/call_admission.cc
+++ b/packages/core/src/serving/call_admission.cc
@@ -60,20 +60,26 @@
     const backend_id &Id = Server.Entry.Id;
     if (!Servers.isLimited(Server.Entry) || Subject.CountedFor == Id)
       return {};
-    // The host that counts may admit it at any time. The owner of a queue
-    // counts its own calls.
-    if (Subject.Purpose == admission_purpose::Request && !CountsHere(Id))
+    // A host that counts may admit it at any time.
+    bool IsRequest = Subject.Purpose == admission_purpose::Request;
+    if (IsRequest && !CountsHere(Id))
       return {admission_obstacle::Limited, Now};
-    core_duration Wait = Servers.limits().timeToNext(Id, Now);
+    core_duration Wait = IsRequest
+                             ? Servers.limits().timeToNext(Id, Now)
+                             : Servers.limits().timeToNextForQueue(Id, Now);
     if (Wait > core_duration{0})
       return {admission_obstacle::Limited, Now + Wait};
     return {};
   }
   void onAdmitted(const backend_state &Server, const call_subject &Subject,
                   core_time Now) override {
-    if (Servers.isLimited(Server.Entry) &&
-        Subject.CountedFor != Server.Entry.Id)
-      Servers.limits().tryAcquire(Server.Entry.Id, Now);
+    const backend_id &Id = Server.Entry.Id;
+    if (!Servers.isLimited(Server.Entry) || Subject.CountedFor == Id)
+      return;
+    if (Subject.Purpose == admission_purpose::Request)
+      Servers.limits().tryAcquire(Id, Now);
+    else
+      Servers.limits().acquireForQueue(Id, Now);
   }
 
 private:
--- a/packages/core/src/serving/fleet_hosts.cc
+++ b/packages/core/src/serving/fleet_hosts.cc
@@ -34,6 +34,19 @@
   return -static_cast<double>(std::max(Host.Capacity, 1U)) / std::log(Unit);
 }
 
+using ranked_hosts = std::vector<std::pair<double, const batching_host *>>;
+
+std::vector<batching_host> first(ranked_hosts Hosts, std::size_t Count) {
+  Count = std::min(Count, Hosts.size());
+  std::partial_sort(Hosts.begin(),
+                    Hosts.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Hosts.end(), std::greater<>());
+  std::vector<batching_host> Result;
+  for (std::size_t I = 0; I < Count; ++I)
+    Result.push_back(*Hosts[I].second);
+  return Result;
+}
+
 } // namespace
 
 void fleet_hosts::setChanged() {
@@ -201,24 +214,25 @@
   return highest(Key, &Zone, Count);
 }
 
+std::vector<batching_host> fleet_hosts::rosterRanked(std::string_view Key,
+                                                     std::size_t Count) const {
+  ranked_hosts Listed{{score(Key, Self), &Self}};
+  for (const std::pair<const entry_host_id, listed_host> &Entry : Roster)
+    Listed.emplace_back(score(Key, Entry.second.Host), &Entry.second.Host);
+  return first(std::move(Listed), Count);
+}
+
 std::vector<batching_host> fleet_hosts::highest(std::string_view Key,
                                                 const zone_id *Zone,
                                                 std::size_t Count) const {
-  std::vector<std::pair<double, const batching_host *>> Live;
+  ranked_hosts Live;
   if (!SelfLeaving && (!Zone || Self.Zone == *Zone))
     Live.emplace_back(score(Key, Self), &Self);
   for (const std::pair<const entry_host_id, host_state> &Entry : Hosts)
     if (!Entry.second.SuspectedSince && !Entry.second.Leaving &&
         (!Zone || Entry.second.Host.Zone == *Zone))
       Live.emplace_back(score(Key, Entry.second.Host), &Entry.second.Host);
-  Count = std::min(Count, Live.size());
-  std::partial_sort(Live.begin(),
-                    Live.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Live.end(), std::greater<>());
-  std::vector<batching_host> Result;
-  for (std::size_t I = 0; I < Count; ++I)
-    Result.push_back(*Live[I].second);
-  return Result;
+  return first(std::move(Live), Count);
 }
 
 std::size_t fleet_hosts::rankOfSelf(std::string_view Key) const {
--- a/packages/core/src/serving/server_limits.cc
+++ b/packages/core/src/serving/server_limits.cc
@@ -1,6 +1,8 @@
 // Limits of servers as token buckets, bounded in number.
 #include "jasminecroft/core/serving/server_limits.h"
 
+#include "jasminecroft/core/serving/shared_rate.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,9 +12,8 @@
 
 constexpr std::size_t MaxServers = 4'096;
 constexpr double MicrosPerRequest = 1e6;
-/// Fraction of a limit that is spent. Two hosts that both count a server's
-/// requests, while they disagree about the live hosts, stay below one and a
-/// half times the limit.
+/// Fraction of a limit that is spent: hosts whose lists differ for a while hold
+/// more parts than there are.
 constexpr double SpendableFraction = 0.7;
 /// Requests a second to a server with a lower limit, or one of zero: without
 /// any request nobody learns that it has ended.
@@ -22,6 +23,15 @@
 /// Time whose requests may be sent at once.
 constexpr double BurstSeconds = 0.25;
 constexpr core_duration MaxSuggestion = std::chrono::seconds(3);
+/// Below this limit two hosts hold parts: each holder may save up one call,
+/// which counts for more the slower the limit is.
+constexpr double SlowPerSecond = 2;
+constexpr std::size_t SlowHolders = 2;
+/// A call of a queue that another host has counted is sent within this time,
+/// or not at all.
+constexpr core_duration HeldTime = std::chrono::milliseconds(500);
+/// Time in which another host is expected to count a call.
+constexpr core_duration AskTime = std::chrono::milliseconds(200);
 
 double seconds(core_duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -35,7 +45,45 @@
 } // namespace
 
 double server_limits::record::rate() const {
-  return std::max(MinPerSecond, SpendableFraction * PerSecond.value_or(0));
+  return Part *
+         std::max(MinPerSecond, SpendableFraction * PerSecond.value_or(0));
+}
+
+std::string server_limits::key(const backend_id &Server) {
+  return "server-limit/" + Server.Value;
+}
+
+std::size_t server_limits::holderCount(const backend_id &Server) const {
+  auto Known = Records.find(Server);
+  bool IsSlow = Known == Records.end() ||
+                Known->second.PerSecond.value_or(0) < SlowPerSecond;
+  return IsSlow ? SlowHolders : shared_rate::Holders;
+}
+
+void server_limits::updatePart(const backend_id &Server, record &Record,
+                               core_time Now) const {
+  if (!Shares)
+    return;
+  std::uint64_t Generation = Shares->generation(Now);
+  if (Record.PartOf == Generation)
+    return;
+  Record.PartOf = Generation;
+  Record.Part = Shares->fraction(key(Server), Now, holderCount(Server));
+  // What another host holds now is not held here as well.
+  if (Record.Part <= 0)
+    Record.Tokens = 0;
+}
+
+// Tokens from before do not count: all hosts learn of the limit at about the
+// same time, while earlier calls reach the server.
+void server_limits::begin(const backend_id &Server, record &Record,
+                          core_time Now) const {
+  Record.RefilledAt = Now;
+  Record.PartOf.reset();
+  updatePart(Server, Record, Now);
+  Record.Tokens = Shares && Record.Part > 0
+                      ? Shares->firstTokens(key(Server), holderCount(Server))
+                      : 0;
 }
 
 void server_limits::set(record &Record, std::optional<double> PerSecond) {
@@ -46,6 +94,8 @@
   if (PerSecond)
     ++Limited;
   Record.PerSecond = PerSecond;
+  // The number of holders depends on it.
+  Record.PartOf.reset();
 }
 
 // Returns the record of a server; null if there are too many limited servers.
@@ -89,8 +139,7 @@
   set(*Known, Stated.PerSecond);
   Known->Since = Now;
   Known->ChangedAt = Now;
-  Known->Tokens = 0;
-  Known->RefilledAt = Now;
+  begin(Server, *Known, Now);
   return WasLimited ? limit_change::Ended : limit_change::Began;
 }
 
@@ -117,8 +166,7 @@
   if (WasLimited == PerSecond.has_value())
     return Same ? limit_change::None : limit_change::Changed;
   Known->Since = Now - std::max(News.Age, core_duration{0});
-  Known->Tokens = 0;
-  Known->RefilledAt = Now;
+  begin(News.Server, *Known, Now);
   return WasLimited ? limit_change::Ended : limit_change::Began;
 }
 
@@ -169,9 +217,15 @@
   Record.Tokens = std::min(
       Burst, Record.Tokens + Record.rate() * seconds(Now - Record.RefilledAt));
   Record.RefilledAt = Now;
+  updatePart(Server, Record, Now);
   return &Record;
 }
 
+bool server_limits::holdsPart(const backend_id &Server, core_time Now) {
+  record *Known = refill(Server, Now);
+  return Known && Known->Part > 0;
+}
+
 bool server_limits::tryAcquire(const backend_id &Server, core_time Now) {
   record *Known = refill(Server, Now);
   if (!Known)
@@ -196,14 +250,54 @@
   record *Known = refill(Server, Now);
   if (!Known || Known->Tokens >= 1)
     return core_duration{0};
+  if (Known->Part <= 0)
+    return MaxSuggestion;
   // Rounded up, so that the token is there after this time.
   return fromSeconds((1 - Known->Tokens) / Known->rate()) + core_duration{1};
 }
 
+void server_limits::want(const backend_id &Server) { Wanted.insert(Server); }
+
+void server_limits::hold(const backend_id &Server, core_time Now) {
+  auto Known = Records.find(Server);
+  if (Known != Records.end())
+    Known->second.HeldUntil = Now + HeldTime;
+}
+
+void server_limits::setNextAsk(const backend_id &Server, core_time Time) {
+  auto Known = Records.find(Server);
+  if (Known != Records.end())
+    Known->second.NextAskAt = Time;
+}
+
+bool server_limits::mayAsk(const backend_id &Server, core_time Now) const {
+  auto Known = Records.find(Server);
+  return Known != Records.end() && Known->second.PerSecond &&
+         Now >= Known->second.NextAskAt;
+}
+
+void server_limits::acquireForQueue(const backend_id &Server, core_time Now) {
+  auto Known = Records.find(Server);
+  if (Known != Records.end() && Now < Known->second.HeldUntil)
+    Known->second.HeldUntil = Now;
+  else
+    tryAcquire(Server, Now);
+}
+
+core_duration server_limits::timeToNextForQueue(const backend_id &Server,
+                                                core_time Now) {
+  record *Known = refill(Server, Now);
+  if (!Known || Now < Known->HeldUntil)
+    return core_duration{0};
+  if (Known->Part > 0)
+    return timeToNext(Server, Now);
+  return std::max(Known->NextAskAt - Now, AskTime);
+}
+
 core_duration server_limits::suggestRetry(const backend_id &Server,
                                           core_time Now) {
   record *Known = refill(Server, Now);
-  if (!Known)
+  if (!Known || Known->Part <= 0)
     return core_duration{0};
   core_time Next =
       std::max(Now + timeToNext(Server, Now),
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -1,5 +1,5 @@
-// Limits that backend servers name in their replies: what hosts tell each other
-// of them, and permits for requests that only limited servers could run.
+// Limits that backend servers name in their replies, and what hosts tell each
+// other of them.
 #include "serving_state.h"
 
 #include <algorithm>
@@ -12,14 +12,8 @@
 
 using std::chrono::milliseconds;
 
-/// A host that has not answered by then is taken as a refusal.
-constexpr core_duration PermitTimeout = milliseconds(200);
-/// Servers for which a request asks before it is refused.
-constexpr std::uint32_t MaxPermitAsks = 3;
-/// Retry-After if no host said when to come back.
-constexpr core_duration LimitedRetryAfter = milliseconds(500);
-/// A limited server that got no request for this time gets the next one of the
-/// host that counts them: only a reply shows that the limit has ended.
+/// A limited server that got no request for this time of a host that counts
+/// them gets its next one: only a reply shows that the limit has ended.
 constexpr core_duration MaxUnusedTime = std::chrono::seconds(2);
 
 /// Callers that were refused because of a pause, or of a server that is cold,
@@ -49,9 +43,11 @@
   tellLimit(Server, Change);
 }
 
-// Returns the host that counts the requests of all hosts to a limited server.
-entry_host_id serving_impl::limitCounter(const backend_id &Server) const {
-  return Hosts.owner("server-limit/" + Server.Value);
+// Returns the hosts that count the requests of all hosts to a limited server.
+std::vector<batching_host>
+serving_impl::limitCounters(const backend_id &Server) const {
+  return Rate.holders(server_limits::key(Server),
+                      Servers.limits().holderCount(Server));
 }
 
 // All hosts need to know whether a server has a limit; its value only matters
@@ -59,7 +55,9 @@
 void serving_impl::tellLimit(const backend_entry &Server, limit_change Change) {
   server_limit_list List{{*Servers.limits().news(Server.Id, Now)}};
   if (Change == limit_change::Changed) {
-    sendToHost(limitCounter(Server.Id), std::move(List));
+    for (const batching_host &Counter :
+         Rate.holders(server_limits::key(Server.Id), shared_rate::Holders))
+      sendToHost(Counter.Host, List);
     return;
   }
   for (const batching_host &Host : Hosts.ring())
@@ -155,113 +153,13 @@
     const backend_id &Id = Server->Entry.Id;
     if (Servers.isLimited(Server->Entry) && Server->AvoidUntil <= Now &&
         !State.TriedServers.contains(Id) &&
-        limitCounter(Id) == Settings.Self.Host &&
+        Servers.limits().holdsPart(Id, Now) &&
         Servers.limits().unusedFor(Id, Now) >= MaxUnusedTime)
       return Server;
   }
   return nullptr;
 }
 
-// The request was admitted by a server and counted.
-void serving_impl::onLimitSpent(active_request &State,
-                                const backend_id &Server) {
-  if (State.Permit == Server)
-    State.Permit.reset();
-  State.PermitAsks = 0;
-}
-
-// Returns whether the servers that would admit the request are all limited and
-// none can take it now.
-bool serving_impl::needsPermit(const active_request &State) {
-  return Servers.limits().count() != 0 &&
-         Admission.candidates(State.Pool, subjectOf(State), Now).empty() &&
-         !openServers(State).empty();
-}
-
-// Asks for a permit, or refuses the request, if all servers of its pool are
-// limited and none can take it now. Returns false if it may go on.
-bool serving_impl::waitForPermit(active_request &State) {
-  if (State.Permit || !needsPermit(State))
-    return false;
-  requestPermit(State, core_duration{0});
-  return true;
-}
-
-// Asks for a permit for the next limited server in the request's own order.
-void serving_impl::requestPermit(active_request &State, core_duration RetryIn) {
-  std::vector<std::pair<std::uint64_t, const backend_entry *>> Ranked;
-  std::uint64_t Seed = XXH3_64bits(State.Request.CallerId.Value.data(),
-                                   State.Request.CallerId.Value.size());
-  for (const backend_state *Server : openServers(State))
-    if (Servers.isLimited(Server->Entry))
-      Ranked.emplace_back(XXH3_64bits_withSeed(Server->Entry.Id.Value.data(),
-                                               Server->Entry.Id.Value.size(),
-                                               Seed),
-                          &Server->Entry);
-  std::sort(Ranked.begin(), Ranked.end());
-  if (State.PermitAsks >= std::min<std::size_t>(MaxPermitAsks, Ranked.size())) {
-    ++Counters.RefusedByLimit;
-    failRequest(State, refusal_kind::Limited,
-                RetryIn > core_duration{0} ? RetryIn : LimitedRetryAfter);
-    return;
-  }
-  const backend_id Server = Ranked[State.PermitAsks].second->Id;
-  ++State.PermitAsks;
-  State.PermitAskedOf = Server;
-  State.PermitAskedAt = Now;
-  entry_host_id Counter = limitCounter(Server);
-  if (Counter == Settings.Self.Host) {
-    bool Granted = Servers.limits().tryAcquire(Server, Now);
-    onPermitReply(State, Granted,
-                  Granted ? core_duration{0}
-                          : Servers.limits().suggestRetry(Server, Now));
-    return;
-  }
-  addTimer(Now + PermitTimeout, timer_kind::PermitTimeout,
-           State.Request.Number.Value);
-  sendToHost(Counter, send_permit_request{*Servers.limits().news(Server, Now),
-                                          State.Request.Number});
-}
-
-void serving_impl::on(const host_run &Sender, const send_permit_request &Body) {
-  server_limits &Limits = Servers.limits();
-  Limits.apply(Body.Limit, Now);
-  send_permit_reply Reply;
-  Reply.Server = Body.Limit.Server;
-  Reply.Request = Body.Request;
-  Reply.Granted = Limits.tryAcquire(Reply.Server, Now);
-  if (!Reply.Granted)
-    Reply.RetryIn = Limits.suggestRetry(Reply.Server, Now);
-  sendToHost(Sender.Host, Reply);
-}
-
-void serving_impl::on(const host_run &, const send_permit_reply &Body) {
-  active_request *State = find(Body.Request);
-  if (State && State->PermitAskedOf == Body.Server)
-    onPermitReply(*State, Body.Granted, Body.RetryIn);
-}
-
-void serving_impl::onPermitReply(active_request &State, bool Granted,
-                                 core_duration RetryIn) {
-  if (!Granted && needsPermit(State)) {
-    requestPermit(State, RetryIn);
-    return;
-  }
-  std::optional<backend_id> AskedOf =
-      std::exchange(State.PermitAskedOf, std::nullopt);
-  if (Granted)
-    State.Permit = std::move(AskedOf);
-  continueRequest(State);
-}
-
-void serving_impl::onPermitTimeout(request_id Request) {
-  active_request *State = find(Request);
-  if (!State || !State->PermitAskedOf ||
-      Now < State->PermitAskedAt + PermitTimeout)
-    return;
-  onPermitReply(*State, false, core_duration{0});
-}
-
 void serving_impl::logLimit(const backend_id &Server, limit_change Change,
                             std::string_view Source) {
   std::optional<server_limit_news> News = Servers.limits().news(Server, Now);
@@ -280,7 +178,10 @@
       {"age_ms",
        std::to_string(
            std::chrono::duration_cast<milliseconds>(News->Age).count())});
-  Fields.push_back({"counted_at", limitCounter(Server).Value});
+  std::string Counters;
+  for (const batching_host &Counter : limitCounters(Server))
+    Counters += (Counters.empty() ? "" : " ") + Counter.Host.Value;
+  Fields.push_back({"counted_at", std::move(Counters)});
   log(event_number::ServerLimited, event_severity::Warning,
       "backend server names a limit for all hosts together", std::move(Fields));
 }
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -250,7 +250,10 @@
   event_scope(serving_impl &Core, core_time Time) : Core(Core) {
     Core.Now = Time;
   }
-  ~event_scope() { Core.Owner.dispatch(Core.Now); }
+  ~event_scope() {
+    Core.Owner.dispatch(Core.Now);
+    Core.askForQueues();
+  }
   event_scope(const event_scope &) = delete;
   event_scope &operator=(const event_scope &) = delete;
 
--- a/packages/core/src/serving/serving_records.h
+++ b/packages/core/src/serving/serving_records.h
@@ -106,9 +106,12 @@
   core_time CallEventAt;
   /// The limited server for which it has asked for a permit.
   std::optional<backend_id> PermitAskedOf;
+  entry_host_id PermitCounter;
   core_time PermitAskedAt;
-  /// Number of servers asked for since it last could go on.
-  std::uint32_t PermitAsks = 0;
+  /// Who was asked for which server since it last could go on, and the earliest
+  /// time that an answer named.
+  std::set<std::pair<backend_id, entry_host_id>> PermitAsks;
+  std::optional<core_time> PermitNextAt;
   /// The limited server to which it may be sent.
   std::optional<backend_id> Permit;
   /// The quarantined part because of which it ends.
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -104,12 +104,13 @@
     : Settings(Settings), Actions(Actions),
       Hosts({Settings.Self.Host, Settings.Zone, Settings.PeerAddress,
              Settings.Capacity}),
-      Admission(Servers,
-                [this](const backend_id &Server) {
-                  return limitCounter(Server) == this->Settings.Self.Host;
-                }),
+      Rate(Hosts), Admission(Servers,
+                             [this](const backend_id &Server) {
+                               return Servers.limits().holdsPart(Server, Now);
+                             }),
       ColdServers(Hosts), Gossip(Hosts), Following(Hosts),
       Budget(Settings.Retries), Owner(*this, Servers, Admission, Budget) {
+  Servers.limits().shareBy(Rate);
   Admission.addSource(Emptied);
   Admission.addSource(ColdServers);
   Admission.addSource(BytesInProgress);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -64,6 +64,9 @@
   void replaceServers(const std::vector<backend_entry> &Entries,
                       object_version Revision);
 
+  // Permits of the hosts that count: serving_permits.cc.
+  void askForQueues();
+
   // Peers: serving_peers.cc.
   void start(core_time Now);
   void onHost(const batching_host &Host, core_time Now);
@@ -104,6 +107,7 @@
   fleet_hosts Hosts;
   emptied_zones Emptied;
   request_bytes BytesInProgress;
+  shared_rate Rate;
   call_admission Admission;
   cold_servers ColdServers;
   store_gossip Gossip;
@@ -205,16 +209,8 @@
   void tellLimit(const backend_entry &Server, limit_change Change);
   void logLimit(const backend_id &Server, limit_change Change,
                 std::string_view Source);
-  entry_host_id limitCounter(const backend_id &Server) const;
+  std::vector<batching_host> limitCounters(const backend_id &Server) const;
   backend_state *unusedLimitedServer(const active_request &State);
-  void onLimitSpent(active_request &State, const backend_id &Server);
-  bool needsPermit(const active_request &State);
-  bool waitForPermit(active_request &State);
-  void requestPermit(active_request &State, core_duration RetryIn);
-  void onPermitReply(active_request &State, bool Granted,
-                     core_duration RetryIn);
-  void onPermitTimeout(request_id Request);
-  void continueRequest(active_request &State);
   void on(const host_run &Sender, const server_limit_list &Body);
   void failUnserved(active_request &State, refusal_kind Kind,
                     core_duration RetryAfter);
@@ -222,6 +218,26 @@
   bool markLeaving(const backend_id &Server, incarnation Run,
                    std::string_view Source);
   void on(const host_run &Sender, const server_leaving &Body);
+
+  // Permits of the hosts that count: serving_permits.cc.
+  struct permit_ask {
+    backend_id Server;
+    entry_host_id Counter;
+  };
+  void onLimitSpent(active_request &State, const backend_id &Server);
+  bool needsPermit(const active_request &State);
+  bool waitForPermit(active_request &State);
+  std::vector<permit_ask> permitAsks(const active_request &State);
+  std::vector<entry_host_id> openCounters(const backend_id &Server) const;
+  void requestPermit(active_request &State);
+  void refuseLimited(active_request &State);
+  void onPermitReply(active_request &State, bool Granted,
+                     core_duration RetryIn);
+  void onPermitTimeout(request_id Request);
+  void onQueuePermit(const entry_host_id &Counter,
+                     const send_permit_reply &Reply);
+  void askForQueue(const backend_id &Server);
+  void continueRequest(active_request &State);
   void on(const host_run &Sender, const send_permit_request &Body);
   void on(const host_run &Sender, const send_permit_reply &Body);
 
@@ -321,6 +337,16 @@
   void log(event_number Number, event_severity Severity,
            std::string_view Message, std::vector<event_field> Fields);
 
+  /// Asks for a call of a queue to a limited server, one after the other.
+  struct queue_ask {
+    std::optional<entry_host_id> Counter;
+    core_time AskedAt;
+    std::set<entry_host_id> Refused;
+    std::optional<core_time> NextAt;
+  };
+  std::map<backend_id, queue_ask> QueueAsks;
+  /// Hosts that count and did not answer, until they are asked again.
+  std::map<entry_host_id, core_time> SilentCounters;
   part_quarantine Quarantine;
   served_parts ServedParts;
   /// Hosts that this run has asked for what it missed.
--- a/packages/core/src/serving/shared_rate.cc
+++ b/packages/core/src/serving/shared_rate.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Hosts that hold a share. More would lose less with one of them, but each may
-/// send one call more in any second.
-constexpr std::size_t Holders = 4;
 /// The list may lack hosts that started together with this one, which would
 /// rank too high.
 constexpr core_duration RosterTime = std::chrono::seconds(3);
@@ -55,7 +52,8 @@
   return 3 * Hosts.rosterGeneration() + Phase;
 }
 
-double shared_rate::fraction(std::string_view Key, core_time Now) const {
+double shared_rate::fraction(std::string_view Key, core_time Now,
+                             std::size_t Most) const {
   std::optional<core_time> ReadAt = Hosts.listReadAt();
   if (!ReadAt || Now < *ReadAt + RosterTime)
     return 0;
@@ -63,10 +61,18 @@
   bool Settled = Known >= Holders || Now >= *ReadAt + SmallRosterTime;
   if (!Settled && Known == 1)
     return 0;
-  if (Hosts.rosterRankOfSelf(Key) >= Holders)
+  if (Hosts.rosterRankOfSelf(Key) >= Most)
     return 0;
-  std::size_t Shares = Settled ? std::min(Known, Holders) : Holders;
+  std::size_t Shares = Settled ? std::min(Known, Most) : Most;
   return 1.0 / static_cast<double>(Shares);
 }
 
+double shared_rate::firstTokens(std::string_view Key, std::size_t Most) const {
+  std::size_t Shares = std::min(Hosts.rosterCount(), Most);
+  std::size_t Rank = Hosts.rosterRankOfSelf(Key);
+  return Rank >= Shares
+             ? 0
+             : 1 - static_cast<double>(Rank + 1) / static_cast<double>(Shares);
+}
+
 } // namespace jasminecroft
--- a/packages/core/test/server-limits-test.cc
+++ b/packages/core/test/server-limits-test.cc
@@ -2,8 +2,12 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "jasminecroft/core/serving/server_limits.h"
 
+#include "jasminecroft/core/serving/shared_rate.h"
+
 #include <doctest/doctest.h>
 
+#include <memory>
+
 using namespace jasminecroft;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -27,6 +31,26 @@
   return Count;
 }
 
+batching_host host(std::size_t Number) {
+  std::string Name = "h" + std::to_string(Number);
+  return {entry_host_id(Name), zone_id("z"), endpoint(Name + ":1"), 250};
+}
+
+/// One of many hosts, each of which suspects some others.
+struct sharing_host {
+  sharing_host(std::size_t Self, std::size_t Count) : Hosts(host(Self)) {
+    for (std::size_t I = 0; I < Count; ++I)
+      Hosts.addListed(host(I), Start);
+    Hosts.onListRead(Start - seconds(60));
+    for (std::size_t I = Self % 3; I < Count; I += 2)
+      Hosts.suspect(host(I).Host, Start);
+    Limits.shareBy(Rate);
+  }
+  fleet_hosts Hosts;
+  shared_rate Rate{Hosts};
+  server_limits Limits;
+};
+
 } // namespace
 
 TEST_CASE("a limit begins, changes and ends with what replies say") {
@@ -131,3 +155,67 @@
     Limits.onReply(backend_id(std::to_string(I)), Run, {1.0}, Start, Start);
   CHECK(Limits.count() < 5'000);
 }
+
+TEST_CASE("the parts of all hosts add up to a limit, whoever suspects whom") {
+  for (std::size_t Count = 1; Count <= 80; ++Count)
+    for (std::size_t Most : {std::size_t{2}, shared_rate::Holders}) {
+      CAPTURE(Count);
+      double Sum = 0;
+      for (std::size_t I = 0; I < Count; ++I)
+        Sum += sharing_host(I, Count).Rate.fraction("limit", Start, Most);
+      CHECK(Sum == doctest::Approx(1));
+    }
+}
+
+TEST_CASE("all hosts together keep a limit in any ten seconds") {
+  for (std::size_t Count : {1, 2, 3, 4, 80})
+    for (double PerSecond : {0.5, 1.3, 2.0, 10.0, 200.0}) {
+      CAPTURE(Count);
+      CAPTURE(PerSecond);
+      std::vector<std::unique_ptr<sharing_host>> Hosts;
+      for (std::size_t I = 0; I < Count; ++I) {
+        Hosts.push_back(std::make_unique<sharing_host>(I, Count));
+        state(Hosts.back()->Limits, PerSecond, Start, Start);
+      }
+      // Nobody asks for a while, so that each host has saved up what it may.
+      int Sent = 0;
+      for (std::unique_ptr<sharing_host> &Host : Hosts)
+        Sent += acquired(Host->Limits, Start + seconds(60), seconds(10));
+      CHECK(Sent <= 10 * PerSecond);
+      CHECK(Sent >= 5 * PerSecond);
+    }
+}
+
+TEST_CASE("a slow limit that nobody uses has a call for the first who asks") {
+  std::vector<std::unique_ptr<sharing_host>> Hosts;
+  for (std::size_t I = 0; I < 80; ++I) {
+    Hosts.push_back(std::make_unique<sharing_host>(I, 80));
+    state(Hosts.back()->Limits, 0.0, Start, Start);
+  }
+  core_duration First = seconds(100);
+  std::size_t Holding = 0;
+  for (std::unique_ptr<sharing_host> &Host : Hosts)
+    if (Host->Limits.holdsPart(Server, Start)) {
+      ++Holding;
+      First = std::min(First, Host->Limits.timeToNext(Server, Start));
+    }
+  CHECK(Holding == 2);
+  CHECK(First <= seconds(5));
+}
+
+TEST_CASE("a call of a queue that another host counted is sent soon or not at "
+          "all") {
+  sharing_host Other(0, 80);
+  state(Other.Limits, 1.0, Start, Start);
+  server_limits &Limits = Other.Limits;
+  REQUIRE_FALSE(Limits.holdsPart(Server, Start));
+  CHECK(Limits.timeToNextForQueue(Server, Start) > core_duration{0});
+  Limits.hold(Server, Start);
+  CHECK(Limits.timeToNextForQueue(Server, Start) == core_duration{0});
+  CHECK(Limits.timeToNext(Server, Start) > core_duration{0});
+  Limits.acquireForQueue(Server, Start);
+  CHECK(Limits.timeToNextForQueue(Server, Start) > core_duration{0});
+  Limits.hold(Server, Start);
+  CHECK(Limits.timeToNextForQueue(Server, Start + seconds(1)) >
+        core_duration{0});
+}
--- a/packages/testing/include/jasminecroft/testing/serving_world.h
+++ b/packages/testing/include/jasminecroft/testing/serving_world.h
@@ -75,6 +75,8 @@
   /// Leaves and ends when its requests are done.
   void stopHost(std::size_t Host);
   void cutZone(std::size_t Zone);
+  /// Hosts of different pieces do not hear each other; servers hear all.
+  void splitHosts(std::size_t Pieces) { HostPieces = Pieces; }
   void healNetwork();
   /// The operator writes a configuration with a newer version.
   void changeConfig();
@@ -176,6 +178,7 @@
   random_source Random;
   /// The faults have ended.
   bool Calm = false;
+  std::size_t HostPieces = 1;
   fake_network Net{Queue, Random};
   serving_book Book;
   std::vector<std::unique_ptr<world_host>> Hosts;
--- a/packages/testing/src/serving_world.cc
+++ b/packages/testing/src/serving_world.cc
@@ -282,7 +282,10 @@
     Net.cut(zoneName(Zone), zoneName(Other));
 }
 
-void serving_world::healNetwork() { Net.healAll(); }
+void serving_world::healNetwork() {
+  Net.healAll();
+  splitHosts(1);
+}
 
 void serving_world::crashServer(std::size_t Number) {
   std::size_t Index = Number % Servers.size();
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -477,6 +477,8 @@
   for (const std::unique_ptr<world_host> &Other : World.Hosts) {
     if (Other->Address != Host.Address)
       continue;
+    if (Index % World.HostPieces != Other->Index % World.HostPieces)
+      return;
     host_run Sender{Id, Run};
     world_host *Target = Other.get();
     World.Net.send(Zone, Target->Zone,
--- a/packages/testing/test/server-limit-test.cc
+++ b/packages/testing/test/server-limit-test.cc
@@ -40,6 +40,25 @@
   return Limited;
 }
 
+/// Plays on and returns the most calls that one of the servers got in ten
+/// seconds.
+std::size_t mostInTenSeconds(serving_world &World, const char *Route,
+                             const std::vector<std::size_t> &Servers) {
+  constexpr int Window = 10;
+  std::vector<core_time> Begins;
+  std::size_t Most = 0;
+  for (int Second = 0; Second < 2 * Window; ++Second) {
+    Begins.push_back(World.now());
+    play(World, Route, milliseconds(5), seconds(1));
+    if (Begins.size() < Window)
+      continue;
+    for (std::size_t Server : Servers)
+      Most = std::max(Most, World.book().arrivalsSince(World.serverId(Server),
+                                                       Begins.end()[-Window]));
+  }
+  return Most;
+}
+
 void checkLimits(const serving_book &Book) {
   for (const violation &Violation : Book.violations())
     if (Violation.Promise == promise::LimitsKept)
@@ -180,3 +199,42 @@
     checkLimits(World.book());
   }
 }
+
+// Load: 200 requests a second at 8 or 60 hosts, for servers that all name a
+// limit.
+TEST_CASE("the pieces of a cut fleet together keep a limit") {
+  for (std::size_t Pieces : {std::size_t{2}, std::size_t{3}, std::size_t{60}})
+    for (double PerSecond : {0.5, 2.0, 10.0}) {
+      CAPTURE(Pieces);
+      CAPTURE(PerSecond);
+      world_options Options = manyServers();
+      Options.HostsPerZone = Pieces > 8 ? 30 : 4;
+      serving_world World(Options, 1);
+      World.splitHosts(Pieces);
+      World.run(seconds(4));
+      std::vector<std::size_t> Limited =
+          limitServers(World, "plain", 8, PerSecond);
+      play(World, world_route::Read, milliseconds(5), seconds(8));
+      std::size_t Most = mostInTenSeconds(World, world_route::Read, Limited);
+      CHECK(static_cast<double>(Most) <= 10 * PerSecond);
+      if (Pieces < 8)
+        CHECK(static_cast<double>(Most) >= 2 * PerSecond);
+      checkLimits(World.book());
+    }
+}
+
+TEST_CASE("the owners of a queue in the pieces of a cut fleet together keep a "
+          "limit") {
+  for (std::size_t Pieces : {std::size_t{1}, std::size_t{2}, std::size_t{3}}) {
+    CAPTURE(Pieces);
+    serving_world World(manyServers(), 1);
+    World.splitHosts(Pieces);
+    World.run(seconds(4));
+    std::vector<std::size_t> Limited = limitServers(World, "first", 8, 2);
+    play(World, world_route::Label, milliseconds(5), seconds(8));
+    std::size_t Most = mostInTenSeconds(World, world_route::Label, Limited);
+    CHECK(Most <= 20);
+    CHECK(Most >= 4);
+    checkLimits(World.book());
+  }
+}
