Play limits of servers while no host hears another one

Cause: serving-fuzz cut zones only, and a cut zone's servers are reached by its hosts alone.

Change: in a third of the cases, after the other faults, no host hears another one for 14 s, and after 5 s of them all plain servers name a limit of 2 a second while 40 requests a second come.

--- a/packages/testing/src/serving_fuzz.cc
+++ b/packages/testing/src/serving_fuzz.cc
@@ -36,6 +36,11 @@
 constexpr core_duration ColdTime = seconds(3);
 constexpr double ColdPerSecond = 1;
 constexpr std::uint32_t MostLossPermille = 100;
+/// Limits of servers while no host hears another one, in some of the cases.
+constexpr double SplitPerSecond = 2;
+constexpr std::size_t SplitRequests = 360;
+constexpr core_duration SplitPause = milliseconds(25);
+constexpr core_duration SplitTime = seconds(5);
 /// Each round, every workspace asks once and one of them this often more.
 constexpr std::size_t GreedyRequests = 9;
 constexpr core_duration SharingRound = milliseconds(170);
@@ -182,6 +187,24 @@
                          "them too late");
 }
 
+// Every host suspects all others before the servers name limits.
+void playSplit(serving_world &World) {
+  World.calm();
+  World.splitHosts(World.hostCount());
+  for (std::size_t I = 0; I < CalmRequests; ++I) {
+    World.ask(I, world_route::Label);
+    World.run(SplitTime / CalmRequests);
+  }
+  for (std::size_t Server : World.serversOf("plain"))
+    World.limitServer(Server, SplitPerSecond);
+  for (std::size_t I = 0; I < SplitRequests; ++I) {
+    World.ask(anyHost(World), world_route::Read);
+    World.run(SplitPause);
+  }
+  World.calm();
+  World.run(CalmTime);
+}
+
 // One workspace wants ten times as much as each other one, and all together
 // more labels than the servers make.
 void playSharing(serving_world &World) {
@@ -217,7 +240,7 @@
       }
 }
 
-void playCalm(serving_world &World) {
+void playCalm(serving_world &World, bool Splits) {
   World.calm();
   World.run(CalmTime);
   // Hosts that were leaving have ended by now.
@@ -251,6 +274,8 @@
                          " bytes of results were never freed");
   playConfigs(World);
   playCrashingPart(World);
+  if (Splits)
+    playSplit(World);
   playSharing(World);
 }
 
@@ -288,7 +313,7 @@
       playOne(World, ConfigFaults);
     World.run(World.random().between(milliseconds(1), milliseconds(120)));
   }
-  playCalm(World);
+  playCalm(World, Seed % 3 == 1);
   for (const std::pair<const caller_request_id, booked_request> &Entry :
        World.book().requests()) {
     ++Report.Requests;
