Draw weighted routes among the pools that have a zone left

Cause: a request whose pool was drawn by weight was refused if that pool lies in emptied zones only, though another pool of its route could have served it.

Change: the draw is repeated among the pools with a server outside emptied zones. If there is none, the request is refused as before.

Measured: emptied-zones-test, `a weighted route uses the pools that have a zone left`: all of 12 requests are sent; with no zone left, all are refused.

--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -22,10 +22,40 @@
 /// Weight of a new sample in the smoothed times of streams.
 constexpr double StreamTimeGain = 0.1;
 
+pool_id drawPool(const std::vector<pool_share> &Shares, std::uint64_t Seed) {
+  std::uint64_t Total = 0;
+  for (const pool_share &Share : Shares)
+    Total += Share.Weight;
+  if (Total == 0)
+    return Shares.empty() ? pool_id() : Shares.front().Pool;
+  std::uint64_t Point = Seed % Total;
+  for (const pool_share &Share : Shares) {
+    if (Point < Share.Weight)
+      return Share.Pool;
+    Point -= Share.Weight;
+  }
+  return Shares.back().Pool;
+}
+
 } // namespace
 
 using namespace detail;
 
+// Draws one of a route's pools by their weights.
+pool_id serving_impl::selectPool(const serving_route &Route,
+                                 const caller_request_id &Id) {
+  std::vector<pool_share> Shares = Route.Pools;
+  std::uint64_t Seed = XXH3_64bits(Id.Value.data(), Id.Value.size());
+  pool_id Drawn = drawPool(Shares, Seed);
+  if (!poolEmptied(Drawn))
+    return Drawn;
+  // The others take its share while it lies in emptied zones only.
+  std::erase_if(Shares, [this](const pool_share &Share) {
+    return Share.Weight == 0 || poolEmptied(Share.Pool);
+  });
+  return Shares.empty() ? Drawn : drawPool(Shares, Seed);
+}
+
 // The size of a request only leads it to another server: if no untried one is
 // left, it is not considered.
 call_subject serving_impl::subjectOf(const active_request &State) {
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -3,7 +3,6 @@
 #include "serving_state.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace jasminecroft {
 
@@ -148,22 +147,6 @@
   pushNews();
 }
 
-pool_id serving_impl::selectPool(const serving_route &Route,
-                                 const caller_request_id &Id) const {
-  std::uint64_t Total = 0;
-  for (const pool_share &Share : Route.Pools)
-    Total += Share.Weight;
-  if (Total == 0)
-    return Route.Pools.empty() ? pool_id() : Route.Pools.front().Pool;
-  std::uint64_t Point = XXH3_64bits(Id.Value.data(), Id.Value.size()) % Total;
-  for (const pool_share &Share : Route.Pools) {
-    if (Point < Share.Weight)
-      return Share.Pool;
-    Point -= Share.Weight;
-  }
-  return Route.Pools.back().Pool;
-}
-
 // Returns the route if the caller may use it; otherwise refuses the request
 // and returns null.
 const serving_route *serving_impl::admit(const serving_request &Request,
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -130,8 +130,7 @@
   active_request *find(request_id Request);
   const serving_route *admit(const serving_request &Request,
                              workspace_id &Workspace, std::uint32_t &Priority);
-  pool_id selectPool(const serving_route &Route,
-                     const caller_request_id &Id) const;
+  pool_id selectPool(const serving_route &Route, const caller_request_id &Id);
   void refuse(request_id Request, refusal_kind Kind, core_duration RetryAfter);
   void refuseBeforeAdmission(const serving_request &Request, refusal_kind Kind,
                              core_duration RetryAfter);
--- a/packages/core/test/emptied-zones-test.cc
+++ b/packages/core/test/emptied-zones-test.cc
@@ -291,3 +291,22 @@
   Test.advance(seconds(5));
   CHECK(Test.sentTo<zone_orders>(Test.Peer.Host) == 0);
 }
+
+TEST_CASE("a weighted route uses the pools that have a zone left") {
+  two_zones Test;
+  std::shared_ptr<route_config> Config = serving_fixture::config(2);
+  Config->Pools[pool_id("new")].Name = pool_id("new");
+  for (serving_route &Route : Config->Routes)
+    if (Route.Name == route_id("once"))
+      Route.Pools = {{pool_id("plain"), 1}, {pool_id("new"), 1}};
+  Test.Core.onConfig(Config, "text", Test.Now);
+  Test.addFar("new", 3);
+  CHECK(Test.zonesUsed().size() == 2);
+  Test.empty(Far, 5);
+  CHECK(Test.zonesUsed() == std::set<zone_id>{Near});
+  CHECK(Test.Actions.Forwards.size() == 12);
+  CHECK(Test.Core.counters().RefusedByEmptiedZones == 0);
+  Test.empty(Near, 6);
+  CHECK(Test.zonesUsed().empty());
+  CHECK(Test.Core.counters().RefusedByEmptiedZones == 12);
+}
