Say when an order in force is forgotten, and keep it longer

Cause: a host keeps 256 orders for zones. A further one pushed out the oldest without a log line, also one in force while zones that were taken back stayed known, and the servers of its zone were used again.

Change: zones that were taken back are forgotten first (later news of them are judged by the revision up to which the store was read). If an order in force has to go, 629 names its zone, at most once a minute, as hosts repeat to each other what does not fit.

Measured: emptied-zones-test, `zones that were taken back make room ...` and `an order in force that is pushed out is logged, not each time`: passed. That the oldest order in force goes is tested as before.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -67,6 +67,7 @@
   ServerPauseUnreadable = 614,
   ZoneEmptied = 615,
   ZoneTakenBack = 616,
+  ZoneForgotten = 629,
   EngineSlow = 619,
   EngineUsual = 620,
   ServerCold = 617,
--- a/packages/core/include/jasminecroft/core/serving/emptied_zones.h
+++ b/packages/core/include/jasminecroft/core/serving/emptied_zones.h
@@ -6,6 +6,7 @@
 #include "jasminecroft/core/stored_objects.h"
 
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace jasminecroft {
@@ -33,6 +34,11 @@
   /// Returns whether any order has ever been given.
   bool empty() const { return Orders.empty(); }
   std::size_t count() const { return Emptied; }
+  /// Returns the zones whose order was in force and is no longer known, as
+  /// there are too many, since the last time.
+  std::vector<zone_order> takeForgotten() {
+    return std::exchange(Forgotten, {});
+  }
   object_version readTo() const { return ReadTo; }
 
   // admission_source
@@ -41,10 +47,11 @@
                          core_time) override;
 
 private:
-  void forgetOldest();
+  void forgetOldest(const zone_id &Added);
 
   /// Zones that were taken back stay known, so that late news do not revert it.
   std::map<zone_id, zone_order> Orders;
+  std::vector<zone_order> Forgotten;
   /// Number of zones that are emptied now.
   std::size_t Emptied = 0;
   /// The store has been read up to this revision; zones without an order were
--- a/packages/core/src/serving/emptied_zones.cc
+++ b/packages/core/src/serving/emptied_zones.cc
@@ -4,6 +4,7 @@
 #include "jasminecroft/core/peer_messages.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jasminecroft {
 
@@ -36,7 +37,7 @@
   Orders[Order.Zone] = Order;
   if (Before != Order.Emptied)
     Emptied = Order.Emptied ? Emptied + 1 : Emptied - 1;
-  forgetOldest();
+  forgetOldest(Order.Zone);
   return Before != Order.Emptied;
 }
 
@@ -87,14 +88,21 @@
 }
 
 // Peers and the store may name any number of zones; a message holds so many.
-void emptied_zones::forgetOldest() {
+// Zones that were taken back go first, but for the one that was just named.
+void emptied_zones::forgetOldest(const zone_id &Added) {
   if (Orders.size() <= MaxZoneOrdersPerMessage)
     return;
-  auto Oldest = std::min_element(Orders.begin(), Orders.end(),
-                                 [](const auto &A, const auto &B) {
-                                   return A.second.Revision < B.second.Revision;
-                                 });
-  Emptied -= Oldest->second.Emptied ? 1 : 0;
+  auto Rank = [&Added](const std::pair<const zone_id, zone_order> &Entry) {
+    bool IsInForce = Entry.second.Emptied;
+    return std::tuple(IsInForce || Entry.first == Added, Entry.second.Revision);
+  };
+  auto Oldest = std::min_element(
+      Orders.begin(), Orders.end(),
+      [&Rank](const auto &A, const auto &B) { return Rank(A) < Rank(B); });
+  if (Oldest->second.Emptied) {
+    --Emptied;
+    Forgotten.push_back(Oldest->second);
+  }
   Orders.erase(Oldest);
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -242,6 +242,7 @@
 
   // Zones that the operator empties: serving_zones.cc.
   void logZone(const zone_order &Order, std::string_view Source);
+  void logForgottenZones();
   void announceZones(const std::vector<zone_order> &Read);
   bool poolEmptied(const pool_id &Pool);
   bool refuseEmptied(active_request &State);
@@ -346,6 +347,7 @@
   std::map<backend_id, queue_ask> QueueAsks;
   /// Hosts that count and did not answer, until they are asked again.
   std::map<entry_host_id, core_time> SilentCounters;
+  core_time NextForgottenLog;
   part_quarantine Quarantine;
   served_parts ServedParts;
   /// Hosts that this run has asked for what it missed.
--- a/packages/core/src/serving/serving_zones.cc
+++ b/packages/core/src/serving/serving_zones.cc
@@ -12,6 +12,8 @@
 /// Retry-After if all servers of a pool are in emptied zones: the operator may
 /// take one back at any time.
 constexpr core_duration EmptiedRetryAfter = std::chrono::seconds(2);
+/// Hosts repeat to each other what does not fit, so that it is forgotten often.
+constexpr core_duration ForgottenLogInterval = std::chrono::seconds(60);
 
 } // namespace
 
@@ -20,6 +22,7 @@
 void serving_impl::onZoneOrder(const zone_order &Order) {
   if (Emptied.apply(Order))
     logZone(Order, "store");
+  logForgottenZones();
   announceZones({Order});
 }
 
@@ -30,6 +33,7 @@
   std::vector<zone_order> Changed = Emptied.replaceAll(Listed, Revision);
   for (const zone_order &Order : Changed)
     logZone(Order, "store");
+  logForgottenZones();
   for (const zone_order &Order : Listed)
     if (std::find(Changed.begin(), Changed.end(), Order) == Changed.end())
       Changed.push_back(Order);
@@ -67,6 +71,7 @@
       logZone(Order, "peer");
     Outdated = Outdated || Emptied.isOutdated(Order);
   }
+  logForgottenZones();
   if (Outdated)
     sendToHost(Sender.Host, zone_orders{Emptied.orders()});
 }
@@ -81,6 +86,20 @@
        {"source", std::string(Source)}});
 }
 
+void serving_impl::logForgottenZones() {
+  std::vector<zone_order> Forgotten = Emptied.takeForgotten();
+  if (Forgotten.empty() || Now < NextForgottenLog)
+    return;
+  NextForgottenLog = Now + ForgottenLogInterval;
+  log(event_number::ZoneForgotten, event_severity::Error,
+      "more zones are emptied than a host can know; servers of the zone that "
+      "was "
+      "emptied first are used again",
+      {{"zone", Forgotten.front().Zone.Value},
+       {"revision", std::to_string(Forgotten.front().Revision.Value)},
+       {"known", std::to_string(MaxZoneOrdersPerMessage)}});
+}
+
 // Returns whether all usable servers of a pool are in emptied zones.
 bool serving_impl::poolEmptied(const pool_id &Pool) {
   if (Emptied.count() == 0)
--- a/packages/core/test/emptied-zones-test.cc
+++ b/packages/core/test/emptied-zones-test.cc
@@ -115,6 +115,30 @@
   CHECK_FALSE(Zones.isEmptied(zone_id("0")));
 }
 
+TEST_CASE("zones that were taken back make room for orders in force") {
+  emptied_zones Zones;
+  Zones.apply(order(zone_id("first"), 1, true));
+  for (std::uint64_t I = 2; I <= MaxZoneOrdersPerMessage + 5; ++I)
+    Zones.apply(order(zone_id(std::to_string(I)), I, false));
+  CHECK(Zones.isEmptied(zone_id("first")));
+  CHECK(Zones.orders().size() == MaxZoneOrdersPerMessage);
+  CHECK(Zones.takeForgotten().empty());
+  // What was named last is known.
+  std::uint64_t Last = MaxZoneOrdersPerMessage + 5;
+  CHECK(Zones.isOutdated(order(zone_id(std::to_string(Last)), Last, true)));
+}
+
+TEST_CASE("an order in force that is pushed out is logged, not each time") {
+  two_zones Test;
+  for (std::uint64_t I = 0; I < MaxZoneOrdersPerMessage + 9; ++I)
+    Test.Core.onZoneOrder(order(zone_id(std::to_string(I)), I + 1, true),
+                          Test.Now);
+  CHECK(std::count_if(Test.Actions.Log.begin(), Test.Actions.Log.end(),
+                      [](const event_record &Record) {
+                        return Record.Number == event_number::ZoneForgotten;
+                      }) == 1);
+}
+
 TEST_CASE("an emptied zone gets nothing new and what runs there ends") {
   two_zones Test;
   request_id Request = Test.sendRequest("once");
