--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -3,7 +3,6 @@
 #include "serving_state.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace jasminecroft {
 
@@ -104,12 +103,13 @@
     : Settings(Settings), Actions(Actions),
       Hosts({Settings.Self.Host, Settings.Zone, Settings.PeerAddress,
              Settings.Capacity}),
-      Admission(Servers,
-                [this](const backend_id &Server) {
-                  return limitCounter(Server) == this->Settings.Self.Host;
-                }),
+      Rate(Hosts), Admission(Servers,
+                             [this](const backend_id &Server) {
+                               return Servers.limits().holdsPart(Server, Now);
+                             }),
       ColdServers(Hosts), Gossip(Hosts), Following(Hosts),
       Budget(Settings.Retries), Owner(*this, Servers, Admission, Budget) {
+  Servers.limits().shareBy(Rate);
   Admission.addSource(Emptied);
   Admission.addSource(ColdServers);
   Admission.addSource(BytesInProgress);
@@ -147,22 +147,6 @@
   pushNews();
 }
 
-pool_id serving_impl::selectPool(const serving_route &Route,
-                                 const caller_request_id &Id) const {
-  std::uint64_t Total = 0;
-  for (const pool_share &Share : Route.Pools)
-    Total += Share.Weight;
-  if (Total == 0)
-    return Route.Pools.empty() ? pool_id() : Route.Pools.front().Pool;
-  std::uint64_t Point = XXH3_64bits(Id.Value.data(), Id.Value.size()) % Total;
-  for (const pool_share &Share : Route.Pools) {
-    if (Point < Share.Weight)
-      return Share.Pool;
-    Point -= Share.Weight;
-  }
-  return Route.Pools.back().Pool;
-}
-
 // Returns the route if the caller may use it; otherwise refuses the request
 // and returns null.
 const serving_route *serving_impl::admit(const serving_request &Request,
--- a/packages/core/test/emptied-zones-test.cc
+++ b/packages/core/test/emptied-zones-test.cc
@@ -115,6 +115,30 @@
   CHECK_FALSE(Zones.isEmptied(zone_id("0")));
 }
 
+TEST_CASE("zones that were taken back make room for orders in force") {
+  emptied_zones Zones;
+  Zones.apply(order(zone_id("first"), 1, true));
+  for (std::uint64_t I = 2; I <= MaxZoneOrdersPerMessage + 5; ++I)
+    Zones.apply(order(zone_id(std::to_string(I)), I, false));
+  CHECK(Zones.isEmptied(zone_id("first")));
+  CHECK(Zones.orders().size() == MaxZoneOrdersPerMessage);
+  CHECK(Zones.takeForgotten().empty());
+  // What was named last is known.
+  std::uint64_t Last = MaxZoneOrdersPerMessage + 5;
+  CHECK(Zones.isOutdated(order(zone_id(std::to_string(Last)), Last, true)));
+}
+
+TEST_CASE("an order in force that is pushed out is logged, not each time") {
+  two_zones Test;
+  for (std::uint64_t I = 0; I < MaxZoneOrdersPerMessage + 9; ++I)
+    Test.Core.onZoneOrder(order(zone_id(std::to_string(I)), I + 1, true),
+                          Test.Now);
+  CHECK(std::count_if(Test.Actions.Log.begin(), Test.Actions.Log.end(),
+                      [](const event_record &Record) {
+                        return Record.Number == event_number::ZoneForgotten;
+                      }) == 1);
+}
+
 TEST_CASE("an emptied zone gets nothing new and what runs there ends") {
   two_zones Test;
   request_id Request = Test.sendRequest("once");
@@ -291,3 +315,22 @@
   Test.advance(seconds(5));
   CHECK(Test.sentTo<zone_orders>(Test.Peer.Host) == 0);
 }
+
+TEST_CASE("a weighted route uses the pools that have a zone left") {
+  two_zones Test;
+  std::shared_ptr<route_config> Config = serving_fixture::config(2);
+  Config->Pools[pool_id("new")].Name = pool_id("new");
+  for (serving_route &Route : Config->Routes)
+    if (Route.Name == route_id("once"))
+      Route.Pools = {{pool_id("plain"), 1}, {pool_id("new"), 1}};
+  Test.Core.onConfig(Config, "text", Test.Now);
+  Test.addFar("new", 3);
+  CHECK(Test.zonesUsed().size() == 2);
+  Test.empty(Far, 5);
+  CHECK(Test.zonesUsed() == std::set<zone_id>{Near});
+  CHECK(Test.Actions.Forwards.size() == 12);
+  CHECK(Test.Core.counters().RefusedByEmptiedZones == 0);
+  Test.empty(Near, 6);
+  CHECK(Test.zonesUsed().empty());
+  CHECK(Test.Core.counters().RefusedByEmptiedZones == 12);
+}
