--- a/packages/core/test/prompt-room-test.cc
+++ b/packages/core/test/prompt-room-test.cc
@@ -21,7 +21,8 @@
 
 class room_fixture {
 public:
-  prompt_grant book(std::uint64_t Request, std::vector<prompt_offer> Offers,
+  prompt_grant book(std::uint64_t Request,
+                    const std::vector<prompt_offer> &Offers,
                     core_duration HoldAtMost = Patient) {
     return Room.book(key(Request), Offers, Bound, HoldAtMost, Now);
   }
