Set up the engines of prompt-load-test in one place

Cause: two copies of the same loop; a sentence of the note said it badly.

Change: one function, one sentence.

--- a/packages/core/test/prompt-load-test.cc
+++ b/packages/core/test/prompt-load-test.cc
@@ -52,6 +52,17 @@
   }
 };
 
+// One engine looks far better than the others.
+void addEngines(backend_directory &Servers) {
+  for (int I = 0; I < EngineCount; ++I) {
+    backend_entry Entry;
+    Entry.Id = backend_id("e" + std::to_string(I));
+    Entry.Pool = Pool;
+    Servers.update(Entry);
+    Servers.onLoad(Entry.Id, {I == 0 ? 0U : 3U, 0, Rules.Slots, 100}, Begin);
+  }
+}
+
 struct load_host {
   backend_directory Servers;
   prompt_room Own;
@@ -61,15 +72,7 @@
 public:
   explicit prompt_load(bool Bounded) : Bounded(Bounded) {
     for (load_host &Host : Hosts)
-      for (int I = 0; I < EngineCount; ++I) {
-        backend_entry Entry;
-        Entry.Id = backend_id("e" + std::to_string(I));
-        Entry.Pool = Pool;
-        Host.Servers.update(Entry);
-        // One engine looks far better than the others to all hosts.
-        Host.Servers.onLoad(Entry.Id, {I == 0 ? 0U : 3U, 0, Rules.Slots, 100},
-                            Begin);
-      }
+      addEngines(Host.Servers);
   }
 
   void run() {
@@ -202,13 +205,7 @@
   prompt_room Book;
   for (std::size_t Host = 0; Host < HostCount; ++Host) {
     backend_directory Servers;
-    for (int I = 0; I < EngineCount; ++I) {
-      backend_entry Entry;
-      Entry.Id = backend_id("e" + std::to_string(I));
-      Entry.Pool = Pool;
-      Servers.update(Entry);
-      Servers.onLoad(Entry.Id, {I == 0 ? 0U : 3U, 0, Rules.Slots, 100}, Begin);
-    }
+    addEngines(Servers);
     placement_query Query;
     Query.LiveHosts = HostCount;
     Query.Prefix = {{1 + Host, 1'000}};
