Spread the requests that leave a zone around the gap, not above it

Requests began to leave at the difference at which all of them left before, so that zones differ by half of the range more.

Change: the range in which first a few and then all leave lies around the gap.

Measured: zone-choice-test and serving-stages-test pass unchanged.

--- a/packages/core/src/serving/zone_choice.cc
+++ b/packages/core/src/serving/zone_choice.cc
@@ -28,11 +28,14 @@
 /// However many bytes cross, a request leaves before the difference of the
 /// waits is more than this part of the time left.
 constexpr int MaxLossDivisor = 4;
-/// All leave where the difference has grown by a further tenth of the time
-/// left, which is the difference at which a zone settles that has too much.
+/// From the first to the last to leave, the difference grows by a tenth of the
+/// time left. In the middle, where a zone settles that has too much, it is what
+/// leaving costs.
 constexpr int RangeDivisor = 10;
 constexpr core_duration MinRange = milliseconds(20);
 constexpr core_duration MaxRange = milliseconds(200);
+/// Nobody leaves for less, as reports are some tens of milliseconds old.
+constexpr core_duration MinGap = milliseconds(20);
 
 struct zone_estimate {
   core_duration Wait{0};
@@ -51,7 +54,14 @@
           Blend(Report->AllWait, Unknown.AllWait)};
 }
 
-/// Difference of the waits from which a request leaves.
+/// Difference of the waits within which first a few and then all leave.
+core_duration leavingRange(const zone_query &Query) {
+  return Query.StartIn > core_duration{0}
+             ? std::clamp(Query.StartIn / RangeDivisor, MinRange, MaxRange)
+             : MaxRange;
+}
+
+/// Difference of the waits from which the first requests leave.
 core_duration leastGap(const zone_query &Query) {
   core_duration Gap = CrossZonePenalty + Crossings * transferDelay(Query.Bytes);
   if (Query.StartIn > core_duration{0})
@@ -141,11 +151,7 @@
   if (Sum == core_duration{0})
     return {Query.Near, zone_reason::Near};
   constexpr int HalfBits = 32;
-  core_duration Range =
-      Query.StartIn > core_duration{0}
-          ? std::clamp(Query.StartIn / RangeDivisor, MinRange, MaxRange)
-          : MaxRange;
-  if (scaled(Range, fraction(Query.Spread)) >= Most)
+  if (scaled(leavingRange(Query), fraction(Query.Spread)) >= Most)
     return {Query.Near, zone_reason::Kept};
   core_duration Point = scaled(Sum, fraction(Query.Spread >> HalfBits));
   std::size_t Chosen = 0;
