Keep long prompts where their parts may be cached

Change: another engine than the first in the host's order is named only if the wait there is shorter by half of the prompt's reading time.

--- a/packages/core/include/jasminecroft/core/serving/prompt_room.h
+++ b/packages/core/include/jasminecroft/core/serving/prompt_room.h
@@ -53,10 +53,10 @@
 /// Long prompts that engines read, and those that are to be sent to them.
 class prompt_room {
 public:
-  /// Books a prompt at the first engine that has room for it; if none has, at
-  /// the one that has room soonest. It is booked to begin at once if it would
-  /// be held for longer than HoldAtMost. A prompt that has an engine to itself
-  /// has room, however long it is. Offers is not empty.
+  /// Books a prompt at the engine that has room soonest; not at the first only
+  /// if that spares half of the prompt's reading time. It begins at once if it
+  /// would be held for longer than HoldAtMost. A prompt that has an engine to
+  /// itself has room, however long it is. Offers is not empty.
   prompt_grant book(const prompt_key &Key,
                     const std::vector<prompt_offer> &Offers,
                     core_duration Bound, core_duration HoldAtMost,
--- a/packages/core/src/serving/prompt_room.cc
+++ b/packages/core/src/serving/prompt_room.cc
@@ -26,6 +26,9 @@
 /// its reading time more.
 constexpr int OverdueDivisor = 2;
 constexpr std::size_t MaxBookings = 4'096;
+/// The first engine may have this part of a prompt cached, which another one
+/// would read again.
+constexpr int CachedDivisor = 2;
 
 /// Time for a token while there are too few samples: 10,000 tokens a second.
 constexpr double DefaultTokenMicros = 100;
@@ -125,11 +128,15 @@
   Bookings.erase(Key);
   const prompt_offer *Best = nullptr;
   core_duration In{0};
+  core_duration Cost{0};
   for (const prompt_offer &Offer : Offers) {
     core_duration Wait = roomIn(Offer, Bound, Now);
-    if (!Best || Wait < In) {
+    core_duration Again =
+        Best ? Offer.Reading / CachedDivisor : core_duration{0};
+    if (!Best || Wait + Again < Cost) {
       Best = &Offer;
       In = Wait;
+      Cost = Wait + Again;
     }
   }
   if (In > HoldAtMost)
