--- a/packages/core/src/serving/placement.cc
+++ b/packages/core/src/serving/placement.cc
@@ -32,10 +32,9 @@
 /// The same for each time that a slow engine takes longer than its pool.
 constexpr double SlowPenalty = 0.06;
 /// The same for long prompts being read that use the whole bound of an engine,
-/// and the most that they count: a wait as long as the bound costs less than a
-/// lost cache.
+/// and the most that they count: less than a lost cache.
 constexpr double ReadingPenalty = 0.08;
-constexpr double MaxReading = 3;
+constexpr double MaxReading = 1;
 
 double freshness(const backend_state &Server, core_time Now) {
   if (!Server.Load)
--- a/packages/core/src/serving/serving_prompts.cc
+++ b/packages/core/src/serving/serving_prompts.cc
@@ -35,6 +35,16 @@
   return Sum;
 }
 
+// Returns whether half of the prompt or more are parts that other requests have
+// too: all but the last one.
+bool isMostlyShared(const active_request &State) {
+  const std::vector<prompt_block> &Prefix = State.Request.Prefix;
+  std::uint64_t Shared = 0;
+  for (std::size_t I = 0; I + 1 < Prefix.size(); ++I)
+    Shared += Prefix[I].Tokens;
+  return 2 * Shared >= promptTokens(State.Request);
+}
+
 } // namespace
 
 const prompt_bound *
@@ -83,7 +93,8 @@
   return Result;
 }
 
-// Returns the best engine for the request and the next ones of its zone.
+// Returns the best engine for the request and the next ones of its zone. A
+// prompt that is mostly shared is read only where its parts may be cached.
 std::vector<prompt_candidate>
 serving_impl::promptCandidates(const active_request &State) {
   std::vector<prompt_candidate> Result;
@@ -97,7 +108,7 @@
       continue;
     Zone = Server->Entry.Zone;
     Result.push_back({Id, uncachedTokens(State, *Server)});
-    if (Result.size() == MaxPromptCandidates)
+    if (Result.size() == (isMostlyShared(State) ? 1 : MaxPromptCandidates))
       break;
   }
   return Result;
--- a/packages/core/src/serving/serving_queue_zones.cc
+++ b/packages/core/src/serving/serving_queue_zones.cc
@@ -11,6 +11,10 @@
 
 /// Pools with more servers than this have one queue per zone.
 constexpr std::size_t MaxServersPerQueue = 8;
+/// Work whose bytes cost more than this when they cross zones leaves its zone
+/// only in part, and later than other work. About the wait that differs between
+/// zones by chance.
+constexpr core_duration LowTransferDelay = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -18,7 +22,8 @@
 
 // Sets the zone of the queue for a stage. Small pools have one queue. Large
 // pools have one per zone, so that the load of an owner and the work affected
-// by its failure do not grow with the fleet. Emptied zones have none.
+// by its failure do not grow with the fleet. Emptied zones have none. Work of
+// few bytes always goes where the wait is shortest.
 void serving_impl::chooseQueueZone(active_request &State, std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
   zone_decision Decision;
@@ -38,14 +43,15 @@
     for (std::uint32_t Before : Plan.After)
       Query.Bytes += State.Route->Stages[Before].ResultBytes *
                      State.Request.Pieces[Before];
-    if (State.View->Competing) {
+    bool Together =
+        State.View->Competing && transferDelay(Query.Bytes) > LowTransferDelay;
+    if (Together) {
       Query.StartIn = State.GoalAt - Now - callTime(State, Stage) -
                       remainingTimeAfter(State, Stage);
       const std::string &Id = State.Request.CallerId.Value;
       Query.Spread = XXH3_64bits_withSeed(Id.data(), Id.size(), Stage);
     }
-    Decision = State.View->Competing ? chooseZoneTogether(Query)
-                                     : chooseShortestZone(Query);
+    Decision = Together ? chooseZoneTogether(Query) : chooseShortestZone(Query);
   }
   State.Stages[Stage].QueueZone = Decision.Zone;
   State.Stages[Stage].QueueReason =
--- a/packages/core/src/serving/zone_choice.cc
+++ b/packages/core/src/serving/zone_choice.cc
@@ -28,14 +28,11 @@
 /// However many bytes cross, a request leaves before the difference of the
 /// waits is more than this part of the time left.
 constexpr int MaxLossDivisor = 4;
-/// From the first to the last to leave, the difference grows by a tenth of the
-/// time left. In the middle, where a zone settles that has too much, it is what
-/// leaving costs.
+/// All leave where the difference has grown by a further tenth of the time
+/// left, which is the difference at which a zone settles that has too much.
 constexpr int RangeDivisor = 10;
 constexpr core_duration MinRange = milliseconds(20);
 constexpr core_duration MaxRange = milliseconds(200);
-/// Nobody leaves for less, as reports are some tens of milliseconds old.
-constexpr core_duration MinGap = milliseconds(20);
 
 struct zone_estimate {
   core_duration Wait{0};
