--- a/packages/core/src/serving/serving_queue_zones.cc
+++ b/packages/core/src/serving/serving_queue_zones.cc
@@ -58,13 +58,6 @@
       ServersIn.size() > 1 ? Decision.Reason : zone_reason::OnlyQueue;
 }
 
-// Returns whether the stage will be submitted only when others are done: until
-// then, the work that hosts announced for its queue gets there first.
-bool serving_impl::isLater(const active_request &State, std::size_t Stage) {
-  return State.Stages[Stage].Phase == stage_phase::Waiting &&
-         !State.Route->Stages[Stage].After.empty();
-}
-
 std::optional<queue_report>
 serving_impl::zoneReport(const active_request &State, std::size_t Stage,
                          const zone_id &Zone, std::size_t ServerCount) const {
@@ -78,10 +71,6 @@
   std::size_t Rank = urgencyRank(State.Priority);
   Report.Wait = Wait.OnTime[Rank];
   Report.AllWait = Wait.OnTime.back();
-  if (isLater(State, Stage)) {
-    Report.Wait += Wait.Planned[Rank];
-    Report.AllWait += Wait.Planned.back();
-  }
   auto Sent = SentPieces.find({Pool, Zone});
   auto Rules = State.View->Config->Pools.find(Pool);
   if (Sent == SentPieces.end() || Rules == State.View->Config->Pools.end() ||
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -161,7 +161,6 @@
   std::optional<queue_report> zoneReport(const active_request &State,
                                          std::size_t Stage, const zone_id &Zone,
                                          std::size_t ServerCount) const;
-  static bool isLater(const active_request &State, std::size_t Stage);
   void noteSent(job_state &Job, const active_request &State);
   static std::string describeQueues(const active_request &State);
   std::vector<result_handle> stageInputs(const active_request &State,
