--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -72,6 +72,11 @@
 
 private:
   using error = boost::system::error_code;
+  static constexpr std::size_t ReadBytes = 8'192;
+  static constexpr std::chrono::seconds WriteTime{20};
+  /// Text that the system has taken over and not sent yet. By itself it would
+  /// take megabytes for a caller that does not read.
+  static constexpr int UnsentSocketBytes = 32'768;
   using parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
