Log each caller's connection that closes beside a request without an answer

Change: event 218 with the cause of the close, what the connection was doing, the bytes that were read and not handled, and those that the system still held. No change of behaviour.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -38,6 +38,7 @@
   BatchEnded = 214,
   PromisedNotRun = 215,
   SlowReaderEnded = 217,
+  CallerConnectionCut = 218,
   ClaimTaken = 301,
   ClaimDuplicate = 302,
   ClaimUndecided = 303,
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -49,6 +49,48 @@
 
 } // namespace
 
+std::string_view toText(close_cause Cause) {
+  switch (Cause) {
+  case close_cause::Answered:
+    return "answered";
+  case close_cause::IdleTime:
+    return "idle_time";
+  case close_cause::HostStops:
+    return "host_stops";
+  case close_cause::CallerLeft:
+    return "caller_left";
+  case close_cause::ReadFailed:
+    return "read_failed";
+  case close_cause::WriteFailed:
+    return "write_failed";
+  case close_cause::SlowReader:
+    return "slow_reader";
+  case close_cause::AnswerBroken:
+    return "answer_broken";
+  }
+  return "unknown";
+}
+
+std::string_view caller_session::toText(phase Phase) {
+  switch (Phase) {
+  case phase::Idle:
+    return "idle";
+  case phase::Reading:
+    return "reading";
+  case phase::InProgress:
+    return "in_progress";
+  case phase::Streaming:
+    return "streaming";
+  case phase::Finishing:
+    return "finishing";
+  case phase::Lingering:
+    return "lingering";
+  case phase::Closed:
+    return "closed";
+  }
+  return "unknown";
+}
+
 caller_session::caller_session(tcp_socket Socket, caller_session_owner &Owner)
     : Socket(std::move(Socket)), Owner(Owner), Buffer(MaxUnparsedBytes) {
   error Ignored;
@@ -77,13 +119,15 @@
     refuseEarly(RequestTimeout, "request did not arrive in time");
   else if (Phase == phase::Finishing)
     endSlowReader("time");
-  else if (Phase == phase::Idle || Phase == phase::Lingering)
-    close();
+  else if (Phase == phase::Idle)
+    close(close_cause::IdleTime);
+  else if (Phase == phase::Lingering)
+    close(close_cause::Answered);
 }
 
 void caller_session::closeIfIdle() {
   if (Phase == phase::Idle && Buffer.size() == 0)
-    close();
+    close(close_cause::HostStops);
 }
 
 void caller_session::awaitRequest() {
@@ -103,10 +147,12 @@
 }
 
 void caller_session::onFirstBytes(const error &Error, std::size_t Bytes) {
+  if (Phase == phase::Closed && !Error)
+    tellCut(close_cause::IdleTime, Bytes);
   if (Phase != phase::Idle)
     return;
   if (Error) {
-    close();
+    close(close_cause::CallerLeft);
     return;
   }
   Buffer.commit(Bytes);
@@ -143,7 +189,7 @@
     if (isUnreadable(Error))
       refuseEarly(BadRequest, "request cannot be read");
     else
-      close();
+      close(close_cause::ReadFailed);
     return;
   }
   if (!hasClearFraming(Parser->get(), Parser->get().version())) {
@@ -202,7 +248,7 @@
   else if (isUnreadable(Error))
     refuseEarly(BadRequest, "body cannot be read");
   else
-    close();
+    close(close_cause::ReadFailed);
 }
 
 void caller_session::dispatch() {
@@ -254,7 +300,7 @@
     return;
   request_id Gone = *Request;
   Request.reset();
-  close();
+  close(close_cause::CallerLeft);
   Owner.onCallerDisconnected(Gone);
 }
 
@@ -268,9 +314,20 @@
   send(platform::encodeError(Status, true));
 }
 
-void caller_session::close() {
+void caller_session::tellCut(close_cause Cause, std::size_t Read) {
+  error Ignored;
+  std::size_t Unread = Socket.is_open() ? Socket.available(Ignored) : 0;
+  bool Unanswered = Phase == phase::Reading || Phase == phase::InProgress ||
+                    Phase == phase::Streaming;
+  bool Unhandled = Phase == phase::Idle && Unread > 0;
+  if (Unanswered || Unhandled || Read > 0)
+    Owner.onCut({CallerId, Cause, toText(Phase), Read, Unread});
+}
+
+void caller_session::close(close_cause Cause) {
   if (Phase == phase::Closed)
     return;
+  tellCut(Cause, 0);
   Phase = phase::Closed;
   Deadline.reset();
   Owner.memory().release(*this);
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -21,6 +21,34 @@
 
 class caller_session;
 
+/// Why a caller's connection is closed.
+enum class close_cause {
+  Answered,
+  /// No request for longer than the idle limit.
+  IdleTime,
+  HostStops,
+  CallerLeft,
+  ReadFailed,
+  WriteFailed,
+  SlowReader,
+  /// The answer's source broke off.
+  AnswerBroken
+};
+std::string_view toText(close_cause Cause);
+
+/// A connection that was closed beside a request without an answer.
+struct cut_connection {
+  /// Empty if the request's head was not handled.
+  std::string_view CallerId;
+  close_cause Cause = close_cause::Answered;
+  /// What the session was doing.
+  std::string_view Phase;
+  /// Bytes that were read and not handled.
+  std::size_t Read = 0;
+  /// Bytes that the system still holds.
+  std::size_t Unread = 0;
+};
+
 /// What a session needs of the front that owns it.
 class caller_session_owner {
 public:
@@ -37,6 +65,7 @@
   virtual void onRefusedEarly(std::string_view CallerId, unsigned Status,
                               std::string_view Why) = 0;
   virtual void onClosed(const caller_session &Session) = 0;
+  virtual void onCut(const cut_connection &Cut) = 0;
   /// An answer ends before its caller has read it.
   virtual void onSlowReader(std::string_view CallerId, std::size_t Unread,
                             std::string_view Why) = 0;
@@ -94,6 +123,8 @@
     Closed
   };
 
+  static std::string_view toText(phase Phase);
+
   void awaitRequest();
   void onFirstBytes(const error &Error, std::size_t Bytes);
   void readHeader();
@@ -112,9 +143,10 @@
   void finishAnswer(bool Close);
   void onAnswerOut();
   void linger();
-  void close();
+  void close(close_cause Cause);
+  void tellCut(close_cause Cause, std::size_t Read);
   void giveUpAnswer() override;
-  void closeUnread();
+  void closeUnread(close_cause Cause);
   void endSlowReader(std::string_view Why);
   void countUnread();
   bool willClose() const;
--- a/packages/entry/src/serving/caller_session_answers.cc
+++ b/packages/entry/src/serving/caller_session_answers.cc
@@ -75,12 +75,12 @@
 
 void caller_session::endSlowReader(std::string_view Why) {
   Owner.onSlowReader(CallerId, unreadBytes(), Why);
-  closeUnread();
+  closeUnread(close_cause::SlowReader);
 }
 
-void caller_session::closeUnread() {
+void caller_session::closeUnread(close_cause Cause) {
   std::optional<request_id> Gone = std::exchange(Request, std::nullopt);
-  close();
+  close(Cause);
   if (Gone)
     Owner.onCallerDisconnected(*Gone);
 }
@@ -92,7 +92,7 @@
   Unsent.clear();
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
     if (Self->Phase != phase::Closed)
-      Self->closeUnread();
+      Self->closeUnread(close_cause::SlowReader);
   });
 }
 
@@ -103,7 +103,7 @@
   send("0\r\n\r\n");
 }
 
-void caller_session::abortResponse() { close(); }
+void caller_session::abortResponse() { close(close_cause::AnswerBroken); }
 
 void caller_session::finishAnswer(bool Close) {
   Phase = phase::Finishing;
@@ -157,7 +157,7 @@
 void caller_session::onWritten(const error &Error) {
   Writing = {};
   if (Error) {
-    closeUnread();
+    closeUnread(close_cause::WriteFailed);
     return;
   }
   writeNext();
@@ -170,7 +170,7 @@
   if (LingerWhenWritten)
     linger();
   else if (CloseWhenWritten)
-    close();
+    close(close_cause::Answered);
   else
     awaitRequest();
 }
@@ -189,7 +189,7 @@
       Buffer.prepare(ReadBytes),
       [Self = shared_from_this()](const error &Error, std::size_t) {
         if (Error)
-          Self->close();
+          Self->close(close_cause::Answered);
         else if (Self->Phase == phase::Lingering)
           Self->linger();
       });
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -19,6 +19,7 @@
                               std::string_view Why) = 0;
   virtual void onSlowReader(std::string_view CallerId, std::size_t Unread,
                             std::string_view Why) = 0;
+  virtual void onCut(const cut_connection &Cut) = 0;
   virtual caller_bounds bounds() const = 0;
 };
 
@@ -59,6 +60,7 @@
   void onRefusedEarly(std::string_view CallerId, unsigned Status,
                       std::string_view Why) override;
   void onClosed(const caller_session &Session) override;
+  void onCut(const cut_connection &Cut) override { Listener.onCut(Cut); }
   void onSlowReader(std::string_view CallerId, std::size_t Unread,
                     std::string_view Why) override {
     Listener.onSlowReader(CallerId, Unread, Why);
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -282,6 +282,15 @@
            {"why", std::string(Why)},
            {"held", std::to_string(Held.total())}});
   }
+  void onCut(const cut_connection &Cut) override {
+    write(event_number::CallerConnectionCut, event_severity::Info,
+          "caller's connection closed beside a request without an answer",
+          {{"request", std::string(Cut.CallerId)},
+           {"cause", std::string(toText(Cut.Cause))},
+           {"phase", std::string(Cut.Phase)},
+           {"read", std::to_string(Cut.Read)},
+           {"unread", std::to_string(Cut.Unread)}});
+  }
   caller_bounds bounds() const override {
     std::shared_ptr<const route_config> Config = Core.config();
     return Config ? Config->Bounds : caller_bounds();
