Show requests that are read from a connection that closes as idle

A host is paused for longer than the rest of the idle limit, or just before a planned stop closes idle connections; a request comes meanwhile over a connection in use before. The caller gets neither an answer nor a refusal.

--- /dev/null
+++ b/packages/testing/processes/test/idle-connections-test.cc
@@ -0,0 +1,78 @@
+// Callers' connections that rest between requests, and requests that arrive
+// while the host is about to close them.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/users_fleet.h"
+
+#include <boost/json/parse.hpp>
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace jasminecroft::processes;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds Bound{5};
+constexpr milliseconds IdleLimit{2'000};
+
+void setIdleLimit(users_fleet &Fleet, unsigned Version, milliseconds Limit) {
+  Fleet.on([&] {
+    json::value Config = json::parse(usersConfig());
+    Config.as_object()["version"] = Version;
+    Config.at("limits").as_object()["idle_timeout_ms"] = Limit.count();
+    Fleet.Store->put("config", "main", Config);
+  });
+  std::string Applied = "\"version\":\"" + std::to_string(Version) + "\"";
+  REQUIRE(waitUntil(
+      [&] { return Fleet.logOf(0).find(Applied) != std::string::npos; }));
+}
+
+/// Serves one request, so that the connection is one that was in use before.
+void use(users_fleet &Fleet, const http_connection &Connection,
+         const std::string &Id) {
+  REQUIRE(Connection.send(requestText(Fleet.call("once", Id))));
+  REQUIRE(Connection.readReply(Bound).Status == 200);
+}
+
+void pause(milliseconds Time) { std::this_thread::sleep_for(Time); }
+
+} // namespace
+
+TEST_CASE("a request that arrives while its host is stalled past the idle "
+          "limit is not lost") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  setIdleLimit(Fleet, 4, IdleLimit);
+  http_connection Kept(Fleet.CallerPorts[0]);
+  use(Fleet, Kept, "first");
+  pause(IdleLimit / 2);
+  Fleet.Processes[0]->signal(SIGSTOP);
+  REQUIRE(Kept.send(requestText(Fleet.call("once", "second"))));
+  pause(IdleLimit);
+  Fleet.Processes[0]->signal(SIGCONT);
+  CHECK(Kept.readReply(Bound).Status == 200);
+  CHECK(Fleet.ranTimes("second") == 1);
+}
+
+TEST_CASE("a request that arrives while a stopping host is stalled is not "
+          "lost") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  http_connection Kept(Fleet.CallerPorts[0]);
+  use(Fleet, Kept, "first");
+  Fleet.Processes[0]->signal(SIGTERM);
+  // Idle connections are closed 2.6 s after the signal.
+  pause(milliseconds(2'300));
+  Fleet.Processes[0]->signal(SIGSTOP);
+  REQUIRE(Kept.send(requestText(Fleet.call("once", "second"))));
+  pause(milliseconds(700));
+  Fleet.Processes[0]->signal(SIGCONT);
+  CHECK(Kept.readReply(Bound).Status == 200);
+  CHECK(Fleet.ranTimes("second") == 1);
+  CHECK(Fleet.Processes[0]->waitExit(seconds(8)) == 0);
+}
