Do not close an idle connection whose request has been read

Evidence: event 218 on the code before: `idle_time`, `closed`, read 153, unread 0. Change: the end of an idle connection cancels the pending read, and the handler of the read decides: with bytes the request is handled, with bytes that wait in the system they are read, otherwise the connection closes. Why it works: the handler of a read runs once, with the bytes or with the cancellation; no close comes between.

--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -120,14 +120,24 @@
   else if (Phase == phase::Finishing)
     endSlowReader("time");
   else if (Phase == phase::Idle)
-    close(close_cause::IdleTime);
+    closeUnused(close_cause::IdleTime);
   else if (Phase == phase::Lingering)
     close(close_cause::Answered);
 }
 
 void caller_session::closeIfIdle() {
-  if (Phase == phase::Idle && Buffer.size() == 0)
-    close(close_cause::HostStops);
+  if (Phase == phase::Idle)
+    closeUnused(close_cause::HostStops);
+}
+
+// A request may have been read whose handler has not run yet, and bytes may
+// wait in the system: the handler of the read decides.
+void caller_session::closeUnused(close_cause Cause) {
+  if (ClosingUnused)
+    return;
+  ClosingUnused = Cause;
+  error Ignored;
+  Socket.cancel(Ignored);
 }
 
 void caller_session::awaitRequest() {
@@ -147,12 +157,16 @@
 }
 
 void caller_session::onFirstBytes(const error &Error, std::size_t Bytes) {
-  if (Phase == phase::Closed && !Error)
-    tellCut(close_cause::IdleTime, Bytes);
   if (Phase != phase::Idle)
     return;
+  std::optional<close_cause> Cause = std::exchange(ClosingUnused, std::nullopt);
+  error Ignored;
+  if (Error && Cause && Socket.available(Ignored) > 0) {
+    awaitRequest();
+    return;
+  }
   if (Error) {
-    close(close_cause::CallerLeft);
+    close(Cause.value_or(close_cause::CallerLeft));
     return;
   }
   Buffer.commit(Bytes);
@@ -286,6 +300,9 @@
 }
 
 void caller_session::onCallerReadable(const error &Error) {
+  // The end of an idle connection cancels the watch of the request before.
+  if (Error == asio::error::operation_aborted && Socket.is_open() && Request)
+    watchCaller();
   if (Error || !Request)
     return;
   errno = 0;
@@ -314,20 +331,20 @@
   send(platform::encodeError(Status, true));
 }
 
-void caller_session::tellCut(close_cause Cause, std::size_t Read) {
+void caller_session::tellCut(close_cause Cause) {
   error Ignored;
   std::size_t Unread = Socket.is_open() ? Socket.available(Ignored) : 0;
   bool Unanswered = Phase == phase::Reading || Phase == phase::InProgress ||
                     Phase == phase::Streaming;
   bool Unhandled = Phase == phase::Idle && Unread > 0;
-  if (Unanswered || Unhandled || Read > 0)
-    Owner.onCut({CallerId, Cause, toText(Phase), Read, Unread});
+  if (Unanswered || Unhandled)
+    Owner.onCut({CallerId, Cause, toText(Phase), Unread});
 }
 
 void caller_session::close(close_cause Cause) {
   if (Phase == phase::Closed)
     return;
-  tellCut(Cause, 0);
+  tellCut(Cause);
   Phase = phase::Closed;
   Deadline.reset();
   Owner.memory().release(*this);
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -43,9 +43,7 @@
   close_cause Cause = close_cause::Answered;
   /// What the session was doing.
   std::string_view Phase;
-  /// Bytes that were read and not handled.
-  std::size_t Read = 0;
-  /// Bytes that the system still holds.
+  /// Bytes that the system holds and the host has not read.
   std::size_t Unread = 0;
 };
 
@@ -144,7 +142,8 @@
   void onAnswerOut();
   void linger();
   void close(close_cause Cause);
-  void tellCut(close_cause Cause, std::size_t Read);
+  void closeUnused(close_cause Cause);
+  void tellCut(close_cause Cause);
   void giveUpAnswer() override;
   void closeUnread(close_cause Cause);
   void endSlowReader(std::string_view Why);
@@ -171,6 +170,8 @@
   bool CloseWhenWritten = false;
   bool LingerWhenWritten = false;
   bool CallerWatched = false;
+  /// Set while the handler of a cancelled read is due.
+  std::optional<close_cause> ClosingUnused;
   /// Text being written, and text that waits behind it.
   std::string Writing;
   std::string Unsent;
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -288,7 +288,6 @@
           {{"request", std::string(Cut.CallerId)},
            {"cause", std::string(toText(Cut.Cause))},
            {"phase", std::string(Cut.Phase)},
-           {"read", std::to_string(Cut.Read)},
            {"unread", std::to_string(Cut.Unread)}});
   }
   caller_bounds bounds() const override {
