Keep idle connections as long as a newer configuration allows

Cause: the deadline of an idle connection was computed once, from the limit in force when it began to rest.

--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -112,6 +112,8 @@
 }
 
 void caller_session::checkDeadline(clock::time_point Now) {
+  if (Phase == phase::Idle && Deadline)
+    Deadline = std::max(*Deadline, IdleSince + Owner.bounds().IdleTimeout);
   if (!Deadline || Now < *Deadline)
     return;
   Deadline.reset();
@@ -144,7 +146,8 @@
   Phase = phase::Idle;
   Request.reset();
   CallerId.clear();
-  setDeadline(Owner.bounds().IdleTimeout);
+  IdleSince = clock::now();
+  Deadline = IdleSince + Owner.bounds().IdleTimeout;
   if (Buffer.size() > 0) {
     onFirstBytes({}, 0);
     return;
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -158,7 +158,10 @@
   /// Taken before the body is read: the parser adds trailers to the headers.
   platform::http_head Head;
   phase Phase = phase::Idle;
+  /// While idle: by the longest limit that was in force since IdleSince, as the
+  /// caller may go by any of them.
   std::optional<clock::time_point> Deadline;
+  clock::time_point IdleSince;
   /// Set while the core has the request.
   std::optional<request_id> Request;
   /// Of the present request; empty until its head has arrived.
--- a/packages/testing/processes/test/idle-connections-test.cc
+++ b/packages/testing/processes/test/idle-connections-test.cc
@@ -76,3 +76,26 @@
   CHECK(Fleet.ranTimes("second") == 1);
   CHECK(Fleet.Processes[0]->waitExit(seconds(8)) == 0);
 }
+
+TEST_CASE("an idle connection lasts as long as a newer configuration allows") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  setIdleLimit(Fleet, 4, IdleLimit);
+  http_connection Kept(Fleet.CallerPorts[0]);
+  use(Fleet, Kept, "first");
+  setIdleLimit(Fleet, 5, 3 * IdleLimit);
+  pause(2 * IdleLimit);
+  use(Fleet, Kept, "second");
+}
+
+TEST_CASE("an idle connection that rested under a longer limit is not closed "
+          "early by a shorter one") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  setIdleLimit(Fleet, 4, 3 * IdleLimit);
+  http_connection Kept(Fleet.CallerPorts[0]);
+  use(Fleet, Kept, "first");
+  setIdleLimit(Fleet, 5, IdleLimit);
+  pause(2 * IdleLimit);
+  use(Fleet, Kept, "second");
+}
