Count a connection's rest from when its caller has the answer

Cause: the idle limit counted from when the answer was handed to the system. On a full link the caller has it seconds later, and may by the same limit use the connection that much longer.

--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -6,7 +6,9 @@
 
 #include <boost/beast/http/read.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace jasminecroft::detail {
@@ -47,6 +49,12 @@
          Error != http::error::partial_message;
 }
 
+/// Whether the peer has not acknowledged all that was sent to it.
+bool isUnacknowledged(int Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 } // namespace
 
 std::string_view toText(close_cause Cause) {
@@ -112,8 +120,13 @@
 }
 
 void caller_session::checkDeadline(clock::time_point Now) {
-  if (Phase == phase::Idle && Deadline)
+  if (Phase == phase::Idle && Deadline) {
+    if (AnswerOnItsWay) {
+      AnswerOnItsWay = isUnacknowledged(Socket.native_handle());
+      IdleSince = Now;
+    }
     Deadline = std::max(*Deadline, IdleSince + Owner.bounds().IdleTimeout);
+  }
   if (!Deadline || Now < *Deadline)
     return;
   Deadline.reset();
@@ -147,6 +160,7 @@
   Request.reset();
   CallerId.clear();
   IdleSince = clock::now();
+  AnswerOnItsWay = true;
   Deadline = IdleSince + Owner.bounds().IdleTimeout;
   if (Buffer.size() > 0) {
     onFirstBytes({}, 0);
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -162,6 +162,9 @@
   /// caller may go by any of them.
   std::optional<clock::time_point> Deadline;
   clock::time_point IdleSince;
+  /// The caller may not have the last answer yet, so that for it the connection
+  /// does not rest.
+  bool AnswerOnItsWay = false;
   /// Set while the core has the request.
   std::optional<request_id> Request;
   /// Of the present request; empty until its head has arrived.
--- a/packages/testing/processes/test/idle-connections-test.cc
+++ b/packages/testing/processes/test/idle-connections-test.cc
@@ -2,6 +2,7 @@
 // while the host is about to close them.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/raw_server.h"
 #include "jasminecroft/processes/users_fleet.h"
 
 #include <boost/json/parse.hpp>
@@ -99,3 +100,30 @@
   pause(2 * IdleLimit);
   use(Fleet, Kept, "second");
 }
+
+TEST_CASE("a connection does not rest while its caller still reads the "
+          "answer") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  setIdleLimit(Fleet, 4, IdleLimit);
+  constexpr std::size_t BodyBytes = 30'000;
+  raw_server Server([](const raw_request &Request, int,
+                       const raw_server::writer &Write) {
+    Write("HTTP/1.1 200 OK\r\n" + signature(Request.Id) + "Content-Length: " +
+          std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x'));
+  });
+  Fleet.on([&] {
+    Fleet.listAt("plain", "plain-raw", Server.port());
+    for (const char *Old : {"plain-0", "plain-1"})
+      Fleet.Store->remove("servers", Old);
+  });
+  pause(milliseconds(1'500));
+  constexpr int LittleRoom = 4'096;
+  http_connection Kept(Fleet.CallerPorts[0], LittleRoom);
+  REQUIRE(Kept.send(requestText(Fleet.call("once", "first"))));
+  pause(IdleLimit + milliseconds(1'000));
+  REQUIRE(Kept.readReply(Bound).Body.size() == BodyBytes);
+  pause(IdleLimit / 2);
+  REQUIRE(Kept.send(requestText(Fleet.call("once", "second"))));
+  CHECK(Kept.readReply(Bound).Status == 200);
+}
