Give versions of stored objects the era of their store

The type that orders them carries the era: a later era is newer whatever the numbers. Messages between hosts carry both. No reader sets an era yet; no change of behaviour. Hosts of the earlier version refuse heartbeats, store_poll, store_news and zone_orders (801) while a fleet changes to this version.

--- a/packages/core/include/jasminecroft/core/types.h
+++ b/packages/core/include/jasminecroft/core/types.h
@@ -58,8 +58,23 @@
 using incarnation = strong_number<struct incarnation_tag>;
 /// Version of the fleet configuration; grows by one with each change.
 using config_version = strong_number<struct config_version_tag>;
-/// Version that the platform assigns to a stored object.
-using object_version = strong_number<struct object_version_tag>;
+/// Counts how often the platform's store came back from an older copy; zero if
+/// it does not say.
+using store_era = strong_number<struct store_era_tag>;
+/// Version that the platform assigns to a stored object. A store that comes
+/// back from a copy gives numbers out again, so that any version of a later era
+/// is the newer one.
+struct object_version {
+  store_era Era;
+  std::uint64_t Value = 0;
+
+  object_version() = default;
+  constexpr explicit object_version(std::uint64_t Number) : Value(Number) {}
+  constexpr object_version(store_era Era, std::uint64_t Number)
+      : Era(Era), Value(Number) {}
+  object_version next() const { return {Era, Value + 1}; }
+  std::strong_ordering operator<=>(const object_version &) const = default;
+};
 /// XXH3 hash of a request's pipeline, workspace and body.
 using fingerprint = strong_number<struct fingerprint_tag>;
 
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -100,15 +100,24 @@
   Reader.id("queue_zone", Job.QueueZone);
 }
 
+cbor_value writeVersion(const object_version &Version) {
+  return writeRecord(Version.Era.Value, Version.Value);
+}
+
+void readVersion(field_reader &Reader, object_version &Version) {
+  Reader.version("era", Version.Era);
+  Version.Value = Reader.number("number");
+}
+
 cbor_value writeNews(const backend_news &Entry) {
-  return writeRecord(Entry.Id.Value, Entry.Revision.Value, Entry.Listed,
+  return writeRecord(Entry.Id.Value, writeVersion(Entry.Revision), Entry.Listed,
                      Entry.Pool.Value, Entry.Address.Value, Entry.Zone.Value,
                      Entry.Draining, Entry.Run.Value, Entry.ColdLeft.count());
 }
 
 void readNews(field_reader &Reader, backend_news &Entry) {
   Reader.id("id", Entry.Id);
-  Reader.version("revision", Entry.Revision);
+  Reader.record("revision", Entry.Revision, readVersion);
   Entry.Listed = Reader.flag("listed");
   Reader.id("pool", Entry.Pool);
   Reader.id("address", Entry.Address);
@@ -142,12 +151,13 @@
 }
 
 cbor_value writeOrder(const zone_order &Order) {
-  return writeRecord(Order.Zone.Value, Order.Revision.Value, Order.Emptied);
+  return writeRecord(Order.Zone.Value, writeVersion(Order.Revision),
+                     Order.Emptied);
 }
 
 void readOrder(field_reader &Reader, zone_order &Order) {
   Reader.id("zone", Order.Zone);
-  Reader.version("revision", Order.Revision);
+  Reader.record("revision", Order.Revision, readVersion);
   Order.Emptied = Reader.flag("emptied");
 }
 
@@ -205,7 +215,7 @@
 
 cbor_value writeBody(const host_heartbeat &Body) {
   return writeRecord(writeHost(Body.Self), Body.WantsReply, Body.Leaving,
-                     Body.Config.Value, Body.Backends.Value,
+                     Body.Config.Value, writeVersion(Body.Backends),
                      writeList(Body.Others, writeHost));
 }
 void readBody(field_reader &Reader, host_heartbeat &Body) {
@@ -213,7 +223,7 @@
   Body.WantsReply = Reader.flag("wants_reply");
   Body.Leaving = Reader.flag("leaving");
   Reader.version("config", Body.Config);
-  Reader.version("backends", Body.Backends);
+  Reader.record("backends", Body.Backends, readVersion);
   Reader.list("others", Body.Others, MaxHosts, readHost);
 }
 
@@ -233,24 +243,24 @@
 }
 
 cbor_value writeBody(const store_poll &Body) {
-  return writeRecord(Body.Config.Value, Body.Backends.Value);
+  return writeRecord(Body.Config.Value, writeVersion(Body.Backends));
 }
 void readBody(field_reader &Reader, store_poll &Body) {
   Reader.version("config", Body.Config);
-  Reader.version("backends", Body.Backends);
+  Reader.record("backends", Body.Backends, readVersion);
 }
 
 cbor_value writeBody(const store_news &Body) {
   return writeRecord(Body.Current, Body.Config.Value, Body.Complete,
-                     Body.From.Value, Body.To.Value,
+                     writeVersion(Body.From), writeVersion(Body.To),
                      writeList(Body.Backends, writeNews));
 }
 void readBody(field_reader &Reader, store_news &Body) {
   Body.Current = Reader.flag("current");
   Reader.version("config", Body.Config);
   Body.Complete = Reader.flag("complete");
-  Reader.version("from", Body.From);
-  Reader.version("to", Body.To);
+  Reader.record("from", Body.From, readVersion);
+  Reader.record("to", Body.To, readVersion);
   Reader.list("backends", Body.Backends, MaxBackends, readNews);
 }
 
