Soak idle limits that change, and judge requests that run without an answer

Change: versions of the configuration set idle limits of 0.6, 15 and 1.5 s in turn, below the pauses of hosts; a request that ran and whose connection was closed without a byte, while its host's process lived, is a broken promise.

--- a/packages/testing/processes/include/jasminecroft/processes/soak_caller.h
+++ b/packages/testing/processes/include/jasminecroft/processes/soak_caller.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace jasminecroft::processes {
@@ -18,8 +19,9 @@
 public:
   explicit soak_caller(std::chrono::seconds Bound) : Bound(Bound) {}
 
-  /// Status 0: no answer within the bound, or it has left.
-  http_reply send(const http_call &Call, std::mt19937_64 &Random);
+  /// Status 0: no answer within the bound. Absent: the caller left.
+  std::optional<http_reply> send(const http_call &Call,
+                                 std::mt19937_64 &Random);
 
 private:
   std::chrono::seconds Bound;
--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -58,6 +58,8 @@
   std::string Id;
   soak_kind Kind = soak_kind::Read;
   http_reply Reply;
+  /// The host closed the connection without an answer, and its process lived.
+  bool Cut = false;
 };
 
 class soak {
@@ -330,7 +332,8 @@
   }
 
   soak_answer ask(const std::string &Id, soak_kind Kind, std::size_t Host) {
-    return {Id, Kind, processes::exchange(callOf(Id, Kind, Host), Bound)};
+    return {Id, Kind, processes::exchange(callOf(Id, Kind, Host), Bound),
+            false};
   }
 
   void callUntilStopped(std::size_t Caller) {
@@ -343,7 +346,13 @@
         probeVersion("p" + Id, Own() % Options.Hosts, Own);
       soak_kind Kind = static_cast<soak_kind>(Own() % Kinds);
       std::size_t Host = Own() % Options.Hosts;
-      soak_answer Answer{Id, Kind, Sender.send(callOf(Id, Kind, Host), Own)};
+      std::uint64_t Run = Runs[Host];
+      steady::time_point Sent = steady::now();
+      std::optional<http_reply> Reply =
+          Sender.send(callOf(Id, Kind, Host), Own);
+      bool Early = steady::now() - Sent < Bound - std::chrono::seconds(1);
+      soak_answer Answer{Id, Kind, Reply.value_or(http_reply())};
+      Answer.Cut = Reply && Reply->Head.empty() && Early && Runs[Host] == Run;
       {
         std::lock_guard<std::mutex> Lock(AnswersMutex);
         Answers.push_back(std::move(Answer));
@@ -381,6 +390,8 @@
       Report.Served += Status == StatusOk ? 1 : 0;
       Report.Refused += guaranteesNotRun(Status) ? 1 : 0;
       Report.Unanswered += Status == 0 ? 1 : 0;
+      if (Answer.Cut && Times > 0)
+        broken(Answer.Id + " ran and got no answer" + linesAbout(Answer.Id));
       if (!mayRepeat(Answer.Kind)) {
         ++Report.AtMostOnce;
         if (Times > 1) {
--- a/packages/testing/processes/src/soak_caller.cc
+++ b/packages/testing/processes/src/soak_caller.cc
@@ -33,7 +33,8 @@
 
 } // namespace
 
-http_reply soak_caller::send(const http_call &Call, std::mt19937_64 &Random) {
+std::optional<http_reply> soak_caller::send(const http_call &Call,
+                                            std::mt19937_64 &Random) {
   std::string Text =
       Random() % ChunkedShare == 0 ? chunkedText(Call) : requestText(Call);
   if (Random() % LeavingShare == 0) {
@@ -41,12 +42,12 @@
     if (Leaving.connected() && Leaving.send(Text))
       std::this_thread::sleep_for(
           std::chrono::milliseconds(Random() % LongestStayMs));
-    return {};
+    return std::nullopt;
   }
   if (Random() % LateReaderShare == 0) {
     http_connection Late(Call.Port, LateReceiveBytes);
     if (!Late.connected() || !Late.send(Text))
-      return {};
+      return http_reply();
     std::this_thread::sleep_for(
         std::chrono::milliseconds(Random() % LongestUnreadMs));
     return Late.readReply(Bound);
--- a/packages/testing/processes/src/soak_changes.cc
+++ b/packages/testing/processes/src/soak_changes.cc
@@ -4,6 +4,7 @@
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace jasminecroft::processes {
@@ -20,6 +21,9 @@
 /// The plain pool that a split sends a share of the requests to.
 const std::string NextPool = "next";
 const std::vector<std::string> Pools = {"plain", NextPool, "engine", "stage"};
+/// Idle limits of the versions, in turn; the shortest is below the pauses of
+/// hosts.
+constexpr std::array<int, 3> IdleLimitsMs = {600, 15'000, 1'500};
 
 } // namespace
 
@@ -132,6 +136,8 @@
   json::value Config = json::parse(usersConfig());
   std::uint64_t Newest = Version + 1;
   Config.as_object()["version"] = Newest;
+  Config.at("limits").as_object()["idle_timeout_ms"] =
+      IdleLimitsMs[Newest % IdleLimitsMs.size()];
   json::array &Routes = Config.at("routes").as_array();
   json::value Task = Routes[1];
   Task.as_object()["name"] = "task";
