Read large configurations from the store, at a pace that leaves links free

Cause: three watchers of a zone hand each version on to its 27 hosts. 450 KB for nine followers take 3 s of a link of 10 Mbit/s; answers, connections and heartbeats wait behind them. The hosts that wrote nothing for seconds used 0.01 of their 0.12 cores: it was their links. Change: hosts read configurations above 32 KB from the store themselves; a peer hands one on only to a host that asks twice with the same version (the store does not answer it) or that has none. After a large answer a watch waits until half of such a link would have been free, 1 s at most.

--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -18,6 +18,10 @@
 /// A gap between two wake-ups after which what was read may be out of date:
 /// the process was paused. Wake-ups are at most a gossip interval apart.
 constexpr core_duration StallTime = seconds(2);
+/// Watchers hand on configurations up to this size: sent to a zone's followers,
+/// larger ones would fill the link of a watcher for longer than their requests
+/// can wait.
+constexpr std::size_t MaxHandedOnBytes = 32'768;
 
 } // namespace
 
@@ -116,7 +120,7 @@
   if (!Body.Current)
     return;
   if (Body.Config > Gossip.progress().Config)
-    sendToHost(Sender.Host, operator_config_pull{Gossip.progress().Config});
+    fetchConfig(Sender.Host, Body.Config);
   if (Body.To <= Gossip.backendsReadTo())
     return;
   if (!Body.Complete && Body.From > Gossip.backendsReadTo()) {
@@ -127,6 +131,21 @@
   applyNews(Body);
 }
 
+bool serving_impl::readsConfigFromStore() const {
+  return ConfigText.size() > MaxHandedOnBytes;
+}
+
+void serving_impl::fetchConfig(const entry_host_id &From,
+                               config_version Version) {
+  if (!readsConfigFromStore()) {
+    sendToHost(From, operator_config_pull{Gossip.progress().Config});
+    return;
+  }
+  Actions.resyncStore(store_kind::Config);
+  // Asks From if the store does not answer in time.
+  Gossip.onPeerMessage(From, {Version, object_version()}, Now);
+}
+
 void serving_impl::applyNews(const store_news &News) {
   object_version Known = Gossip.backendsReadTo();
   object_version Newest;
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -176,11 +176,22 @@
     sendToHost(Sender.Host, makeHeartbeat(false));
 }
 
+// A large configuration goes only to hosts that did not get on by themselves:
+// they ask again with the same version.
 void serving_impl::on(const host_run &Sender,
                       const operator_config_pull &Body) {
-  if (View && View->Config->Version > Body.Have)
-    sendToHost(Sender.Host,
-               operator_config_push{View->Config->Version, ConfigText});
+  if (!View || View->Config->Version <= Body.Have)
+    return;
+  if (readsConfigFromStore() && Body.Have != config_version()) {
+    auto Asked = ConfigAskedWith.find(Sender.Host);
+    if (Asked == ConfigAskedWith.end() || Asked->second != Body.Have) {
+      ConfigAskedWith[Sender.Host] = Body.Have;
+      return;
+    }
+    ConfigAskedWith.erase(Asked);
+  }
+  sendToHost(Sender.Host,
+             operator_config_push{View->Config->Version, ConfigText});
 }
 
 void serving_impl::on(const host_run &, const operator_config_push &Body) {
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -103,6 +103,9 @@
   serving_actions &Actions;
   std::shared_ptr<const config_view> View;
   std::string ConfigText;
+  /// Versions that hosts had when they asked for a large configuration and were
+  /// left to read it from the store.
+  std::map<entry_host_id, config_version> ConfigAskedWith;
   backend_directory Servers;
   fleet_hosts Hosts;
   emptied_zones Emptied;
@@ -369,6 +372,8 @@
   void setCurrent(store_kind Kind, bool Current);
   void resyncAll();
   void pushNews();
+  bool readsConfigFromStore() const;
+  void fetchConfig(const entry_host_id &From, config_version Version);
   bool storeCurrent() const;
   store_news newsSince(object_version Since) const;
   void applyNews(const store_news &News);
--- a/packages/core/test/store-news-test.cc
+++ b/packages/core/test/store-news-test.cc
@@ -215,3 +215,54 @@
                     }));
   CHECK(Fixture.Actions.Resync == std::vector<store_kind>{store_kind::Config});
 }
+
+namespace {
+
+constexpr std::size_t LargeConfigBytes = 450'000;
+
+std::size_t pushes(const serving_fixture &Fixture) {
+  return static_cast<std::size_t>(std::count_if(
+      Fixture.Actions.Sent.begin(), Fixture.Actions.Sent.end(),
+      [](const std::pair<entry_host_id, peer_body> &Message) {
+        return std::holds_alternative<operator_config_push>(Message.second);
+      }));
+}
+
+} // namespace
+
+TEST_CASE("a follower reads a large configuration from the store") {
+  serving_fixture Fixture;
+  Fixture.Core.onConfig(Fixture.config(3), std::string(LargeConfigBytes, ' '),
+                        Fixture.Now);
+  Fixture.Core.onHost(host(1), Fixture.Now);
+  store_news News;
+  News.Current = true;
+  News.Config = config_version(4);
+  Fixture.Core.onPeer({host(1).Host, incarnation(1)}, News, Fixture.Now);
+  CHECK(Fixture.Actions.Resync == std::vector<store_kind>{store_kind::Config});
+  CHECK(std::none_of(Fixture.Actions.Sent.begin(), Fixture.Actions.Sent.end(),
+                     [](const std::pair<entry_host_id, peer_body> &Message) {
+                       return std::holds_alternative<operator_config_pull>(
+                           Message.second);
+                     }));
+}
+
+TEST_CASE("a large configuration goes to hosts that do not get on without it") {
+  serving_fixture Fixture;
+  Fixture.Core.onConfig(Fixture.config(3), std::string(LargeConfigBytes, ' '),
+                        Fixture.Now);
+  Fixture.Core.onHost(host(1), Fixture.Now);
+  host_run Asking{host(1).Host, incarnation(1)};
+  Fixture.Core.onPeer(Asking, operator_config_pull{config_version(1)},
+                      Fixture.Now);
+  CHECK(pushes(Fixture) == 0);
+  Fixture.Core.onPeer(Asking, operator_config_pull{config_version(2)},
+                      Fixture.Now);
+  CHECK(pushes(Fixture) == 0);
+  Fixture.Core.onPeer(Asking, operator_config_pull{config_version(2)},
+                      Fixture.Now);
+  CHECK(pushes(Fixture) == 1);
+  // A host without any configuration cannot wait.
+  Fixture.Core.onPeer(Asking, operator_config_pull{}, Fixture.Now);
+  CHECK(pushes(Fixture) == 2);
+}
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -21,6 +21,10 @@
 constexpr milliseconds LongestPause{1'500};
 /// A watch that waits for another one to reach the store tries by itself then.
 constexpr milliseconds OwnTryTime{2'000};
+/// Bytes a second that a watch reads in the mean: half of the narrowest link,
+/// of 10 Mbit/s.
+constexpr std::size_t ReadBytesPerSecond = 625'000;
+constexpr milliseconds LongestReadPause{1'000};
 /// Pauses vary by this part up and down.
 constexpr double PauseSpread = 0.3;
 constexpr unsigned StatusOk = 200;
@@ -124,10 +128,26 @@
 }
 
 void store_watch::check() {
+  CheckAgain |= OnDemand && Checking;
   if (Stopped || Checking)
     return;
   Checking = true;
-  call();
+  clock::time_point Now = clock::now();
+  if (Calls.empty() && Now < NextReadAt)
+    callAfter(std::chrono::ceil<milliseconds>(NextReadAt - Now));
+  else
+    call();
+}
+
+// Returns the pause before the next call: the time for changes to gather, or
+// more after a large answer.
+milliseconds store_watch::pauseAfter(std::size_t Bytes) {
+  constexpr std::size_t MsPerSecond = 1'000;
+  milliseconds Rest(
+      static_cast<std::int64_t>(Bytes * MsPerSecond / ReadBytesPerSecond));
+  Rest = std::min(Rest, LongestReadPause);
+  NextReadAt = clock::now() + Rest;
+  return std::max(Rest, Rules.Gathering);
 }
 
 void store_watch::setOnDemand(bool Wanted) {
@@ -263,7 +283,7 @@
   std::vector<platform::store_object> Objects = std::exchange(Pages, {});
   Listing = false;
   Listener.onObjects(Kind, Objects, Since);
-  callAfter(Rules.Gathering);
+  callAfter(pauseAfter(Body.size()));
 }
 
 void store_watch::onEvents(const std::string &Body) {
@@ -289,8 +309,10 @@
     else
       call();
   } else {
-    callAfter(Rules.Gathering);
+    callAfter(pauseAfter(Body.size()));
   }
+  if (std::exchange(CheckAgain, false))
+    check();
 }
 
 void store_watch::onCallFailed(std::uint64_t Id, std::string_view Why) {
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -157,6 +157,7 @@
   void call();
   void callAfter(std::chrono::milliseconds Time);
   void onTimer();
+  std::chrono::milliseconds pauseAfter(std::size_t Bytes);
   void onAnswer(std::uint64_t Id, unsigned Status, const std::string &Body);
   void onCallFailed(std::uint64_t Id, std::string_view Why);
   void onListed(const std::string &Body);
@@ -186,6 +187,10 @@
   bool Lost = false;
   bool Close = false;
   bool OnDemand = false;
+  /// check() was called while a check was under way, whose answer may be older.
+  bool CheckAgain = false;
+  /// Not before: reads leave a part of the link to requests.
+  clock::time_point NextReadAt;
   store_call_counts Counts;
   /// Objects of the pages read so far.
   std::vector<platform::store_object> Pages;
--- a/packages/entry/test/store-watch-test.cc
+++ b/packages/entry/test/store-watch-test.cc
@@ -337,3 +337,29 @@
   CHECK(Test.Heard.Lost == 0);
   CHECK(Test.target().find("watch=8") != std::string::npos);
 }
+
+TEST_CASE("a large answer leaves the link to requests before the next read") {
+  watch_test Test;
+  std::string Large =
+      R"({"entries":[{"meta":{"name":"a","revision":3},"spec":{"s":")" +
+      std::string(500'000, 'x') + R"("}}],"has_more":false,"current_rev":5})";
+  Test.answer(200, Large.c_str());
+  std::size_t Calls = Test.Client.Requests.size();
+  CHECK(Calls == 1);
+  Test.Watch->check();
+  CHECK(Test.Client.Requests.size() == Calls);
+  Test.runFor(std::chrono::milliseconds(600));
+  CHECK(Test.Client.Requests.size() == Calls + 1);
+}
+
+TEST_CASE("a check that is asked for during another one is made after it") {
+  watch_test Test;
+  Test.answer(200, OneObject);
+  Test.Watch->setOnDemand(true);
+  Test.Watch->check();
+  std::size_t Calls = Test.Client.Requests.size();
+  Test.Watch->check();
+  CHECK(Test.Client.Requests.size() == Calls);
+  Test.answer(200, R"({"events":[],"current_rev":6})");
+  CHECK(Test.Client.Requests.size() == Calls + 1);
+}
