Remove a leaving host from the store's list until the store has done so

A host that left could stay on the list of entry hosts: its removal was taken as done at the first answer, also at 429, 503 or none, and a creation whose answer was lost could run after the removal. Peers then counted it until they missed its heartbeats. Cause: one removal, whatever its answer. Class: a call is taken as final although the store may not have run it, or may run an earlier one later. Change: removals that are refused or unanswered are tried again, and while a creation without an answer may still run (10 s), the removal is repeated every 2 s. The stop waits for none of this; stop() ends it.

--- a/packages/entry/src/serving/host_registration.cc
+++ b/packages/entry/src/serving/host_registration.cc
@@ -7,7 +7,13 @@
 
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusTooMany = 429;
 constexpr unsigned FirstErrorStatus = 300;
+constexpr unsigned FirstServerErrorStatus = 500;
+/// A call without an answer may run this much later.
+constexpr std::chrono::seconds LateRunTime{10};
+/// Pause between removals while a creation may still run.
+constexpr std::chrono::milliseconds RemoveAgainPause{2'000};
 
 } // namespace
 
@@ -22,7 +28,7 @@
   }
   void onFailed(exchange_failure Failure) override {
     if (std::shared_ptr<host_registration> Target = Owner.lock())
-      Target->onFailed(std::string(toText(Failure)));
+      Target->onFailed(Failure);
   }
 
 private:
@@ -47,13 +53,24 @@
 
 void host_registration::leave(std::function<void()> Done) {
   Left = std::move(Done);
-  Timer.cancel();
-  if (Call)
-    Call->cancel();
+  abandonCall();
   Step = step::Remove;
   perform();
 }
 
+void host_registration::abandonCall() {
+  Timer.cancel();
+  if (!Call)
+    return;
+  std::exchange(Call, nullptr)->cancel();
+  onNoAnswer();
+}
+
+void host_registration::onNoAnswer() {
+  if (Step == step::Create)
+    MayBeCreatedUntil = clock::now() + LateRunTime;
+}
+
 void host_registration::perform() {
   if (Stopped || Step == step::Registered)
     return;
@@ -81,7 +98,7 @@
   case step::Registered:
     return;
   }
-  CalledAt = std::chrono::steady_clock::now();
+  CalledAt = clock::now();
   CallLimit = Request.Timeout;
   ++Calls;
   Call = Client.start(std::move(Request),
@@ -89,11 +106,11 @@
 }
 
 void host_registration::onAnswer(unsigned Status, const std::string &Body) {
+  Call.reset();
   if (Stopped)
     return;
   if (Step == step::Remove) {
-    if (Left)
-      std::exchange(Left, {})();
+    onRemoveAnswer(Status);
     return;
   }
   if (Status < FirstErrorStatus) {
@@ -116,24 +133,41 @@
   retryLater("status " + std::to_string(Status));
 }
 
-void host_registration::onFailed(std::string Why) {
-  if (Step == step::Remove) {
-    if (Left)
-      std::exchange(Left, {})();
+void host_registration::onRemoveAnswer(unsigned Status) {
+  if (Left)
+    std::exchange(Left, {})();
+  if (Status == StatusTooMany || Status >= FirstServerErrorStatus)
+    retryLater("status " + std::to_string(Status));
+  else if (CalledAt < MayBeCreatedUntil)
+    performAfter(RemoveAgainPause);
+}
+
+void host_registration::onFailed(exchange_failure Failure) {
+  Call.reset();
+  if (Stopped)
     return;
-  }
-  retryLater(std::move(Why));
+  if (Failure != exchange_failure::NotConnected)
+    onNoAnswer();
+  if (Step == step::Remove && Left)
+    std::exchange(Left, {})();
+  retryLater(std::string(toText(Failure)));
 }
 
 void host_registration::retryLater(std::string Why) {
   using std::chrono::milliseconds;
-  Listener.onCallFailed({platform::EntryHostKind,
-                         Step == step::Create ? "create" : "replace",
-                         std::chrono::duration_cast<milliseconds>(CallLimit),
-                         std::chrono::duration_cast<milliseconds>(
-                             std::chrono::steady_clock::now() - CalledAt),
-                         std::move(Why)});
-  Timer.expires_after(Pause.next());
+  std::string_view Name = Step == step::Create    ? "create"
+                          : Step == step::Replace ? "replace"
+                                                  : "remove";
+  Listener.onCallFailed(
+      {platform::EntryHostKind, Name,
+       std::chrono::duration_cast<milliseconds>(CallLimit),
+       std::chrono::duration_cast<milliseconds>(clock::now() - CalledAt),
+       std::move(Why)});
+  performAfter(Pause.next());
+}
+
+void host_registration::performAfter(std::chrono::milliseconds Time) {
+  Timer.expires_after(Time);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         if (!Error)
--- a/packages/entry/src/serving/host_registration.h
+++ b/packages/entry/src/serving/host_registration.h
@@ -20,7 +20,8 @@
                     endpoint Store, batching_host Self, incarnation Run,
                     store_watch_listener &Listener);
   void start();
-  /// Removes the object; Done is called when that has succeeded or failed.
+  /// Removes the object; Done is called when the first try has succeeded or
+  /// failed. Tries go on until stop().
   void leave(std::function<void()> Done);
   void stop();
   /// Calls since the start.
@@ -28,11 +29,17 @@
 
 private:
   class answer;
+  using clock = std::chrono::steady_clock;
   enum class step { Create, Replace, Registered, Remove };
 
   void perform();
+  void performAfter(std::chrono::milliseconds Time);
+  /// Ends the call in progress without its answer.
+  void abandonCall();
   void onAnswer(unsigned Status, const std::string &Body);
-  void onFailed(std::string Why);
+  void onRemoveAnswer(unsigned Status);
+  void onFailed(exchange_failure Failure);
+  void onNoAnswer();
   void retryLater(std::string Why);
 
   http_client &Client;
@@ -42,12 +49,14 @@
   store_watch_listener &Listener;
   io_timer Timer;
   retry_pause Pause;
-  std::chrono::steady_clock::time_point CalledAt;
+  clock::time_point CalledAt;
   std::chrono::microseconds CallLimit{0};
   std::shared_ptr<http_exchange> Call;
   step Step = step::Create;
   /// Revision of the earlier run's object that is replaced.
   std::optional<object_version> Found;
+  /// A creation without an answer may run until then.
+  clock::time_point MayBeCreatedUntil;
   std::function<void()> Left;
   bool Stopped = false;
   std::uint64_t Calls = 0;
--- /dev/null
+++ b/packages/entry/test/host-registration-test.cc
@@ -0,0 +1,146 @@
+// Registration of a host in the platform's store, over a client that tests
+// control.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "../src/serving/host_registration.h"
+
+#include <doctest/doctest.h>
+
+using namespace jasminecroft;
+using namespace jasminecroft::detail;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Keeps requests; a test answers them.
+class held_client final : public http_client {
+public:
+  class call final : public http_exchange {
+  public:
+    explicit call(int &Cancelled) : Cancelled(Cancelled) {}
+    void cancel() override { ++Cancelled; }
+
+  private:
+    int &Cancelled;
+  };
+  std::shared_ptr<http_exchange>
+  start(exchange_request Request,
+        std::shared_ptr<exchange_listener> Listener) override {
+    Requests.push_back(std::move(Request));
+    Listeners.push_back(std::move(Listener));
+    return std::make_shared<call>(Cancelled);
+  }
+  void closeIdle() override {}
+  connection_counters counters() const override { return {}; }
+
+  int Cancelled = 0;
+  std::vector<exchange_request> Requests;
+  std::vector<std::shared_ptr<exchange_listener>> Listeners;
+};
+
+class failed_calls final : public store_watch_listener {
+public:
+  void onObjects(std::string_view, const std::vector<platform::store_object> &,
+                 object_version) override {}
+  void onChange(std::string_view, const platform::store_object &) override {}
+  void onUnreadable(std::string_view,
+                    const platform::unreadable_object &) override {}
+  void onReadTo(std::string_view, object_version) override {}
+  void onStoreLost(std::string_view, std::string_view) override {}
+  void onStoreBack(std::string_view) override {}
+  void onCallBegun(const store_call_report &) override {}
+  void onCallFailed(const store_call_report &Call) override {
+    Failed.push_back(Call);
+  }
+
+  std::vector<store_call_report> Failed;
+};
+
+batching_host thisHost() {
+  return {entry_host_id("h1"), zone_id("z1"), endpoint("10.0.0.2:7"), 2'000};
+}
+
+class registration_test {
+public:
+  explicit registration_test(std::uint64_t Run = 7)
+      : Run(Run), Registration(std::make_shared<host_registration>(
+                      Context, Client, endpoint("10.0.0.1:1"), thisHost(),
+                      incarnation(Run), Heard)) {}
+
+  void answer(unsigned Status, const std::string &Body = "") {
+    Client.Listeners.back()->onComplete(Status, Body);
+  }
+  void fail() { Client.Listeners.back()->onFailed(exchange_failure::TimedOut); }
+  void runFor(milliseconds Time) {
+    Context.restart();
+    Context.run_for(Time);
+  }
+  std::size_t calls() const { return Client.Requests.size(); }
+  exchange_method method() const { return Client.Requests.back().Method; }
+  const std::string &body() const { return Client.Requests.back().Body; }
+  /// What the store holds of this host, written by the given run.
+  static std::string object(std::uint64_t Writer, std::uint64_t Revision) {
+    return platform::encodeObject(
+        "h1", platform::encodeEntryHost(thisHost(), incarnation(Writer)),
+        object_version(Revision));
+  }
+
+  std::uint64_t Run;
+  boost::asio::io_context Context;
+  held_client Client;
+  failed_calls Heard;
+  std::shared_ptr<host_registration> Registration;
+};
+
+/// Longer than each pause between two calls.
+constexpr milliseconds LongestWait{2'200};
+
+} // namespace
+
+TEST_CASE("a refused removal does not leave an ended host on the list") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  Test.Registration->leave([] {});
+  Test.answer(503);
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 3);
+  CHECK(Test.method() == exchange_method::Delete);
+  Test.fail();
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 4);
+  CHECK(Test.method() == exchange_method::Delete);
+  Test.answer(200);
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 4);
+}
+
+TEST_CASE("a creation that runs after the removal does not list a host that "
+          "has left") {
+  registration_test Test;
+  Test.Registration->start();
+  SUBCASE("it had no answer in time") { Test.fail(); }
+  SUBCASE("it was not waited for") {}
+  Test.Registration->leave([] {});
+  Test.answer(404);
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() > 2);
+  CHECK(Test.method() == exchange_method::Delete);
+  Test.answer(200);
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() > 3);
+  CHECK(Test.method() == exchange_method::Delete);
+}
+
+TEST_CASE("a stop does not wait for a removal") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  int Done = 0;
+  Test.Registration->leave([&Done] { ++Done; });
+  Test.answer(503);
+  CHECK(Done == 1);
+  Test.Registration->stop();
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 2);
+  CHECK(Done == 1);
+}
