Verify a host's registration when the store has come back

Cause: Registered was a final state, and so was the end of a removal. Class: what the store has confirmed is taken as kept for good. Change: host_registration::verify(), to be called on a later era. It drops the call in progress (its answer may be of the earlier era) and creates again; 409 with this run's object is the usual answer and costs one call and no write, an earlier run's object is replaced under the revision found. A host that has left removes again, at once. The calls of a fleet are spread over 950 ms: 400 hosts stay near 400 write calls a second.

--- a/packages/entry/src/serving/host_registration.cc
+++ b/packages/entry/src/serving/host_registration.cc
@@ -1,4 +1,6 @@
-// Create if absent, else replace under the revision that was found.
+// Create if absent, else replace under the revision that was found. Only this
+// host writes its object, so that a revision which names two contents, before
+// and after a return of the store, does no harm.
 #include "host_registration.h"
 
 namespace jasminecroft::detail {
@@ -14,6 +16,8 @@
 constexpr std::chrono::seconds LateRunTime{10};
 /// Pause between removals while a creation may still run.
 constexpr std::chrono::milliseconds RemoveAgainPause{2'000};
+/// All hosts verify at the same moment.
+constexpr std::chrono::milliseconds VerifySpread{950};
 
 } // namespace
 
@@ -40,7 +44,8 @@
                                      batching_host Self, incarnation Run,
                                      store_watch_listener &Listener)
     : Client(Client), Store(std::move(Store)), Self(std::move(Self)), Run(Run),
-      Listener(Listener), Timer(Context), Pause(Run.Value) {}
+      Listener(Listener), Timer(Context), Pause(Run.Value),
+      Random(Run.Value ^ std::hash<std::string>()(this->Self.Host.Value)) {}
 
 void host_registration::start() { perform(); }
 
@@ -58,6 +63,20 @@
   perform();
 }
 
+void host_registration::verify() {
+  if (Stopped)
+    return;
+  abandonCall();
+  Pause.reset();
+  if (Step == step::Remove) {
+    perform();
+    return;
+  }
+  Step = step::Create;
+  std::uniform_int_distribution<std::int64_t> Spread(0, VerifySpread.count());
+  performAfter(std::chrono::milliseconds(Spread(Random)));
+}
+
 void host_registration::abandonCall() {
   Timer.cancel();
   if (!Call)
@@ -122,6 +141,10 @@
         platform::decodeObject(Body);
     if (platform::store_object *Object =
             std::get_if<platform::store_object>(&Decoded)) {
+      if (Object->Spec == platform::encodeEntryHost(Self, Run)) {
+        Step = step::Registered;
+        return;
+      }
       Found = Object->Revision;
       Step = step::Replace;
       perform();
--- a/packages/entry/src/serving/host_registration.h
+++ b/packages/entry/src/serving/host_registration.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 
 namespace jasminecroft::detail {
 
@@ -20,6 +21,10 @@
                     endpoint Store, batching_host Self, incarnation Run,
                     store_watch_listener &Listener);
   void start();
+  /// The store may have lost what this host wrote: makes sure that the object
+  /// exists, or is removed if this host has left. Hosts that hear of it
+  /// together spread their calls over a second.
+  void verify();
   /// Removes the object; Done is called when the first try has succeeded or
   /// failed. Tries go on until stop().
   void leave(std::function<void()> Done);
@@ -49,6 +54,8 @@
   store_watch_listener &Listener;
   io_timer Timer;
   retry_pause Pause;
+  /// Spreads the verifications of a fleet.
+  std::mt19937_64 Random;
   clock::time_point CalledAt;
   std::chrono::microseconds CallLimit{0};
   std::shared_ptr<http_exchange> Call;
--- a/packages/entry/test/host-registration-test.cc
+++ b/packages/entry/test/host-registration-test.cc
@@ -4,6 +4,7 @@
 #include "../src/serving/host_registration.h"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace jasminecroft;
 using namespace jasminecroft::detail;
@@ -55,15 +56,16 @@
   std::vector<store_call_report> Failed;
 };
 
-batching_host thisHost() {
-  return {entry_host_id("h1"), zone_id("z1"), endpoint("10.0.0.2:7"), 2'000};
+batching_host hostOf(const std::string &Name) {
+  return {entry_host_id(Name), zone_id("z1"), endpoint("10.0.0.2:7"), 2'000};
 }
 
 class registration_test {
 public:
-  explicit registration_test(std::uint64_t Run = 7)
+  explicit registration_test(std::uint64_t Run = 7,
+                             const std::string &Name = "h1")
       : Run(Run), Registration(std::make_shared<host_registration>(
-                      Context, Client, endpoint("10.0.0.1:1"), thisHost(),
+                      Context, Client, endpoint("10.0.0.1:1"), hostOf(Name),
                       incarnation(Run), Heard)) {}
 
   void answer(unsigned Status, const std::string &Body = "") {
@@ -80,7 +82,7 @@
   /// What the store holds of this host, written by the given run.
   static std::string object(std::uint64_t Writer, std::uint64_t Revision) {
     return platform::encodeObject(
-        "h1", platform::encodeEntryHost(thisHost(), incarnation(Writer)),
+        "h1", platform::encodeEntryHost(hostOf("h1"), incarnation(Writer)),
         object_version(Revision));
   }
 
@@ -144,3 +146,121 @@
   CHECK(Test.calls() == 2);
   CHECK(Done == 1);
 }
+
+TEST_CASE("a host whose object is lost with the store is listed again") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  Test.Registration->verify();
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 2);
+  CHECK(Test.method() == exchange_method::Post);
+  Test.answer(201);
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 2);
+}
+
+TEST_CASE("an earlier run's object that comes back with the store is "
+          "replaced") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(409, Test.object(3, 50));
+  Test.answer(200);
+  Test.Registration->verify();
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 3);
+  Test.answer(409, Test.object(3, 40));
+  REQUIRE(Test.calls() == 4);
+  CHECK(Test.method() == exchange_method::Put);
+  CHECK(Test.body() == Test.object(Test.Run, 40));
+}
+
+TEST_CASE("a host whose object is as it should be does not write it again") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  Test.Registration->verify();
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 2);
+  Test.answer(409, Test.object(Test.Run, 40));
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 2);
+  CHECK(Test.Heard.Failed.empty());
+}
+
+TEST_CASE("the answer to a creation from before the store came back does not "
+          "count") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.Registration->verify();
+  CHECK(Test.Client.Cancelled == 1);
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 2);
+  CHECK(Test.method() == exchange_method::Post);
+}
+
+TEST_CASE("a host that has left is not listed when the store has lost its "
+          "removal") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  Test.Registration->leave([] {});
+  SUBCASE("the removal had an answer") { Test.answer(200); }
+  SUBCASE("the removal is in progress") {}
+  SUBCASE("the removal is to be tried again") { Test.answer(503); }
+  Test.Registration->verify();
+  REQUIRE(Test.calls() == 3);
+  CHECK(Test.method() == exchange_method::Delete);
+  Test.answer(200);
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 3);
+}
+
+TEST_CASE("a store that comes back twice is asked twice") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  Test.Registration->verify();
+  Test.Registration->verify();
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 2);
+  Test.answer(201);
+  Test.Registration->verify();
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 3);
+  Test.Registration->verify();
+  Test.Registration->stop();
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 3);
+}
+
+TEST_CASE("hosts that hear of a store's return together do not call it "
+          "together") {
+  constexpr int Hosts = 100;
+  std::vector<std::unique_ptr<registration_test>> Fleet;
+  std::size_t Called = 0;
+  for (int I = 0; I < Hosts; ++I) {
+    std::string Name = "h" + std::to_string(I);
+    Fleet.push_back(std::make_unique<registration_test>(7, Name));
+    Fleet.back()->Registration->start();
+    Fleet.back()->answer(201);
+  }
+  for (const std::unique_ptr<registration_test> &Host : Fleet)
+    Host->Registration->verify();
+  std::this_thread::sleep_for(milliseconds(500));
+  for (const std::unique_ptr<registration_test> &Host : Fleet) {
+    Host->Context.restart();
+    Host->Context.poll();
+    Called += Host->calls() - 1;
+  }
+  CHECK(Called > 0);
+  CHECK(Called < Hosts);
+  std::this_thread::sleep_for(milliseconds(500));
+  Called = 0;
+  for (const std::unique_ptr<registration_test> &Host : Fleet) {
+    Host->Context.restart();
+    Host->Context.poll();
+    Called += Host->calls() - 1;
+  }
+  CHECK(Called == Hosts);
+}
