Hear a host again that starts anew after its clock went back

What would be seen: the time of day of a machine jumps forward, its entry host is started anew, the time jumps back, and the host is killed and started again. Peers refuse all its messages (801, replayed) until its clock has passed the earlier run's start, or they are started anew themselves. Class: what is taken to only go up.

--- a/packages/wire/src/nng_transport.cc
+++ b/packages/wire/src/nng_transport.cc
@@ -220,7 +220,7 @@
       return peer_refusal::ForeignFleet;
     if (Message.Sender.Host == Settings.Self.Host)
       return peer_refusal::OwnName;
-    if (!Replays.accept(Message.Sender, Sequence))
+    if (!Replays.accept(Message.Sender, Sequence, clock::now()))
       return peer_refusal::Replayed;
     return std::nullopt;
   }
