Let a host's registration hear what the store tells of its object

What would be seen: a host ends, its removal has no answer, the host starts anew and registers; then the store runs the removal (PROTOCOL.md: a call without an answer may be executed seconds later), and the host is on no list until its next start. Cause: removals carry no revision, and a registered host did not look at its object again. Change: host_registration::onSeen(), to be called with each object of this host that the watch of the entry hosts tells: removed while registered, or there after it has left, it is verified. Old data (that watch may be seconds old) costs one call and changes nothing.

--- a/packages/entry/src/serving/host_registration.cc
+++ b/packages/entry/src/serving/host_registration.cc
@@ -77,6 +77,14 @@
   performAfter(std::chrono::milliseconds(Spread(Random)));
 }
 
+void host_registration::onSeen(const platform::store_object &Object) {
+  // A call in progress finds out by itself.
+  bool Unexpected =
+      Object.Deleted ? Step == step::Registered : Step == step::Remove;
+  if (!Call && Unexpected)
+    verify();
+}
+
 void host_registration::abandonCall() {
   Timer.cancel();
   if (!Call)
--- a/packages/entry/src/serving/host_registration.h
+++ b/packages/entry/src/serving/host_registration.h
@@ -25,6 +25,9 @@
   /// exists, or is removed if this host has left. Hosts that hear of it
   /// together spread their calls over a second.
   void verify();
+  /// The store tells of this host's object: verifies it if it is removed while
+  /// it should exist, or the other way round.
+  void onSeen(const platform::store_object &Object);
   /// Removes the object; Done is called when the first try has succeeded or
   /// failed. Tries go on until stop().
   void leave(std::function<void()> Done);
--- a/packages/entry/test/host-registration-test.cc
+++ b/packages/entry/test/host-registration-test.cc
@@ -86,6 +86,14 @@
         object_version(Revision));
   }
 
+  /// The same as a watch tells it.
+  static platform::store_object seen(std::uint64_t Writer,
+                                     std::uint64_t Revision, bool Deleted) {
+    return {"h1", object_version(Revision),
+            platform::encodeEntryHost(hostOf("h1"), incarnation(Writer)),
+            Deleted};
+  }
+
   std::uint64_t Run;
   boost::asio::io_context Context;
   held_client Client;
@@ -264,3 +272,40 @@
   }
   CHECK(Called == Hosts);
 }
+
+TEST_CASE("a removal by an earlier run that runs late does not unlist a host") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(409, Test.object(3, 50));
+  Test.answer(200);
+  Test.Registration->onSeen(Test.seen(3, 52, true));
+  Test.runFor(LongestWait);
+  REQUIRE(Test.calls() == 3);
+  CHECK(Test.method() == exchange_method::Post);
+}
+
+TEST_CASE("an object that the store tells of while its host has left is "
+          "removed") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.answer(201);
+  Test.Registration->leave([] {});
+  Test.answer(200);
+  Test.Registration->onSeen(Test.seen(Test.Run, 52, true));
+  CHECK(Test.calls() == 2);
+  Test.Registration->onSeen(Test.seen(Test.Run, 50, false));
+  REQUIRE(Test.calls() == 3);
+  CHECK(Test.method() == exchange_method::Delete);
+}
+
+TEST_CASE("an object that is as it should be causes no call") {
+  registration_test Test;
+  Test.Registration->start();
+  Test.Registration->onSeen(Test.seen(3, 40, true));
+  Test.Registration->onSeen(Test.seen(3, 41, false));
+  Test.answer(201);
+  Test.Registration->onSeen(Test.seen(Test.Run, 42, false));
+  Test.runFor(LongestWait);
+  CHECK(Test.calls() == 1);
+  CHECK(Test.Client.Cancelled == 0);
+}
