--- a/packages/entry/src/serving/host_registration.h
+++ b/packages/entry/src/serving/host_registration.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 
 namespace jasminecroft::detail {
 
@@ -20,7 +21,15 @@
                     endpoint Store, batching_host Self, incarnation Run,
                     store_watch_listener &Listener);
   void start();
-  /// Removes the object; Done is called when that has succeeded or failed.
+  /// The store may have lost what this host wrote: makes sure that the object
+  /// exists, or is removed if this host has left. Hosts that hear of it
+  /// together spread their calls over a second.
+  void verify();
+  /// The store tells of this host's object: verifies it if it is removed while
+  /// it should exist, or the other way round.
+  void onSeen(const platform::store_object &Object);
+  /// Removes the object; Done is called when the first try has succeeded or
+  /// failed. Tries go on until stop().
   void leave(std::function<void()> Done);
   void stop();
   /// Calls since the start.
@@ -28,11 +37,17 @@
 
 private:
   class answer;
+  using clock = std::chrono::steady_clock;
   enum class step { Create, Replace, Registered, Remove };
 
   void perform();
+  void performAfter(std::chrono::milliseconds Time);
+  /// Ends the call in progress without its answer.
+  void abandonCall();
   void onAnswer(unsigned Status, const std::string &Body);
-  void onFailed(std::string Why);
+  void onRemoveAnswer(unsigned Status);
+  void onFailed(exchange_failure Failure);
+  void onNoAnswer();
   void retryLater(std::string Why);
 
   http_client &Client;
@@ -42,12 +57,16 @@
   store_watch_listener &Listener;
   io_timer Timer;
   retry_pause Pause;
-  std::chrono::steady_clock::time_point CalledAt;
+  /// Spreads the verifications of a fleet.
+  std::mt19937_64 Random;
+  clock::time_point CalledAt;
   std::chrono::microseconds CallLimit{0};
   std::shared_ptr<http_exchange> Call;
   step Step = step::Create;
   /// Revision of the earlier run's object that is replaced.
   std::optional<object_version> Found;
+  /// A creation without an answer may run until then.
+  clock::time_point MayBeCreatedUntil;
   std::function<void()> Left;
   bool Stopped = false;
   std::uint64_t Calls = 0;
