--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -249,6 +249,7 @@
   void complete() {
     unsigned Status = Parser->get().result_int();
     std::string Body = std::move(Parser->get().body());
+    tellHeader();
     if (Parser->get().keep_alive() && Buffer.size() == 0)
       Pool->give(Wanted.Address, answer_naming::Unnamed, std::move(Socket),
                  std::nullopt);
@@ -257,6 +258,15 @@
     Last->onComplete(Status, std::move(Body));
   }
 
+  void tellHeader() {
+    if (Wanted.AnswerHeader.empty())
+      return;
+    http::fields::const_iterator Found =
+        Parser->get().find(toBeast(Wanted.AnswerHeader));
+    if (Found != Parser->get().end())
+      Listener->onAnswerHeader({Found->value().data(), Found->value().size()});
+  }
+
   void onTimeout() {
     if (Listener)
       fail(MayHaveLeft ? exchange_failure::TimedOut
--- a/packages/entry/src/http_exchange.h
+++ b/packages/entry/src/http_exchange.h
@@ -21,6 +21,8 @@
   std::string Target;
   std::vector<std::pair<std::string_view, std::string>> Headers;
   std::string Body;
+  /// Name of the answer's header that the listener is told; empty: none.
+  std::string_view AnswerHeader;
   std::chrono::microseconds Timeout{0};
   /// Time for a new connection; zero: the whole timeout.
   std::chrono::microseconds ConnectTimeout{0};
@@ -41,6 +43,8 @@
 class exchange_listener {
 public:
   virtual ~exchange_listener() = default;
+  /// The answer has the header that the request names. Precedes onComplete.
+  virtual void onAnswerHeader(std::string_view /*Value*/) {}
   /// Text of a 200 answer of type text/event-stream. False: unreadable.
   virtual bool onStreamText(std::string_view Text) = 0;
   /// Body is empty for streams.
