--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -344,6 +344,8 @@
   void onStoreRead(store_kind Kind, core_time Now);
   /// Calls of the store for objects of this kind fail.
   void onStoreLost(store_kind Kind, core_time Now);
+  /// The store stated a later era than before.
+  void onStoreEra(store_era Era, core_time Now);
   void onHost(const batching_host &Host, core_time Now);
   void onHostRemoved(const entry_host_id &Host, core_time Now);
   /// All hosts on the platform's list have been reported.
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -384,6 +384,7 @@
   event_scope Event(*Impl, Now);
   Impl->onStoreRead(Kind);
 }
+void serving_core::onStoreEra(store_era /*Era*/, core_time /*Now*/) {}
 void serving_core::onStoreLost(store_kind Kind, core_time Now) {
   event_scope Event(*Impl, Now);
   Impl->onStoreLost(Kind);
