--- a/packages/entry/test/store-watch-test.cc
+++ b/packages/entry/test/store-watch-test.cc
@@ -1,120 +1,12 @@
 // Lists and watches of the platform's store, over a client that tests control.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "../src/serving/store_watch.h"
+#include "store-watch-fixture.h"
 
 #include <doctest/doctest.h>
 
 using namespace jasminecroft;
 using namespace jasminecroft::detail;
 
-namespace {
-
-/// Keeps requests; a test answers them.
-class held_client final : public http_client {
-public:
-  class call final : public http_exchange {
-  public:
-    explicit call(int &Cancelled) : Cancelled(Cancelled) {}
-    void cancel() override { ++Cancelled; }
-
-  private:
-    int &Cancelled;
-  };
-  std::shared_ptr<http_exchange>
-  start(exchange_request Request,
-        std::shared_ptr<exchange_listener> Listener) override {
-    Requests.push_back(std::move(Request));
-    Listeners.push_back(std::move(Listener));
-    return std::make_shared<call>(Cancelled);
-  }
-  void closeIdle() override {}
-  connection_counters counters() const override { return {}; }
-
-  int Cancelled = 0;
-  std::vector<exchange_request> Requests;
-  std::vector<std::shared_ptr<exchange_listener>> Listeners;
-};
-
-class heard_objects final : public store_watch_listener {
-public:
-  void onObjects(std::string_view,
-                 const std::vector<platform::store_object> &Objects,
-                 object_version) override {
-    ++Lists;
-    Listed = Objects.size();
-  }
-  void onChange(std::string_view,
-                const platform::store_object &Object) override {
-    Changed.push_back(Object.Name);
-  }
-  void onUnreadable(std::string_view,
-                    const platform::unreadable_object &) override {
-    ++Unreadable;
-  }
-  void onReadTo(std::string_view, object_version Revision) override {
-    ReadTo = Revision;
-  }
-  void onStoreLost(std::string_view, std::string_view) override { ++Lost; }
-  void onStoreBack(std::string_view) override { ++Back; }
-  void onCallBegun(const store_call_report &Call) override {
-    Begun.push_back(Call);
-  }
-  void onCallFailed(const store_call_report &Call) override {
-    Failed.push_back(Call);
-  }
-
-  int Lists = 0;
-  std::size_t Listed = 0;
-  std::vector<std::string> Changed;
-  int Unreadable = 0;
-  int Lost = 0;
-  int Back = 0;
-  object_version ReadTo;
-  std::vector<store_call_report> Begun;
-  std::vector<store_call_report> Failed;
-};
-
-class watch_test {
-public:
-  explicit watch_test(bool MayBeOld = false)
-      : Watch(std::make_shared<store_watch>(
-            Context, Client, endpoint("10.0.0.1:1"), platform::BackendKind,
-            watch_rules{std::chrono::milliseconds(5),
-                        std::chrono::milliseconds(10'000),
-                        std::chrono::milliseconds(1'000), MayBeOld},
-            7, Reach, Heard)) {
-    Watch->start();
-  }
-
-  /// Answers the newest call and lets the watch make the next one.
-  void answer(unsigned Status, const char *Body) {
-    Client.Listeners.back()->onComplete(Status, Body);
-    settle();
-  }
-  void fail() {
-    Client.Listeners.back()->onFailed(exchange_failure::NotConnected);
-    settle();
-  }
-  void settle() { runFor(std::chrono::milliseconds(400)); }
-  void runFor(std::chrono::milliseconds Time) {
-    Context.restart();
-    Context.run_for(Time);
-  }
-  const std::string &target() const { return Client.Requests.back().Target; }
-
-  boost::asio::io_context Context;
-  held_client Client;
-  heard_objects Heard;
-  store_reach Reach;
-  std::shared_ptr<store_watch> Watch;
-};
-
-constexpr const char *OneObject =
-    R"({"entries":[{"meta":{"name":"a","revision":3},"spec":{}}],)"
-    R"("has_more":false,"current_rev":5})";
-
-} // namespace
-
 TEST_CASE("after one list there are only watches") {
   watch_test Test;
   Test.answer(200, OneObject);
