List the store again in each later era

The store may come back from an older copy; its revisions go back and are given out again. Callers could meet a configuration or servers of the time before, or miss a change that was confirmed after the return. Cause: a watch ordered answers by revision alone. Since = max(Since, current) kept the height from before the return, so the next watch began above what the store had, or at a revision that by then named something else; pages, events and what peers told were mixed across the return. Change: each answer's era is noted, refusals too. A watch lists from scratch in a later era, because the changes from a revision of an earlier one are not known; pages of two eras are no list. An answer of an earlier era than known, or of none, fails like a call of its own kind, but leaves calls beside it alone. What a peer tells moves Since only within its era; a later one makes the watch list with its next check, an earlier one does not end a check. store_reach keeps the latest era, which only grows: once for each, it tells the core and makes all other watches start over (on demand: with the next check). An era that alternates therefore makes no list of its own; answers of the old one are repeated after growing pauses. The first list of a later era is asked for without allow_stale. Objects, Current and ReadTo carry the era. Not shown here: real processes against a store that comes back.

--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -33,6 +33,7 @@
       Changed(std::move(Changed)), Client(makeHttpClient(Context)) {}
 
 void serving_store::start() {
+  Reach.setOnLaterEra([this](store_era Era) { onLaterEra(Era); });
   startWatch(platform::ConfigKind, ConfigRules);
   startWatch(platform::BackendKind, BackendRules);
   startWatch(platform::EntryHostKind, EntryHostRules);
@@ -44,6 +45,11 @@
   Registration->start();
 }
 
+void serving_store::onLaterEra(store_era Era) {
+  Core.onStoreEra(Era, now());
+  Changed();
+}
+
 void serving_store::startWatch(std::string_view Kind,
                                const watch_rules &Rules) {
   Watches.push_back(std::make_shared<store_watch>(
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -46,6 +46,8 @@
   void takeConfig(const std::string &Text);
 
 private:
+  /// The store came back from an older copy.
+  void onLaterEra(store_era Era);
   void startWatch(std::string_view Kind, const watch_rules &Rules);
   void onObjects(std::string_view Kind,
                  const std::vector<platform::store_object> &Objects,
--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -75,12 +75,30 @@
     Trying = nullptr;
 }
 
+bool store_reach::noteEra(store_era Stated, const store_watch *Asker) {
+  if (Stated <= Era)
+    return false;
+  bool Later = Era != store_era();
+  Era = Stated;
+  if (Later && OnLaterEra)
+    OnLaterEra(Era);
+  for (const std::weak_ptr<store_watch> &Known : Watches)
+    if (std::shared_ptr<store_watch> Other = Known.lock())
+      if (Other.get() != Asker && (Later || Other->hasRead()))
+        Other->startOver();
+  return true;
+}
+
 /// Hears of one call of a watch that may be gone by then.
 class store_watch::answer final : public exchange_listener {
 public:
   answer(std::weak_ptr<store_watch> Watch, std::uint64_t Id)
       : Watch(std::move(Watch)), Id(Id) {}
   bool onStreamText(std::string_view) override { return false; }
+  void onAnswerHeader(std::string_view Value) override {
+    if (std::shared_ptr<store_watch> Target = Watch.lock())
+      Target->onEra(Id, platform::decodeEra(Value));
+  }
   void onComplete(unsigned Status, std::string Body) override {
     if (std::shared_ptr<store_watch> Target = Watch.lock())
       Target->onAnswer(Id, Status, Body);
@@ -123,6 +141,22 @@
   call();
 }
 
+void store_watch::startOver() {
+  bool Asks = !OnDemand || Checking || (Listing && !Calls.empty());
+  forget();
+  if (Stopped || !Asks)
+    return;
+  Checking = true;
+  call();
+}
+
+void store_watch::forget() {
+  cancelCalls();
+  Timer.cancel();
+  Pages.clear();
+  Listing = true;
+}
+
 void store_watch::check() {
   if (Stopped || Checking)
     return;
@@ -145,6 +179,11 @@
 void store_watch::onTold(object_version Revision) {
   if (!OnDemand || Listing)
     return;
+  if (Revision.Era != Since.Era) {
+    if (Revision.Era > Since.Era)
+      startOver();
+    return;
+  }
   Since = std::max(Since, Revision);
   HeardAt = clock::now();
   if (!Checking)
@@ -172,11 +211,15 @@
   ++(Listing ? Counts.Lists : Checking ? Counts.Checks : Counts.Watches);
   exchange_request Request;
   Request.Address = Store;
+  Request.AnswerHeader = platform::StoreEraHeader;
   Request.ConnectTimeout = StoreConnectTime;
   milliseconds Limit = UnansweredTime;
   if (Listing) {
     std::string After = Pages.empty() ? "" : Pages.back().Name;
-    Request.Target = platform::listTarget(Kind, After, Rules.MayBeOld);
+    // Old data could be of the era before.
+    bool LaterEra = Since.Era != store_era() && Since.Era < Reach.era();
+    Request.Target =
+        platform::listTarget(Kind, After, Rules.MayBeOld && !LaterEra);
   } else {
     milliseconds Long = Close ? Rules.CloseWatchTime : Rules.WatchTime;
     milliseconds Wait = AtOnce ? ShortWatch : Long;
@@ -185,7 +228,7 @@
       Limit = Long + StoreAnswerTime;
   }
   Request.Timeout = Limit;
-  Calls.push_back({++LastCall, clock::now(), Limit, nullptr});
+  Calls.push_back({++LastCall, clock::now(), Limit, Listing, nullptr, {}});
   if (Lost)
     Listener.onCallBegun(report(Calls.back(), ""));
   Calls.back().Exchange = Client.start(
@@ -196,26 +239,34 @@
     Timer.cancel();
 }
 
+void store_watch::onEra(std::uint64_t Id, store_era Era) {
+  if (auto Found = findCall(Id); Found != Calls.end())
+    Found->Era = Era;
+}
+
 void store_watch::onAnswer(std::uint64_t Id, unsigned Status,
                            const std::string &Body) {
-  auto Found =
-      std::find_if(Calls.begin(), Calls.end(),
-                   [Id](const started_call &Call) { return Call.Id == Id; });
-  if (Stopped || Found == Calls.end())
+  std::optional<started_call> Call = takeCall(Id);
+  if (!Call)
     return;
+  store_era Era = Call->Era;
+  bool LaterEra = Reach.noteEra(Era, this);
+  bool BeginsList = Listing && Call->Lists && Pages.empty();
+  if (LaterEra)
+    forget();
   if (Status != StatusOk && Status != StatusGone) {
     std::string Why = "status " + std::to_string(Status);
     bool Away = Status == StatusTooMany || Status == StatusUnavailable;
-    if (Away) {
-      onCallFailed(Id, Why);
-    } else {
-      Listener.onCallFailed(report(*Found, Why));
-      onFailed(Why, failure::OwnKind);
-    }
+    if (!Away)
+      cancelCalls();
+    onCallFailed(*Call, Why, Away ? failure::StoreAway : failure::OwnKind);
     return;
   }
-  AnsweredCallAt = Found->Begun;
-  Calls.erase(Found);
+  if (Era < Reach.era()) {
+    onCallFailed(*Call, "answer of an earlier era", failure::OwnKind);
+    return;
+  }
+  AnsweredCallAt = Call->Begun;
   HeardAt = clock::now();
   cancelCalls();
   Timer.cancel();
@@ -225,21 +276,22 @@
     Listener.onStoreBack(Kind);
   }
   Reach.onAnswered(*this);
-  if (Status == StatusGone) {
-    // The changes since the last answer are no longer kept.
+  if (Status == StatusGone || (LaterEra && !BeginsList)) {
+    // The changes since the last answer are not known.
     Pages.clear();
     Listing = true;
+    Checking = LaterEra;
     call();
   } else if (Listing) {
-    onListed(Body);
+    onListed(Body, Era);
   } else {
-    onEvents(Body);
+    onEvents(Body, Era);
   }
 }
 
-void store_watch::onListed(const std::string &Body) {
+void store_watch::onListed(const std::string &Body, store_era Era) {
   std::variant<platform::object_list, platform::object_error> Decoded =
-      platform::decodeList(Body);
+      platform::decodeList(Body, Era);
   if (platform::object_error *Error =
           std::get_if<platform::object_error>(&Decoded)) {
     onFailed(platform::toText(Error->Problem), failure::OwnKind);
@@ -266,9 +318,9 @@
   callAfter(Rules.Gathering);
 }
 
-void store_watch::onEvents(const std::string &Body) {
+void store_watch::onEvents(const std::string &Body, store_era Era) {
   std::variant<platform::object_events, platform::object_error> Decoded =
-      platform::decodeEvents(Body);
+      platform::decodeEvents(Body, Era);
   if (platform::object_error *Error =
           std::get_if<platform::object_error>(&Decoded)) {
     onFailed(platform::toText(Error->Problem), failure::OwnKind);
@@ -280,6 +332,7 @@
     Listener.onUnreadable(Kind, Object);
   for (const platform::store_object &Object : Events.Changes)
     Listener.onChange(Kind, Object);
+  // An answer of old data may state an earlier revision of the same era.
   Since = std::max(Since, Events.Current);
   Listener.onReadTo(Kind, Since);
   if (Events.Changes.empty()) {
@@ -293,16 +346,32 @@
   }
 }
 
-void store_watch::onCallFailed(std::uint64_t Id, std::string_view Why) {
-  auto Found =
-      std::find_if(Calls.begin(), Calls.end(),
-                   [Id](const started_call &Call) { return Call.Id == Id; });
+std::vector<store_watch::started_call>::iterator
+store_watch::findCall(std::uint64_t Id) {
+  return std::find_if(Calls.begin(), Calls.end(),
+                      [Id](const started_call &Call) { return Call.Id == Id; });
+}
+
+std::optional<store_watch::started_call>
+store_watch::takeCall(std::uint64_t Id) {
+  auto Found = findCall(Id);
   if (Stopped || Found == Calls.end())
-    return;
-  store_call_report Report = report(*Found, Why);
+    return std::nullopt;
+  started_call Call = std::move(*Found);
   Calls.erase(Found);
+  return Call;
+}
+
+void store_watch::onCallFailed(std::uint64_t Id, std::string_view Why) {
+  if (std::optional<started_call> Call = takeCall(Id))
+    onCallFailed(*Call, Why, failure::StoreAway);
+}
+
+void store_watch::onCallFailed(const started_call &Call, std::string_view Why,
+                               failure Failure) {
+  store_call_report Report = report(Call, Why);
   if (Calls.empty())
-    onFailed(Why, failure::StoreAway);
+    onFailed(Why, Failure);
   Listener.onCallFailed(Report);
 }
 
@@ -336,7 +405,8 @@
                                       std::string_view Why) const {
   milliseconds Took =
       std::chrono::duration_cast<milliseconds>(clock::now() - Call.Begun);
-  return {Kind, Listing ? "list" : "watch", Call.Limit, Took, std::string(Why)};
+  return {Kind, Call.Lists ? "list" : "watch", Call.Limit, Took,
+          std::string(Why)};
 }
 
 milliseconds store_watch::silence() const {
--- a/packages/entry/src/serving/store_watch.h
+++ b/packages/entry/src/serving/store_watch.h
@@ -8,7 +8,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -98,9 +100,14 @@
 class store_watch;
 
 /// Whether the store answers this host, shared by its watches: while it does
-/// not, one of them tries and the others wait for its answer.
+/// not, one of them tries and the others wait for its answer. Also the latest
+/// era that the store has stated to this host.
 class store_reach {
 public:
+  using era_handler = std::function<void(store_era)>;
+
+  /// Handler is called once for each era that is later than one known before.
+  void setOnLaterEra(era_handler Handler) { OnLaterEra = std::move(Handler); }
   void add(const std::shared_ptr<store_watch> &Watch);
   /// A call of Watch failed as if the store were away. True if Watch is the one
   /// that tries.
@@ -109,16 +116,27 @@
   void onAnswered(const store_watch &Watch);
   /// Watch has a failure of its own; another may try in its place.
   void giveUpTrying(const store_watch &Watch);
+  /// An answer to Asker, or to a call of no watch, stated Era. If it is later
+  /// than the one known, the other watches start over. Returns true if so.
+  bool noteEra(store_era Era, const store_watch *Asker);
+  store_era era() const { return Era; }
 
 private:
   std::vector<std::weak_ptr<store_watch>> Watches;
   /// Compared only. Absent while the store is not known to be away.
   const store_watch *Trying = nullptr;
+  /// Zero until an answer states one. Never decreases.
+  store_era Era;
+  era_handler OnLaterEra;
 };
 
 /// Waits for changes only after the store has just answered: a call to a store
 /// that is away may stay without an answer after its return. Such calls ask for
 /// an answer at once, and another is begun beside one that has none in time.
+///
+/// Revisions are ordered within one era of the store. A watch lists again in
+/// each later era, as the changes from a revision of an earlier one are not
+/// known, and uses no answer of an era before the latest one.
 class store_watch : public std::enable_shared_from_this<store_watch> {
 public:
   store_watch(boost::asio::io_context &Context, http_client &Client,
@@ -129,13 +147,19 @@
   void stop();
   /// The store answers another watch again: asks it anew.
   void resume();
+  /// The store came back from an older copy: lists all objects again, on demand
+  /// with the next check.
+  void startOver();
+  /// Whether anything that startOver() forgets has been read.
+  bool hasRead() const { return !Listing || !Pages.empty(); }
   /// There may be changes of which a waiting call does not tell.
   void check();
   void setClose(bool Closely);
   /// On demand: the store is asked only when check() is called, and for the
   /// first list.
   void setOnDemand(bool OnDemand);
-  /// A peer has told all changes up to Revision.
+  /// A peer has told all changes up to Revision. One of a later era only makes
+  /// the watch start over.
   void onTold(object_version Revision);
 
   std::string_view kind() const { return Kind; }
@@ -150,7 +174,10 @@
     std::uint64_t Id = 0;
     clock::time_point Begun;
     std::chrono::milliseconds Limit{0};
+    bool Lists = false;
     std::shared_ptr<http_exchange> Exchange;
+    /// Stated by the answer; zero if it states none.
+    store_era Era;
   };
   enum class failure { StoreAway, OwnKind };
 
@@ -159,8 +186,14 @@
   void onTimer();
   void onAnswer(std::uint64_t Id, unsigned Status, const std::string &Body);
   void onCallFailed(std::uint64_t Id, std::string_view Why);
-  void onListed(const std::string &Body);
-  void onEvents(const std::string &Body);
+  void onCallFailed(const started_call &Call, std::string_view Why,
+                    failure Failure);
+  void onEra(std::uint64_t Id, store_era Era);
+  std::vector<started_call>::iterator findCall(std::uint64_t Id);
+  std::optional<started_call> takeCall(std::uint64_t Id);
+  void forget();
+  void onListed(const std::string &Body, store_era Era);
+  void onEvents(const std::string &Body, store_era Era);
   void onFailed(std::string_view Why, failure Failure);
   void setLost(std::string_view Why);
   void cancelCalls();
@@ -187,7 +220,7 @@
   bool Close = false;
   bool OnDemand = false;
   store_call_counts Counts;
-  /// Objects of the pages read so far.
+  /// Objects of the pages read so far, all of one era.
   std::vector<platform::store_object> Pages;
   object_version FirstPage;
   object_version Since;
