Tell unreadable objects by version, not by revision

Cause: a store that came back gives revisions out again, so that another unreadable content under a known revision was neither told nor counted. Change: the key has the whole version, with the era. Objects without a readable name keep their digest as key, which names the content itself. No test of its own: none of the tests here sees a second era through serving_store. Not run against a store that comes back.

--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -174,11 +174,11 @@
 }
 void serving_store::onUnreadable(std::string_view Kind,
                                  const platform::unreadable_object &Object) {
-  tellUnreadable(Kind, "", Object.Digest, Object.Error);
+  tellUnreadable(Kind, "", object_version(Object.Digest), Object.Error);
 }
 void serving_store::tellUnreadable(std::string_view Kind,
                                    const std::string &Name,
-                                   std::uint64_t Revision,
+                                   object_version Revision,
                                    const platform::object_error &Error) {
   if (ToldUnreadable.size() >= MaxToldUnreadable)
     ToldUnreadable.clear();
@@ -263,7 +263,7 @@
       platform::decodeBackend(Object);
   if (platform::object_error *Problem =
           std::get_if<platform::object_error>(&Decoded)) {
-    tellUnreadable(platform::BackendKind, Object.Name, Object.Revision.Value,
+    tellUnreadable(platform::BackendKind, Object.Name, Object.Revision,
                    *Problem);
     return std::nullopt;
   }
@@ -295,8 +295,8 @@
 zone_order serving_store::readZoneOrder(const platform::store_object &Object) {
   if (std::optional<platform::object_error> Error =
           platform::checkZoneOrder(Object))
-    tellUnreadable(platform::EmptiedZoneKind, Object.Name,
-                   Object.Revision.Value, *Error);
+    tellUnreadable(platform::EmptiedZoneKind, Object.Name, Object.Revision,
+                   *Error);
   return platform::decodeZoneOrder(Object);
 }
 
@@ -310,7 +310,7 @@
   if (batching_host *Host = std::get_if<batching_host>(&Decoded))
     Core.onHost(*Host, now());
   else
-    tellUnreadable(platform::EntryHostKind, Object.Name, Object.Revision.Value,
+    tellUnreadable(platform::EntryHostKind, Object.Name, Object.Revision,
                    std::get<platform::object_error>(Decoded));
 }
 
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -70,7 +70,7 @@
   static std::optional<store_kind> coreKind(std::string_view Kind);
   /// Logs and counts an object that cannot be read, once for each revision.
   void tellUnreadable(std::string_view Kind, const std::string &Name,
-                      std::uint64_t Revision,
+                      object_version Revision,
                       const platform::object_error &Error);
   void write(event_number Number, event_severity Severity,
              std::string_view Message, std::vector<event_field> Fields);
@@ -88,7 +88,7 @@
   /// By kind and name. An object without a readable name has its digest as
   /// revision.
   using unreadable_key = std::pair<std::string, std::string>;
-  std::set<std::pair<unreadable_key, std::uint64_t>> ToldUnreadable;
+  std::set<std::pair<unreadable_key, object_version>> ToldUnreadable;
   /// Objects that could not be read since the start, each revision once.
   std::uint64_t UnreadableObjects = 0;
   std::uint64_t FailedCalls = 0;
