Let the store's stand-in come back from an older copy

Change: copy() and restore(); a restore puts objects, changes and the revision counter back, raises the era and cuts off waiting watches. All answers carry Store-Era, a watch from a revision above the counter gets 410, and a PUT under another revision than the object's gets 409, one of an absent object 404, as PROTOCOL.md says of the real one.

--- a/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
+++ b/packages/testing/standins/include/jasminecroft/standins/serving_platform.h
@@ -26,7 +26,24 @@
 
 /// Objects by kind and name under one counter of revisions.
 class users_store {
+  struct change {
+    std::uint64_t Revision = 0;
+    std::string Kind;
+    boost::json::value Event;
+  };
+  struct contents {
+    std::map<std::string, std::map<std::string, boost::json::value>> Kinds;
+    std::vector<change> Changes;
+    std::uint64_t Revision = 1;
+  };
+
 public:
+  /// What the store holds at one moment.
+  class store_copy {
+    friend class users_store;
+    contents Held;
+  };
+
   users_store(boost::asio::io_context &Context, std::string_view Address);
 
   std::uint16_t port() const { return Server->port(); }
@@ -38,16 +55,16 @@
                std::string SpecText);
   void remove(const std::string &Kind, const std::string &Name);
   bool has(const std::string &Kind, const std::string &Name) const;
+  std::uint64_t revision() const { return Held.Revision; }
+  store_copy copy() const;
+  /// Comes back from a copy: what was written since is gone, waiting watches
+  /// are cut off, and a later era begins.
+  void restore(const store_copy &Copy);
   std::size_t calls() const { return Calls; }
   /// Calls for objects of one kind.
   std::size_t calls(const std::string &Kind) const;
 
 private:
-  struct change {
-    std::uint64_t Revision = 0;
-    std::string Kind;
-    boost::json::value Event;
-  };
   struct waiting_watch {
     std::string Kind;
     std::uint64_t Since = 0;
@@ -56,20 +73,23 @@
   };
 
   void onRequest(const exchange_ptr &Exchange);
+  void write(const exchange_ptr &Exchange, const std::string &Kind,
+             std::string Name);
   void list(const exchange_ptr &Exchange, const std::string &Kind);
   void watch(const exchange_ptr &Exchange, const std::string &Kind,
              std::uint64_t Since, std::int64_t WaitMs);
   bool answerWatch(const waiting_watch &Watch, bool Ended);
+  void answer(const exchange_ptr &Exchange, int Status,
+              const boost::json::value &Body) const;
   void record(const std::string &Kind, boost::json::value Object, bool Gone);
   std::string serialize(const boost::json::value &Value) const;
 
   boost::asio::io_context &Context;
-  std::map<std::string, std::map<std::string, boost::json::value>> Kinds;
-  std::vector<change> Changes;
+  contents Held;
+  std::uint64_t Era = 1;
   std::list<waiting_watch> Watches;
   /// By the text that stands for them in objects.
   std::map<std::string, std::string> RawSpecs;
-  std::uint64_t Revision = 1;
   std::size_t Calls = 0;
   std::map<std::string, std::size_t> CallsByKind;
   std::unique_ptr<http_server> Server;
--- a/packages/testing/standins/src/serving_platform.cc
+++ b/packages/testing/standins/src/serving_platform.cc
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminecroft::standins {
 
@@ -38,11 +39,11 @@
 
 void users_store::put(const std::string &Kind, const std::string &Name,
                       json::value Spec) {
-  ++Revision;
-  json::object Meta{{"name", Name}, {"revision", Revision}};
+  ++Held.Revision;
+  json::object Meta{{"name", Name}, {"revision", Held.Revision}};
   json::value Object =
       json::object{{"meta", Meta}, {"spec", std::move(Spec)}, {"status", {}}};
-  Kinds[Kind][Name] = Object;
+  Held.Kinds[Kind][Name] = Object;
   record(Kind, std::move(Object), false);
 }
 
@@ -65,16 +66,16 @@
 void users_store::remove(const std::string &Kind, const std::string &Name) {
   if (!has(Kind, Name))
     return;
-  ++Revision;
-  json::value Object = Kinds[Kind][Name];
-  Object.as_object()["meta"].as_object()["revision"] = Revision;
-  Kinds[Kind].erase(Name);
+  ++Held.Revision;
+  json::value Object = Held.Kinds[Kind][Name];
+  Object.as_object()["meta"].as_object()["revision"] = Held.Revision;
+  Held.Kinds[Kind].erase(Name);
   record(Kind, std::move(Object), true);
 }
 
 bool users_store::has(const std::string &Kind, const std::string &Name) const {
-  auto Found = Kinds.find(Kind);
-  return Found != Kinds.end() && Found->second.contains(Name);
+  auto Found = Held.Kinds.find(Kind);
+  return Found != Held.Kinds.end() && Found->second.contains(Name);
 }
 
 std::size_t users_store::calls(const std::string &Kind) const {
@@ -84,8 +85,8 @@
 
 void users_store::record(const std::string &Kind, json::value Object,
                          bool Gone) {
-  Changes.push_back(
-      {Revision, Kind,
+  Held.Changes.push_back(
+      {Held.Revision, Kind,
        json::object{{"object", std::move(Object)}, {"tombstone", Gone}}});
   for (auto It = Watches.begin(); It != Watches.end();)
     It = answerWatch(*It, false) ? Watches.erase(It) : std::next(It);
@@ -93,15 +94,15 @@
 
 bool users_store::answerWatch(const waiting_watch &Watch, bool Ended) {
   json::array Events;
-  for (const change &Change : Changes)
+  for (const change &Change : Held.Changes)
     if (Change.Kind == Watch.Kind && Change.Revision > Watch.Since)
       Events.push_back(Change.Event);
   if (Events.empty() && !Ended)
     return false;
   Watch.Timer->cancel();
-  Watch.Exchange->respond(200,
-                          serialize(json::object{{"events", std::move(Events)},
-                                                 {"current_rev", Revision}}));
+  answer(Watch.Exchange, 200,
+         json::object{{"events", std::move(Events)},
+                      {"current_rev", Held.Revision}});
   return true;
 }
 
@@ -109,7 +110,7 @@
   ++Calls;
   std::string_view Target = Exchange->target();
   if (!Target.starts_with(ObjectsPrefix)) {
-    Exchange->respond(404, "{}");
+    answer(Exchange, 404, json::object());
     return;
   }
   std::string Path(Target.substr(ObjectsPrefix.size(),
@@ -129,32 +130,75 @@
   }
   if (Exchange->method() == "DELETE") {
     remove(Kind, Name);
-    Exchange->respond(200, "{}");
+    answer(Exchange, 200, json::object());
     return;
   }
+  write(Exchange, Kind, std::move(Name));
+}
+
+void users_store::write(const exchange_ptr &Exchange, const std::string &Kind,
+                        std::string Name) {
   json::value Body = json::parse(Exchange->body());
-  if (Exchange->method() == "POST") {
-    Name = Body.at("meta").at("name").as_string().c_str();
-    if (has(Kind, Name)) {
-      Exchange->respond(409, serialize(Kinds[Kind][Name]));
+  const json::object &Meta = Body.at("meta").as_object();
+  bool Create = Exchange->method() == "POST";
+  if (Create)
+    Name = Meta.at("name").as_string().c_str();
+  if (!Create && !has(Kind, Name)) {
+    answer(Exchange, 404, json::object());
+    return;
+  }
+  if (has(Kind, Name)) {
+    const json::value &Present = Held.Kinds[Kind][Name];
+    const json::value *Expected = Meta.if_contains("revision");
+    bool Other = Expected && Expected->to_number<std::uint64_t>() !=
+                                 Present.at("meta").at("revision").as_uint64();
+    if (Create || Other) {
+      answer(Exchange, 409, Present);
       return;
     }
   }
   put(Kind, Name, Body.at("spec"));
-  Exchange->respond(200, serialize(Kinds[Kind][Name]));
+  answer(Exchange, 200, Held.Kinds[Kind][Name]);
+}
+
+users_store::store_copy users_store::copy() const {
+  store_copy Copy;
+  Copy.Held = Held;
+  return Copy;
+}
+
+void users_store::restore(const store_copy &Copy) {
+  Held = Copy.Held;
+  ++Era;
+  for (const waiting_watch &Watch : std::exchange(Watches, {})) {
+    Watch.Timer->cancel();
+    Watch.Exchange->breakConnection();
+  }
+}
+
+void users_store::answer(const exchange_ptr &Exchange, int Status,
+                         const json::value &Body) const {
+  Exchange->respond(Status, serialize(Body),
+                    "Store-Era: " + std::to_string(Era) + "\r\n");
 }
 
 void users_store::list(const exchange_ptr &Exchange, const std::string &Kind) {
   json::array Entries;
-  for (const std::pair<const std::string, json::value> &Object : Kinds[Kind])
+  for (const std::pair<const std::string, json::value> &Object :
+       Held.Kinds[Kind])
     Entries.push_back(Object.second);
-  Exchange->respond(200, serialize(json::object{{"entries", std::move(Entries)},
-                                                {"has_more", false},
-                                                {"current_rev", Revision}}));
+  answer(Exchange, 200,
+         json::object{{"entries", std::move(Entries)},
+                      {"has_more", false},
+                      {"current_rev", Held.Revision}});
 }
 
 void users_store::watch(const exchange_ptr &Exchange, const std::string &Kind,
                         std::uint64_t Since, std::int64_t WaitMs) {
+  if (Since > Held.Revision) {
+    answer(Exchange, 410, json::object());
+    return;
+  }
   waiting_watch Watch{Kind, Since, Exchange,
                       std::make_shared<asio::steady_timer>(
                           Context, std::chrono::milliseconds(WaitMs))};
