Check again after a list that was asked for meanwhile

Cause: a check that was asked for during a list of a later era was forgotten until the next poll, a second later. Change: the same as after events. store-watch-test passes.

--- a/packages/entry/src/serving/store_watch.cc
+++ b/packages/entry/src/serving/store_watch.cc
@@ -336,6 +336,8 @@
   Listing = false;
   Listener.onObjects(Kind, Objects, Since);
   callAfter(pauseAfter(Body.size()));
+  if (std::exchange(CheckAgain, false))
+    check();
 }
 
 void store_watch::onEvents(const std::string &Body, store_era Era) {
