Verify a host's registration when the store has come back

Cause: the list of entry hosts of a store that came back may lack this host, or name it after it has left.

--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -47,6 +47,7 @@
 
 void serving_store::onLaterEra(store_era Era) {
   Core.onStoreEra(Era, now());
+  Registration->verify();
   Changed();
 }
 
@@ -301,6 +302,8 @@
 }
 
 void serving_store::takeEntryHost(const platform::store_object &Object) {
+  if (entry_host_id(Object.Name) == Core.self().Host)
+    Registration->onSeen(Object);
   if (Object.Deleted) {
     Core.onHostRemoved(entry_host_id(Object.Name), now());
     return;
