Keep servers in use that a copy of the store lacks

The first list of a later era is a copy some seconds old. It took every server that had registered since the copy out of use at once, and brought servers back that had been removed since; a follower of an earlier era with a higher number was told nothing. A server that such a list lacks, or lists as an earlier run, stays usable for RewriteTime (2 s: the pages have living servers written again by then) unless it leaves. A removed run that the copy lists again is used once it is written again (its number is then above the last one known) or after ReturnTime, since the store removes the entries of silent servers. Changes since an earlier era are the whole list. What a copy says of the cold time of a known run is ignored: it is some seconds old and would make the server cold again.

--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -45,6 +45,12 @@
   std::optional<core_time> UnlistedSince;
   /// Revision of the entry, or of its removal.
   object_version ChangedAt;
+  /// Set while the entry is missing from the lists of a later era, and may be
+  /// written again.
+  std::optional<core_time> MissingSince;
+  /// Entry of a removed run in a list of a later era than its removal, and the
+  /// time of that list.
+  std::optional<std::pair<backend_entry, core_time>> Returned;
   /// This host's calls in flight.
   std::uint32_t InFlight = 0;
   std::optional<backend_load> Load;
@@ -81,15 +87,21 @@
   /// Sets the revision by which a server was removed, if it still is.
   void setRemovedBy(const backend_id &Id, object_version Revision);
   /// Applies a complete list: servers missing from it are marked as unlisted.
+  /// If the list is of a later era, it is a copy of an older list that may lack
+  /// servers and bring removed ones back: they wait to be settled.
   void replaceAll(const std::vector<backend_entry> &Entries,
                   object_version Revision, core_time Now);
   /// Returns the changes after Since; the complete list if removals since then
-  /// may have been erased.
+  /// may have been erased, or Since is of an earlier era.
   backend_changes changesSince(object_version Since) const;
   /// The server itself reported that it is shutting down or is another run.
   void markLeaving(const backend_id &Id);
   /// The same for one run, listed or not. Returns whether that was not known.
   bool markLeaving(const backend_id &Id, incarnation Run);
+  /// Decides on servers that a copy lacked or brought back a while ago.
+  void settleCopied(core_time Now);
+  /// Time at which the next one is decided on.
+  std::optional<core_time> nextSettling() const { return SettleAt; }
   /// Erases servers that have been unlisted for a long time.
   void evictUnlisted(core_time Now);
 
@@ -122,6 +134,13 @@
   bool empty() const { return Servers.empty(); }
   const std::map<backend_id, backend_state> &all() const { return Servers; }
 
+  /// Time after the first list of a later era in which what the copy lacked is
+  /// written again; what is still missing then is gone.
+  static constexpr core_duration RewriteTime = std::chrono::seconds(2);
+  /// Time after which an entry that a copy brought back counts as listed: the
+  /// platform removes the entries of servers that are silent for less.
+  static constexpr core_duration ReturnTime = std::chrono::seconds(5);
+
   void onCallStarted(const backend_id &Id);
   /// Micros is the time of a complete response; 0 if it is not representative.
   void onCallSucceeded(const backend_id &Id, double Micros);
@@ -131,12 +150,20 @@
   void onLoad(const backend_id &Id, const backend_load &Load, core_time Now);
 
 private:
+  /// Returns whether a list's entry may be only a copy of one that was removed
+  /// since the copy.
+  static bool mayBeCopied(const backend_state &State,
+                          const backend_entry &Entry);
+  void scheduleSettling(core_time At);
+
   server_limits Limits;
   std::map<backend_id, backend_state> Servers;
   /// Runs that were seen draining or that reported their shutdown.
   std::set<std::pair<backend_id, incarnation>> LeavingRuns;
-  /// Removals up to this revision may have been erased.
+  /// Removals up to this revision may have been erased or were never read.
   object_version ErasedUpTo;
+  /// Set while servers wait to be settled, and not after the first of them.
+  std::optional<core_time> SettleAt;
   /// The latest end of a pause, so that times without one cost nothing.
   core_time LastPauseEnd;
   /// Listed servers of a pool that are not leaving. Emptied by each change of
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -2,6 +2,7 @@
 #include "jasminecroft/core/serving/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminecroft {
 
@@ -47,6 +48,8 @@
   State.Entry = Entry;
   State.ChangedAt = std::max(State.ChangedAt, Entry.Revision);
   State.UnlistedSince.reset();
+  State.MissingSince.reset();
+  State.Returned.reset();
 }
 
 std::set<endpoint> backend_directory::listedAddresses() const {
@@ -62,11 +65,15 @@
   auto Found = Servers.find(Id);
   if (Found == Servers.end() || Revision < Found->second.Entry.Revision)
     return;
-  if (Found->second.UnlistedSince)
+  backend_state &State = Found->second;
+  if (State.Returned && State.Returned->first.Revision <= Revision)
+    State.Returned.reset();
+  if (State.UnlistedSince)
     return;
   UsableByPool.clear();
-  Found->second.UnlistedSince = Now;
-  Found->second.ChangedAt = Revision;
+  State.UnlistedSince = Now;
+  State.MissingSince.reset();
+  State.ChangedAt = Revision;
 }
 
 void backend_directory::setRemovedBy(const backend_id &Id,
@@ -78,14 +85,64 @@
 
 void backend_directory::replaceAll(const std::vector<backend_entry> &Entries,
                                    object_version Revision, core_time Now) {
+  bool IsNewEra = ErasedUpTo.Era < Revision.Era;
+  ErasedUpTo = std::max(ErasedUpTo, object_version(Revision.Era, 0));
   std::set<backend_id> Listed;
   for (const backend_entry &Entry : Entries) {
     Listed.insert(Entry.Id);
-    update(Entry);
+    backend_state *Known = find(Entry.Id);
+    if (!Known || !mayBeCopied(*Known, Entry)) {
+      update(Entry);
+    } else if (IsNewEra || !Known->Returned) {
+      Known->Returned = {Entry, Now};
+      scheduleSettling(Now + ReturnTime);
+    }
   }
-  for (const std::pair<const backend_id, backend_state> &Server : Servers)
-    if (!Listed.contains(Server.first))
+  for (std::pair<const backend_id, backend_state> &Server : Servers) {
+    backend_state &State = Server.second;
+    // Listed if the entry is of an earlier run.
+    bool IsUnread = State.Entry.Revision.Era < Revision.Era;
+    if (IsUnread && !State.UnlistedSince) {
+      if (IsNewEra || !State.MissingSince)
+        State.MissingSince = Now;
+      scheduleSettling(*State.MissingSince + RewriteTime);
+    } else if (!Listed.contains(Server.first)) {
       remove(Server.first, Revision, Now);
+    }
+  }
+}
+
+// The numbers of two eras are the same up to the copy: an entry with a higher
+// number than the last one known was written after the copy.
+bool backend_directory::mayBeCopied(const backend_state &State,
+                                    const backend_entry &Entry) {
+  return State.UnlistedSince && State.Entry.Run == Entry.Run &&
+         State.ChangedAt.Era < Entry.Revision.Era &&
+         Entry.Revision.Value <= State.Entry.Revision.Value;
+}
+
+void backend_directory::scheduleSettling(core_time At) {
+  SettleAt = SettleAt ? std::min(*SettleAt, At) : At;
+}
+
+void backend_directory::settleCopied(core_time Now) {
+  if (!SettleAt || Now < *SettleAt)
+    return;
+  SettleAt.reset();
+  UsableByPool.clear();
+  for (std::pair<const backend_id, backend_state> &Server : Servers) {
+    backend_state &State = Server.second;
+    if (State.MissingSince && Now < *State.MissingSince + RewriteTime) {
+      scheduleSettling(*State.MissingSince + RewriteTime);
+    } else if (State.MissingSince) {
+      State.UnlistedSince = std::exchange(State.MissingSince, std::nullopt);
+      State.ChangedAt = {ErasedUpTo.Era, 0};
+    }
+    if (State.Returned && Now < State.Returned->second + ReturnTime)
+      scheduleSettling(State.Returned->second + ReturnTime);
+    else if (State.Returned)
+      update(backend_entry(State.Returned->first));
+  }
 }
 
 backend_changes backend_directory::changesSince(object_version Since) const {
@@ -95,7 +152,12 @@
     const backend_state &State = Server.second;
     if (!Changes.Complete && State.ChangedAt <= Since)
       continue;
-    if (!State.UnlistedSince)
+    // Receivers decide by themselves on what a copy lacked or brought back.
+    if (State.Returned)
+      Changes.Listed.push_back(State.Returned->first);
+    else if (State.MissingSince)
+      continue;
+    else if (!State.UnlistedSince)
       Changes.Listed.push_back(State.Entry);
     else if (!Changes.Complete)
       Changes.Unlisted.emplace_back(Server.first, State.ChangedAt);
@@ -118,7 +180,7 @@
     const backend_state &State = It->second;
     bool Old =
         State.UnlistedSince && Now - *State.UnlistedSince > UnlistedRetention;
-    if (!Old || State.InFlight != 0) {
+    if (!Old || State.Returned || State.InFlight != 0) {
       ++It;
       continue;
     }
--- a/packages/core/src/serving/cold_servers.cc
+++ b/packages/core/src/serving/cold_servers.cc
@@ -85,6 +85,9 @@
   if (!NewRun &&
       (Entry.Run < Known->Entry.Run || Entry.Revision <= Known->Entry.Revision))
     return false;
+  // A copy repeats what the entry said some time ago.
+  if (!NewRun && Known->Entry.Revision.Era < Entry.Revision.Era)
+    return false;
   auto Rule = Rules.find(Entry.Pool);
   bool Assumed = NewRun && ListRead && Rule != Rules.end();
   if (!Entry.ColdLeft && !Assumed)
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -445,6 +445,7 @@
   processFollowing();
   processCrashes();
   processWarm();
+  Servers.settleCopied(Now);
   Servers.evictUnlisted(Now);
 }
 
@@ -468,6 +469,8 @@
     Consider(*NextWarm);
   if (PushAt)
     Consider(*PushAt);
+  if (std::optional<core_time> NextSettling = Servers.nextSettling())
+    Consider(*NextSettling);
   Consider(std::min(NextSeedHeartbeat, Time + DirectoryCleanup));
   return Next;
 }
--- a/packages/core/test/backend-directory-test.cc
+++ b/packages/core/test/backend-directory-test.cc
@@ -25,6 +25,17 @@
   return Entry;
 }
 
+object_version eraVersion(std::uint64_t Era, std::uint64_t Number) {
+  return {store_era(Era), Number};
+}
+
+backend_entry entry(const char *Id, std::uint64_t Run, object_version Revision,
+                    bool Draining = false) {
+  backend_entry Entry = entry(Id, Run, 0, Draining);
+  Entry.Revision = Revision;
+  return Entry;
+}
+
 } // namespace
 
 TEST_CASE("a run that was seen draining never becomes ready again") {
@@ -88,3 +99,115 @@
   Servers.onCallSucceeded(Id, 1000);
   CHECK(Servers.find(Id)->AvoidUntil <= Start);
 }
+
+TEST_CASE("a server that a copy of the store lacks is used until it could be "
+          "written again, and no longer") {
+  backend_directory Servers;
+  Servers.update(entry("a", 1, eraVersion(1, 10)));
+  Servers.update(entry("b", 1, eraVersion(1, 11)));
+  Servers.replaceAll({entry("b", 1, eraVersion(2, 5))}, eraVersion(2, 6),
+                     Start);
+  Servers.replaceAll({entry("b", 1, eraVersion(2, 5))}, eraVersion(2, 7),
+                     Start + seconds(1));
+  core_time Last = Start + backend_directory::RewriteTime - milliseconds(1);
+  Servers.settleCopied(Last);
+  CHECK(Servers.usable(Pool, Last).size() == 2);
+  core_time End = Start + backend_directory::RewriteTime;
+  SUBCASE("written again") {
+    Servers.update(entry("a", 1, eraVersion(2, 8)));
+    Servers.settleCopied(End);
+    CHECK(Servers.usable(Pool, End).size() == 2);
+  }
+  SUBCASE("still missing") {
+    CHECK(Servers.nextSettling() == End);
+    Servers.settleCopied(End);
+    CHECK(Servers.usable(Pool, End).size() == 1);
+    Servers.remove(backend_id("b"), eraVersion(2, 8), End - seconds(1));
+    CHECK(Servers.usable(Pool, End).empty());
+    CHECK_FALSE(Servers.nextSettling());
+    Servers.update(entry("a", 1, eraVersion(2, 9)));
+    CHECK(Servers.usable(Pool, End).size() == 1);
+  }
+}
+
+TEST_CASE("a leaving server that a copy of the store lists as ready, or lacks, "
+          "gets no requests") {
+  backend_directory Servers;
+  Servers.update(entry("a", 1, eraVersion(1, 10)));
+  Servers.update(entry("a", 1, eraVersion(1, 11), true));
+  Servers.update(entry("b", 1, eraVersion(1, 12), true));
+  Servers.replaceAll({entry("a", 1, eraVersion(2, 10))}, eraVersion(2, 10),
+                     Start);
+  CHECK(Servers.usable(Pool, Start).empty());
+}
+
+TEST_CASE("a server that was removed gets no requests only because a copy of "
+          "the store lists it") {
+  backend_directory Servers;
+  Servers.update(entry("a", 1, eraVersion(1, 10)));
+  Servers.remove(backend_id("a"), eraVersion(1, 12), Start);
+  core_time ListedAt = Start + seconds(10);
+  Servers.replaceAll({entry("a", 1, eraVersion(2, 10))}, eraVersion(2, 11),
+                     ListedAt);
+  CHECK(Servers.usable(Pool, ListedAt).empty());
+  core_time End = ListedAt + backend_directory::ReturnTime;
+  SUBCASE("written again") {
+    Servers.update(entry("a", 1, eraVersion(2, 12)));
+    CHECK(Servers.usable(Pool, ListedAt).size() == 1);
+  }
+  SUBCASE("removed again") {
+    Servers.remove(backend_id("a"), eraVersion(2, 12), ListedAt);
+    Servers.settleCopied(End);
+    CHECK(Servers.usable(Pool, End).empty());
+  }
+  SUBCASE("missing from a later list") {
+    Servers.replaceAll({}, eraVersion(2, 12), ListedAt + seconds(1));
+    Servers.settleCopied(End);
+    CHECK(Servers.usable(Pool, End).empty());
+  }
+  SUBCASE("listed for longer than a silent server would be") {
+    Servers.replaceAll({entry("a", 1, eraVersion(2, 10))}, eraVersion(2, 12),
+                       End - milliseconds(1));
+    Servers.settleCopied(End - milliseconds(1));
+    CHECK(Servers.usable(Pool, End).empty());
+    Servers.settleCopied(End);
+    CHECK(Servers.usable(Pool, End).size() == 1);
+  }
+}
+
+TEST_CASE("a server that was removed and written after the copy is used at "
+          "once") {
+  backend_directory Servers;
+  Servers.update(entry("a", 1, eraVersion(1, 10)));
+  Servers.remove(backend_id("a"), eraVersion(1, 12), Start);
+  Servers.replaceAll({entry("a", 1, eraVersion(2, 11))}, eraVersion(2, 11),
+                     Start);
+  CHECK(Servers.usable(Pool, Start).size() == 1);
+}
+
+TEST_CASE("an earlier run that a copy of the store lists does not stand for "
+          "the run that is known") {
+  backend_directory Servers;
+  Servers.update(entry("a", 2, eraVersion(1, 10)));
+  Servers.replaceAll({entry("a", 1, eraVersion(2, 5))}, eraVersion(2, 6),
+                     Start);
+  REQUIRE(Servers.usable(Pool, Start).size() == 1);
+  CHECK(Servers.usable(Pool, Start)[0]->Entry.Run == incarnation(2));
+  core_time End = Start + backend_directory::RewriteTime;
+  Servers.settleCopied(End);
+  CHECK(Servers.usable(Pool, End).empty());
+}
+
+TEST_CASE("changes since an earlier era are the whole list, whatever the "
+          "numbers") {
+  backend_directory Servers;
+  Servers.update(entry("a", 1, eraVersion(1, 400)));
+  Servers.update(entry("b", 1, eraVersion(1, 401)));
+  Servers.replaceAll({entry("b", 1, eraVersion(2, 5))}, eraVersion(2, 6),
+                     Start);
+  backend_changes Changes = Servers.changesSince(eraVersion(1, 500));
+  CHECK(Changes.Complete);
+  REQUIRE(Changes.Listed.size() == 1);
+  CHECK(Changes.Listed[0].Id == backend_id("b"));
+  CHECK_FALSE(Servers.changesSince(eraVersion(2, 6)).Complete);
+}
