Read everything again when the store comes back from a copy

A host whose store came back from a copy went on to hand out what it had read before as current, and hosts whose number was higher took what came after for old. serving_core::onStoreEra(), called for an answer of a later era, logs 707, counts nothing as current until it is read again and asks for a resync of all kinds, once for each era. A heartbeat, poll, news or zone order of a peer with a later era does the same. A host announces the era before its own reads are answered, and each host that learns of it tells on. Reports and news of an earlier era are not applied, and a watcher of an earlier era does not count as current. That a configuration never goes back held before; it has a test.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -81,6 +81,7 @@
   StoreCallFailed = 704,
   StoreViewBehind = 705,
   StoreSourceChanged = 706,
+  StoreCameBack = 707,
   PeerMessageRefused = 801,
 };
 
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -344,6 +344,9 @@
   void onStoreRead(store_kind Kind, core_time Now);
   /// Calls of the store for objects of this kind fail.
   void onStoreLost(store_kind Kind, core_time Now);
+  /// An answer of the store was the first of a later era: the store came back
+  /// from a copy. What is known counts as out of date until it is read again.
+  void onStoreEra(store_era Era, core_time Now);
   void onHost(const batching_host &Host, core_time Now);
   void onHostRemoved(const entry_host_id &Host, core_time Now);
   /// All hosts on the platform's list have been reported.
--- a/packages/core/include/jasminecroft/core/serving/store_gossip.h
+++ b/packages/core/include/jasminecroft/core/serving/store_gossip.h
@@ -19,7 +19,8 @@
 struct store_progress {
   /// Version of the active configuration.
   config_version Config;
-  /// Revision of the latest change of a backend server's entry.
+  /// Revision of the latest change of a backend server's entry; in a later era
+  /// than that of the last read, zero.
   object_version Backends;
 };
 
@@ -45,6 +46,9 @@
   };
 
   void start(core_time Now) { NextGossipAt = Now + GossipInterval; }
+  /// The store came back from a copy. All hosts that learn of it announce it,
+  /// before they have read the store again.
+  void onStoreEra(store_era Era, core_time Now);
   void onConfig(config_version Version, core_time Now);
   /// All changes up to Revision are known; Newest is the last of them.
   void onBackendsRead(object_version Revision, object_version Newest,
@@ -55,6 +59,8 @@
   std::optional<core_time> nextWakeup() const;
 
   const store_progress &progress() const { return Progress; }
+  /// The latest era of the store that any host has seen.
+  store_era era() const { return Progress.Backends.Era; }
   /// All changes of backend servers up to this revision are known.
   object_version backendsReadTo() const { return BackendsReadTo; }
   /// Returns true if this host is one of the watchers of the store.
--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -43,10 +43,45 @@
     Actions.resyncStore(store_kind::EmptiedZones);
 }
 
+// The store came back from a copy: what was read before may be gone, and the
+// revisions after the copy are given out again.
+void serving_impl::onStoreEra(store_era Era) {
+  store_era Before = Gossip.era();
+  if (Era <= Before)
+    return;
+  bool WasRead = ConfigCurrent || Emptied.readTo() != object_version() ||
+                 Gossip.backendsReadTo() != object_version();
+  Gossip.onStoreEra(Era, Now);
+  if (!WasRead)
+    return;
+  log(event_number::StoreCameBack, event_severity::Warning,
+      "the platform's store came back from an older copy",
+      {{"era", std::to_string(Era.Value)},
+       {"before", std::to_string(Before.Value)}});
+  setAllOutdated();
+  Removals.clear();
+  Following.pollNow(Now);
+  resyncAll();
+}
+
+// Returns whether what was read at a revision is of the latest era.
+bool serving_impl::acceptEra(object_version Revision) {
+  onStoreEra(Revision.Era);
+  return Revision.Era == Gossip.era();
+}
+
+void serving_impl::setAllOutdated() {
+  ConfigCurrent = false;
+  BackendsCurrent = false;
+  ZonesCurrent = false;
+}
+
 // Returns whether this host may tell others that what it knows is current.
 bool serving_impl::storeCurrent() const {
+  bool ZonesRead = ZonesCurrent && Emptied.readTo().Era == Gossip.era();
   return Source == store_source::Watch && ConfigCurrent && BackendsCurrent &&
-         (ZonesCurrent || !Settings.EmptiedZones) && !Leaving;
+         Gossip.backendsReadTo().Era == Gossip.era() &&
+         (ZonesRead || !Settings.EmptiedZones) && !Leaving;
 }
 
 void serving_impl::onBackendRemoved(const backend_id &Id,
@@ -100,6 +135,7 @@
 }
 
 void serving_impl::on(const host_run &Sender, const store_poll &Body) {
+  onStoreEra(Body.Backends.Era);
   if (!storeCurrent()) {
     Followers.erase(Sender.Host);
     sendToHost(Sender.Host, store_news{});
@@ -112,8 +148,9 @@
 }
 
 void serving_impl::on(const host_run &Sender, const store_news &Body) {
-  Following.onNews(Sender.Host, Body.Current, Now);
-  if (!Body.Current)
+  bool Current = Body.Current && acceptEra(Body.To);
+  Following.onNews(Sender.Host, Current, Now);
+  if (!Current)
     return;
   if (Body.Config > Gossip.progress().Config)
     sendToHost(Sender.Host, operator_config_pull{Gossip.progress().Config});
@@ -169,9 +206,7 @@
   LastWakeup = Now;
   if (!Stalled)
     return;
-  ConfigCurrent = false;
-  BackendsCurrent = false;
-  ZonesCurrent = false;
+  setAllOutdated();
   resyncAll();
 }
 
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -159,6 +159,7 @@
   for (const batching_host &Other : Body.Others)
     if (!Hosts.find(Other.Host))
       Hosts.add(Other, Now);
+  onStoreEra(Body.Backends.Era);
   if (Body.WantsReply) {
     host_heartbeat Reply = makeHeartbeat(false);
     if (!KnowsOthers)
@@ -346,17 +347,23 @@
 }
 void serving_core::onBackend(const backend_entry &Entry, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Entry.Revision))
+    return;
   Impl->updateServer(Entry);
   Impl->onBackendsRead(Entry.Revision, Entry.Revision);
 }
 void serving_core::onBackendRemoved(const backend_id &Id,
                                     object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Revision))
+    return;
   Impl->onBackendRemoved(Id, Revision);
 }
 void serving_core::onBackendList(const std::vector<backend_entry> &Entries,
                                  object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Revision))
+    return;
   Impl->replaceServers(Entries, Revision);
   object_version Newest;
   for (const backend_entry &Entry : Entries)
@@ -365,19 +372,27 @@
 }
 void serving_core::onBackendsRead(object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Revision))
+    return;
   Impl->onBackendsRead(Revision, object_version());
 }
 void serving_core::onZoneOrder(const zone_order &Order, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Order.Revision))
+    return;
   Impl->onZoneOrder(Order);
 }
 void serving_core::onZoneList(const std::vector<zone_order> &Emptied,
                               object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Revision))
+    return;
   Impl->onZoneList(Emptied, Revision);
 }
 void serving_core::onZonesRead(object_version Revision, core_time Now) {
   event_scope Event(*Impl, Now);
+  if (!Impl->acceptEra(Revision))
+    return;
   Impl->onZonesRead(Revision);
 }
 void serving_core::onStoreRead(store_kind Kind, core_time Now) {
@@ -388,6 +403,10 @@
   event_scope Event(*Impl, Now);
   Impl->onStoreLost(Kind);
 }
+void serving_core::onStoreEra(store_era Era, core_time Now) {
+  event_scope Event(*Impl, Now);
+  Impl->onStoreEra(Era);
+}
 void serving_core::onHost(const batching_host &Host, core_time Now) {
   event_scope Event(*Impl, Now);
   Impl->onHost(Host, Now);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -75,6 +75,8 @@
   void beginDraining(core_time End, core_time Now);
   void onStoreRead(store_kind Kind);
   void onStoreLost(store_kind Kind);
+  void onStoreEra(store_era Era);
+  bool acceptEra(object_version Revision);
   void onBackendRemoved(const backend_id &Id, object_version Revision);
   void onBackendsRead(object_version Revision, object_version Newest);
   void onPeerUnreachable(const entry_host_id &Host);
@@ -367,6 +369,7 @@
   void processFollowing();
   void checkStall();
   void setCurrent(store_kind Kind, bool Current);
+  void setAllOutdated();
   void resyncAll();
   void pushNews();
   bool storeCurrent() const;
--- a/packages/core/src/serving/store_gossip.cc
+++ b/packages/core/src/serving/store_gossip.cc
@@ -43,6 +43,15 @@
     AnnounceAt = std::max(Now, LastAnnouncement + MinAnnouncementGap);
 }
 
+void store_gossip::onStoreEra(store_era Era, core_time Now) {
+  if (Era <= era())
+    return;
+  bool KnewStore = Progress.Backends != object_version();
+  Progress.Backends = {Era, 0};
+  if (KnewStore)
+    scheduleAnnouncement(Now);
+}
+
 void store_gossip::onConfig(config_version Version, core_time Now) {
   if (Version <= Progress.Config)
     return;
@@ -71,6 +80,7 @@
     ConfigStale = true;
     NewerConfig = newer_version{Now + propagationTime(), From};
   }
+  onStoreEra(Theirs.Backends.Era, Now);
   if (Theirs.Backends > BackendsReadTo && !NewerBackends) {
     BackendsStale = true;
     NewerBackends = newer_version{Now + propagationTime(), From};
--- a/packages/core/test/store-following-test.cc
+++ b/packages/core/test/store-following-test.cc
@@ -89,20 +89,25 @@
     return Last;
   }
   static backend_entry entry(const std::string &Id, std::uint64_t Revision) {
+    return entry(Id, object_version(Revision));
+  }
+  static backend_entry entry(const std::string &Id, object_version Revision) {
     backend_entry Entry;
     Entry.Id = backend_id(Id);
     Entry.Pool = pool_id("plain");
     Entry.Address = endpoint("10.0.1.1:80");
     Entry.Zone = zone_id("z0");
     Entry.Run = incarnation(1);
-    Entry.Revision = object_version(Revision);
+    Entry.Revision = Revision;
     return Entry;
   }
-  static backend_news listed(const std::string &Id, std::uint64_t Revision,
-                             bool Draining = false) {
+  static backend_news listed(const std::string &Id, std::uint64_t Revision) {
+    return listed(Id, object_version(Revision));
+  }
+  static backend_news listed(const std::string &Id, object_version Revision) {
     backend_entry Entry = entry(Id, Revision);
-    return {Entry.Id,      Entry.Revision, true,     Entry.Pool,
-            Entry.Address, Entry.Zone,     Draining, Entry.Run};
+    return {Entry.Id,      Entry.Revision, true,  Entry.Pool,
+            Entry.Address, Entry.Zone,     false, Entry.Run};
   }
   static backend_news removed(const std::string &Id, std::uint64_t Revision) {
     backend_news Entry;
@@ -119,6 +124,13 @@
             object_version(To),
             std::move(Backends)};
   }
+  std::size_t eventCount(event_number Number) const {
+    return static_cast<std::size_t>(
+        std::count_if(Actions.Log.begin(), Actions.Log.end(),
+                      [Number](const event_record &Event) {
+                        return Event.Number == Number;
+                      }));
+  }
   bool isListed(const std::string &Id) const {
     const backend_state *State = Core.backends().find(backend_id(Id));
     return State && !State->UnlistedSince;
@@ -316,3 +328,130 @@
   CHECK(Test.newsTo("p1")->Complete);
   CHECK(Test.newsTo("p1")->Backends.size() == 2);
 }
+
+TEST_CASE("after the return of the store from a copy a host reads it again "
+          "before it hands on what it knows") {
+  followed_core Test;
+  Test.Core.onStoreEra(store_era(1), Test.Now);
+  CHECK(Test.Actions.Resync.empty());
+  Test.readStore();
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(1), 90})},
+                          {store_era(1), 100}, Test.Now);
+  Test.Actions.Sent.clear();
+  SUBCASE("seen itself") { Test.Core.onStoreEra(store_era(2), Test.Now); }
+  SUBCASE("told by a heartbeat") {
+    host_heartbeat Heartbeat;
+    Heartbeat.Self = host("p1");
+    Heartbeat.Backends = {store_era(2), 0};
+    Test.receive("p1", Heartbeat);
+    Test.receive("p1", Heartbeat);
+  }
+  SUBCASE("told by a poll") {
+    Test.receive("p1", store_poll{config_version(), {store_era(2), 7}});
+  }
+  SUBCASE("told by news") {
+    store_news News = followed_core::news(0, 0, {});
+    News.From = News.To = {store_era(2), 7};
+    Test.receive("p1", News);
+  }
+  CHECK(Test.Actions.Resync ==
+        std::vector<store_kind>{store_kind::Config, store_kind::Backends});
+  CHECK(Test.eventCount(event_number::StoreCameBack) == 1);
+  Test.receive("p2", store_poll{config_version(1), {store_era(1), 100}});
+  CHECK_FALSE(Test.newsTo("p2")->Current);
+  Test.readStore();
+  Test.receive("p2", store_poll{config_version(1), {store_era(1), 100}});
+  CHECK_FALSE(Test.newsTo("p2")->Current);
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(2), 90})},
+                          {store_era(2), 95}, Test.Now);
+  Test.receive("p2", store_poll{config_version(1), {store_era(1), 100}});
+  CHECK(Test.newsTo("p2")->Current);
+  CHECK(Test.newsTo("p2")->Complete);
+  CHECK(Test.newsTo("p2")->Backends.size() == 1);
+  Test.Core.onStoreEra(store_era(2), Test.Now);
+  CHECK(Test.eventCount(event_number::StoreCameBack) == 1);
+}
+
+TEST_CASE("the return of the store from a copy is told before it is read") {
+  followed_core Test;
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(1), 90})},
+                          {store_era(1), 100}, Test.Now);
+  Test.advance(seconds(2));
+  Test.Actions.Sent.clear();
+  Test.Core.onStoreEra(store_era(2), Test.Now);
+  Test.advance(milliseconds(10));
+  CHECK(std::any_of(Test.Actions.Sent.begin(), Test.Actions.Sent.end(),
+                    [](const std::pair<entry_host_id, peer_body> &Message) {
+                      const host_heartbeat *Heartbeat =
+                          std::get_if<host_heartbeat>(&Message.second);
+                      return Heartbeat &&
+                             Heartbeat->Backends.Era == store_era(2);
+                    }));
+}
+
+TEST_CASE("a watcher that does not know of the return of the store is not "
+          "followed, and its news are not applied") {
+  followed_core Test;
+  for (int I = 1; I < 8; ++I)
+    Test.Core.onHost(host("p" + std::to_string(I), "z0", Strong), Test.Now);
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(1), 90})},
+                          {store_era(1), 100}, Test.Now);
+  store_news News = followed_core::news(0, 0, {});
+  News.From = {store_era(1), 100};
+  News.To = {store_era(1), 120};
+  News.Backends = {followed_core::listed("b", {store_era(1), 120})};
+  store_source Expected = store_source::Watch;
+  SUBCASE("of a later era") {
+    Test.Core.onStoreEra(store_era(2), Test.Now);
+    Test.Core.onBackendList({followed_core::entry("a", {store_era(2), 90})},
+                            {store_era(2), 95}, Test.Now);
+  }
+  SUBCASE("of the same era") { Expected = store_source::Watcher; }
+  Test.receive("p1", News);
+  Test.advance(milliseconds(10));
+  CHECK(Test.Actions.Source == Expected);
+  CHECK(Test.isListed("b") == (Expected == store_source::Watcher));
+}
+
+TEST_CASE("a follower of an earlier era takes the whole list of a later one, "
+          "whatever the numbers") {
+  followed_core Test;
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(1), 90})},
+                          {store_era(1), 500}, Test.Now);
+  store_news News = followed_core::news(0, 0, {});
+  News.Complete = true;
+  News.From = {store_era(1), 500};
+  News.To = {store_era(2), 95};
+  News.Backends = {followed_core::listed("b", {store_era(2), 80})};
+  Test.receive("p1", News);
+  CHECK(Test.isListed("b"));
+  CHECK(Test.Actions.ToldTo == object_version(store_era(2), 95));
+  Test.advance(backend_directory::RewriteTime + milliseconds(10));
+  CHECK_FALSE(Test.isListed("a"));
+}
+
+TEST_CASE("late answers of an earlier era change nothing") {
+  followed_core Test;
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(2), 90})},
+                          {store_era(2), 95}, Test.Now);
+  Test.Core.onBackendRemoved(backend_id("a"), {store_era(1), 121}, Test.Now);
+  Test.Core.onBackendList({}, {store_era(1), 122}, Test.Now);
+  Test.Core.onBackend(followed_core::entry("b", {store_era(1), 123}), Test.Now);
+  Test.advance(seconds(3));
+  CHECK(Test.isListed("a"));
+  CHECK_FALSE(Test.isListed("b"));
+}
+
+TEST_CASE("a configuration that a copy of the store holds does not replace a "
+          "newer one") {
+  followed_core Test;
+  Test.Core.onConfig(Test.config(7), "seven", Test.Now);
+  Test.Core.onStoreEra(store_era(1), Test.Now);
+  Test.readStore();
+  Test.Core.onStoreEra(store_era(2), Test.Now);
+  CHECK_FALSE(Test.Core.onConfig(Test.config(5), "five", Test.Now));
+  CHECK(Test.Core.configVersion() == config_version(7));
+  Test.receive("p1", operator_config_pull{config_version(5)});
+  CHECK(Test.sentTo<operator_config_push>(entry_host_id("p1")) == 1);
+  CHECK(Test.Core.onConfig(Test.config(8), "eight", Test.Now));
+}
--- a/packages/core/test/store-news-test.cc
+++ b/packages/core/test/store-news-test.cc
@@ -61,6 +61,14 @@
         }));
   }
 
+  std::size_t hostsBefore(store_era Era) const {
+    return static_cast<std::size_t>(
+        std::count_if(Members.begin(), Members.end(),
+                      [Era](const std::unique_ptr<member> &Member) {
+                        return Member->Gossip.progress().Backends.Era < Era;
+                      }));
+  }
+
   void run(core_duration Time) {
     for (core_time End = Now + Time; Now < End; Now += Step)
       for (std::size_t I = 0; I < Members.size(); ++I)
@@ -215,3 +223,40 @@
                     }));
   CHECK(Fixture.Actions.Resync == std::vector<store_kind>{store_kind::Config});
 }
+
+TEST_CASE("a host that learns of the return of the store from a copy tells the "
+          "others at once") {
+  for (std::size_t Count : {3, 76, 390}) {
+    gossip_fleet Fleet(Count);
+    Fleet.run(seconds(2));
+    for (const std::unique_ptr<gossip_fleet::member> &Member : Fleet.Members)
+      Member->Gossip.onBackendsRead({store_era(1), 500}, {store_era(1), 500},
+                                    Fleet.Now);
+    Fleet.run(seconds(2));
+    core_duration Worst{0};
+    for (std::size_t First = 0; First < Count; First += Count / 3) {
+      store_era Era = Fleet.Members[0]->Gossip.progress().Backends.Era.next();
+      core_time SeenAt = Fleet.Now;
+      Fleet.Members[First]->Gossip.onStoreEra(Era, Fleet.Now);
+      while (Fleet.hostsBefore(Era) != 0 && Fleet.Now - SeenAt < seconds(5))
+        Fleet.run(Step);
+      Worst = std::max(Worst, Fleet.Now - SeenAt);
+      Fleet.run(seconds(2));
+    }
+    MESSAGE(Count, " hosts know of it after at most ", Worst.count() / 1'000,
+            " ms");
+    CHECK(Worst <= store_gossip::PropagationTime);
+  }
+}
+
+TEST_CASE("a host that knows a higher number of an earlier era is behind") {
+  fleet_hosts Hosts(host(0));
+  store_gossip Gossip(Hosts);
+  Gossip.start(Start);
+  Gossip.onBackendsRead({store_era(1), 500}, {store_era(1), 500}, Start);
+  Gossip.takeDueActions(Start);
+  Gossip.onPeerMessage(host(1).Host, {config_version(), {store_era(2), 30}},
+                       Start);
+  CHECK(Gossip.takeDueActions(Start + store_gossip::PropagationTime).Resync ==
+        std::vector<store_kind>{store_kind::Backends});
+}
