Keep zones emptied whose orders a copy of the store lacks

The first list of a later era took every zone back whose order had been written after the copy, though the operator had not taken it back. Such orders stay in force until they are written again, or for RewriteTime (2 s). A host that has read only the copy no longer concludes from it that an order of an earlier era was taken back: it told that to the hosts that still kept the order.

--- a/packages/core/include/jasminecroft/core/serving/emptied_zones.h
+++ b/packages/core/include/jasminecroft/core/serving/emptied_zones.h
@@ -6,6 +6,7 @@
 #include "jasminecroft/core/stored_objects.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -21,8 +22,14 @@
   bool applyTold(const zone_order &Order);
   /// Takes the whole list of emptied zones as of a revision: the others were
   /// taken back. Returns the orders that change what is emptied.
+  /// Orders of an earlier era that are missing from it stay in force until
+  /// settleCopied(): the operator writes again what a copy lacks.
   std::vector<zone_order> replaceAll(const std::vector<zone_order> &Listed,
-                                     object_version Revision);
+                                     object_version Revision, core_time Now);
+  /// Takes zones back whose orders a copy lacked a while ago. Returns the
+  /// orders that change what is emptied.
+  std::vector<zone_order> settleCopied(core_time Now);
+  std::optional<core_time> nextSettling() const { return SettleAt; }
   /// All orders up to Revision are known.
   void onRead(object_version Revision);
 
@@ -41,6 +48,10 @@
   }
   object_version readTo() const { return ReadTo; }
 
+  /// Time after the first list of a later era for which orders that it lacks
+  /// stay in force.
+  static constexpr core_duration RewriteTime = backend_directory::RewriteTime;
+
   // admission_source
   bool active(core_time) const override { return Emptied != 0; }
   admission_answer check(const backend_state &Server, const call_subject &,
@@ -57,6 +68,8 @@
   /// The store has been read up to this revision; zones without an order were
   /// not emptied then.
   object_version ReadTo;
+  /// Set while orders of an earlier era are in force that the store lacks.
+  std::optional<core_time> SettleAt;
 };
 
 } // namespace jasminecroft
--- a/packages/core/src/serving/emptied_zones.cc
+++ b/packages/core/src/serving/emptied_zones.cc
@@ -44,21 +44,29 @@
 bool emptied_zones::applyTold(const zone_order &Order) {
   if (Order.Revision > ReadTo || Orders.contains(Order.Zone))
     return apply(Order);
-  // The zone was not emptied when the store was read later.
-  apply({Order.Zone, ReadTo, false});
+  // The zone was not emptied when the store was read later. A store that came
+  // back from a copy may have lost the order.
+  if (Order.Revision.Era == ReadTo.Era)
+    apply({Order.Zone, ReadTo, false});
   return false;
 }
 
 std::vector<zone_order>
 emptied_zones::replaceAll(const std::vector<zone_order> &Listed,
-                          object_version Revision) {
+                          object_version Revision, core_time Now) {
+  if (ReadTo.Era < Revision.Era)
+    SettleAt.reset();
   std::vector<zone_order> Wanted = Listed;
   for (const std::pair<const zone_id, zone_order> &Known : Orders) {
     bool IsListed = std::any_of(Listed.begin(), Listed.end(),
                                 [&Known](const zone_order &Order) {
                                   return Order.Zone == Known.first;
                                 });
-    if (!IsListed && Known.second.Emptied)
+    if (IsListed || !Known.second.Emptied)
+      continue;
+    if (Known.second.Revision.Era < Revision.Era)
+      SettleAt = SettleAt.value_or(Now + RewriteTime);
+    else
       Wanted.push_back({Known.first, Revision, false});
   }
   std::vector<zone_order> Changed;
@@ -69,6 +77,18 @@
   return Changed;
 }
 
+std::vector<zone_order> emptied_zones::settleCopied(core_time Now) {
+  std::vector<zone_order> Changed;
+  if (!SettleAt || Now < *SettleAt)
+    return Changed;
+  SettleAt.reset();
+  for (const zone_order &Order : orders())
+    if (Order.Emptied && Order.Revision.Era < ReadTo.Era &&
+        apply({Order.Zone, ReadTo, false}))
+      Changed.push_back({Order.Zone, ReadTo, false});
+  return Changed;
+}
+
 void emptied_zones::onRead(object_version Revision) {
   ReadTo = std::max(ReadTo, Revision);
 }
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -447,6 +447,8 @@
   processWarm();
   Servers.settleCopied(Now);
   Servers.evictUnlisted(Now);
+  for (const zone_order &Order : Emptied.settleCopied(Now))
+    logZone(Order, "store");
 }
 
 std::optional<core_time> serving_impl::nextWakeup(core_time Time) const {
@@ -471,6 +473,8 @@
     Consider(*PushAt);
   if (std::optional<core_time> NextSettling = Servers.nextSettling())
     Consider(*NextSettling);
+  if (std::optional<core_time> NextSettling = Emptied.nextSettling())
+    Consider(*NextSettling);
   Consider(std::min(NextSeedHeartbeat, Time + DirectoryCleanup));
   return Next;
 }
--- a/packages/core/src/serving/serving_zones.cc
+++ b/packages/core/src/serving/serving_zones.cc
@@ -30,7 +30,7 @@
                               object_version Revision) {
   // Every host reads the first list itself.
   bool First = Emptied.readTo() == object_version();
-  std::vector<zone_order> Changed = Emptied.replaceAll(Listed, Revision);
+  std::vector<zone_order> Changed = Emptied.replaceAll(Listed, Revision, Now);
   for (const zone_order &Order : Changed)
     logZone(Order, "store");
   logForgottenZones();
@@ -67,6 +67,7 @@
 void serving_impl::on(const host_run &Sender, const zone_orders &Body) {
   bool Outdated = false;
   for (const zone_order &Order : Body.Orders) {
+    onStoreEra(Order.Revision.Era);
     if (Emptied.applyTold(Order))
       logZone(Order, "peer");
     Outdated = Outdated || Emptied.isOutdated(Order);
--- a/packages/core/test/emptied-zones-test.cc
+++ b/packages/core/test/emptied-zones-test.cc
@@ -96,7 +96,8 @@
   emptied_zones Zones;
   Zones.apply(order(Near, 10, true));
   Zones.apply(order(Far, 25, true));
-  std::vector<zone_order> Changed = Zones.replaceAll({}, object_version(20));
+  std::vector<zone_order> Changed =
+      Zones.replaceAll({}, object_version(20), core_time());
   CHECK(Changed == std::vector<zone_order>{order(Near, 20, false)});
   CHECK(Zones.isEmptied(Far));
   // What a peer still says of a time before the list is out of date.
@@ -334,3 +335,34 @@
   CHECK(Test.zonesUsed().empty());
   CHECK(Test.Core.counters().RefusedByEmptiedZones == 12);
 }
+
+TEST_CASE("an order that a copy of the store lacks holds until it could be "
+          "written again") {
+  two_zones Test;
+  Test.Core.onZoneList({}, {store_era(1), 20}, Test.Now);
+  Test.Core.onZoneOrder({Far, {store_era(1), 30}, true}, Test.Now);
+  Test.Core.onStoreEra(store_era(2), Test.Now);
+  Test.Core.onZoneList({}, {store_era(2), 25}, Test.Now);
+  CHECK(Test.zonesUsed() == std::set<zone_id>{Near});
+  Test.advance(emptied_zones::RewriteTime - milliseconds(10));
+  Test.Core.onZoneList({}, {store_era(2), 26}, Test.Now);
+  CHECK(Test.zonesUsed() == std::set<zone_id>{Near});
+  SUBCASE("written again") {
+    Test.Core.onZoneOrder({Far, {store_era(2), 27}, true}, Test.Now);
+    Test.advance(milliseconds(20));
+    CHECK(Test.zonesUsed() == std::set<zone_id>{Near});
+  }
+  SUBCASE("not written again") {
+    Test.advance(milliseconds(20));
+    CHECK(Test.zonesUsed().contains(Far));
+  }
+}
+
+TEST_CASE("a host that knows only the copy of the store does not take back a "
+          "zone for others") {
+  emptied_zones Zones;
+  Zones.replaceAll({}, {store_era(2), 25}, core_time());
+  CHECK_FALSE(Zones.applyTold({Far, {store_era(1), 30}, true}));
+  CHECK_FALSE(Zones.isEmptied(Far));
+  CHECK(Zones.orders().empty());
+}
