--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -445,7 +445,10 @@
   processFollowing();
   processCrashes();
   processWarm();
+  Servers.settleCopied(Now);
   Servers.evictUnlisted(Now);
+  for (const zone_order &Order : Emptied.settleCopied(Now))
+    logZone(Order, "store");
 }
 
 std::optional<core_time> serving_impl::nextWakeup(core_time Time) const {
@@ -468,6 +471,10 @@
     Consider(*NextWarm);
   if (PushAt)
     Consider(*PushAt);
+  if (std::optional<core_time> NextSettling = Servers.nextSettling())
+    Consider(*NextSettling);
+  if (std::optional<core_time> NextSettling = Emptied.nextSettling())
+    Consider(*NextSettling);
   Consider(std::min(NextSeedHeartbeat, Time + DirectoryCleanup));
   return Next;
 }
