--- a/packages/testing/processes/test/store-restored-test.cc
+++ b/packages/testing/processes/test/store-restored-test.cc
@@ -89,10 +89,9 @@
   });
 }
 
-bool serves(const users_fleet &Fleet, const std::string &Route,
-            std::size_t Host) {
-  return exchange(Fleet.call(Route, "r", "key-1", Host), CallBound).Status ==
-         200;
+unsigned statusOf(const users_fleet &Fleet, const std::string &Route,
+                  std::size_t Host) {
+  return exchange(Fleet.call(Route, "r", "key-1", Host), CallBound).Status;
 }
 
 /// Requests of some that Host sends to Server.
@@ -111,7 +110,7 @@
 void checkServed(const users_fleet &Fleet, const std::string &Route) {
   for (std::size_t Host = 0; Host < Fleet.Processes.size(); ++Host) {
     CAPTURE(Host);
-    CHECK(serves(Fleet, Route, Host));
+    CHECK(statusOf(Fleet, Route, Host) == 200);
   }
 }
 
