Do not take the first era that a host learns of for a return

A host that had read the configuration before it was told the era of the store logged 707 and read everything again, though nothing had come back: the era counted as later than none. Only what was read under revisions (backend servers, orders for zones) can be out of date; the configuration is ordered by its own version. Seen in store-following-test while the next case was written: with onStoreRead() before the first list, the host did not call itself current.

--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -49,7 +49,7 @@
   store_era Before = Gossip.era();
   if (Era <= Before)
     return;
-  bool WasRead = ConfigCurrent || Emptied.readTo() != object_version() ||
+  bool WasRead = Emptied.readTo() != object_version() ||
                  Gossip.backendsReadTo() != object_version();
   Gossip.onStoreEra(Era, Now);
   if (!WasRead)
--- a/packages/core/test/store-following-test.cc
+++ b/packages/core/test/store-following-test.cc
@@ -332,6 +332,7 @@
 TEST_CASE("after the return of the store from a copy a host reads it again "
           "before it hands on what it knows") {
   followed_core Test;
+  Test.readStore();
   Test.Core.onStoreEra(store_era(1), Test.Now);
   CHECK(Test.Actions.Resync.empty());
   Test.readStore();
