Tell followers at once when a watcher is current again

A watcher pushes news 20 ms after its list of backend servers; if its read of the configuration was answered later than that, it was not current yet, the push was dropped, and its followers learned of the new era's list only with their next poll, up to 1 s later. A watcher that becomes current now pushes what its followers lack. A host that learns of a later era no longer polls at once: its watcher has not read the store yet either, and the answer 'not current' would make every follower watch the store itself. Before: the new case of store-following-test failed (no news of the later era); after: 22 of 22 pass.

--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -23,7 +23,12 @@
 
 using namespace detail;
 
-void serving_impl::onStoreRead(store_kind Kind) { setCurrent(Kind, true); }
+void serving_impl::onStoreRead(store_kind Kind) {
+  bool WasCurrent = storeCurrent();
+  setCurrent(Kind, true);
+  if (!WasCurrent && storeCurrent())
+    pushNews();
+}
 
 void serving_impl::onStoreLost(store_kind Kind) { setCurrent(Kind, false); }
 
@@ -60,7 +65,6 @@
        {"before", std::to_string(Before.Value)}});
   setAllOutdated();
   Removals.clear();
-  Following.pollNow(Now);
   resyncAll();
 }
 
--- a/packages/core/test/store-following-test.cc
+++ b/packages/core/test/store-following-test.cc
@@ -456,3 +456,21 @@
   CHECK(Test.sentTo<operator_config_push>(entry_host_id("p1")) == 1);
   CHECK(Test.Core.onConfig(Test.config(8), "eight", Test.Now));
 }
+
+TEST_CASE("a watcher that has read the store again after its return tells its "
+          "followers at once") {
+  followed_core Test;
+  Test.readStore();
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(1), 90})},
+                          {store_era(1), 100}, Test.Now);
+  Test.receive("p1", store_poll{config_version(1), {store_era(1), 100}});
+  Test.Core.onStoreEra(store_era(2), Test.Now);
+  Test.Core.onBackendList({followed_core::entry("a", {store_era(2), 90})},
+                          {store_era(2), 95}, Test.Now);
+  Test.advance(milliseconds(50));
+  CHECK(Test.newsTo("p1")->To == object_version(store_era(1), 100));
+  Test.readStore();
+  Test.advance(milliseconds(50));
+  CHECK(Test.newsTo("p1")->To == object_version(store_era(2), 95));
+  CHECK(Test.newsTo("p1")->Complete);
+}
