--- a/packages/core/src/serving/serving_following.cc
+++ b/packages/core/src/serving/serving_following.cc
@@ -27,7 +27,12 @@
 
 using namespace detail;
 
-void serving_impl::onStoreRead(store_kind Kind) { setCurrent(Kind, true); }
+void serving_impl::onStoreRead(store_kind Kind) {
+  bool WasCurrent = storeCurrent();
+  setCurrent(Kind, true);
+  if (!WasCurrent && storeCurrent())
+    pushNews();
+}
 
 void serving_impl::onStoreLost(store_kind Kind) { setCurrent(Kind, false); }
 
@@ -53,7 +58,7 @@
   store_era Before = Gossip.era();
   if (Era <= Before)
     return;
-  bool WasRead = ConfigCurrent || Emptied.readTo() != object_version() ||
+  bool WasRead = Emptied.readTo() != object_version() ||
                  Gossip.backendsReadTo() != object_version();
   Gossip.onStoreEra(Era, Now);
   if (!WasRead)
@@ -64,7 +69,6 @@
        {"before", std::to_string(Before.Value)}});
   setAllOutdated();
   Removals.clear();
-  Following.pollNow(Now);
   resyncAll();
 }
 
