--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -124,7 +124,8 @@
 void caller_session::checkDeadline(clock::time_point Now) {
   if (Phase == phase::Idle && Deadline) {
     if (AnswerOnItsWay) {
-      AnswerOnItsWay = isUnacknowledged(Socket.native_handle());
+      AnswerOnItsWay = Now < AnsweredAt + WriteTime &&
+                       isUnacknowledged(Socket.native_handle());
       IdleSince = Now;
     }
     Deadline = std::max(*Deadline, IdleSince + Owner.bounds().IdleTimeout);
@@ -161,7 +162,8 @@
   Phase = phase::Idle;
   Request.reset();
   CallerId.clear();
-  IdleSince = clock::now();
+  AnsweredAt = clock::now();
+  IdleSince = AnsweredAt;
   AnswerOnItsWay = true;
   Deadline = IdleSince + Owner.bounds().IdleTimeout;
   if (Buffer.size() > 0) {
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -162,6 +162,8 @@
   /// caller may go by any of them.
   std::optional<clock::time_point> Deadline;
   clock::time_point IdleSince;
+  /// When the last answer was handed to the system.
+  clock::time_point AnsweredAt;
   /// The caller may not have the last answer yet, so that for it the connection
   /// does not rest.
   bool AnswerOnItsWay = false;
--- a/packages/testing/processes/test/idle-connections-test.cc
+++ b/packages/testing/processes/test/idle-connections-test.cc
@@ -110,29 +110,61 @@
   use(Fleet, Kept, "second");
 }
 
+namespace {
+
+constexpr int LittleRoom = 4'096;
+constexpr std::size_t LargeBodyBytes = 30'000;
+
+/// The only server of the plain requests; its answers fill a caller's room.
+class large_answers {
+public:
+  explicit large_answers(users_fleet &Fleet)
+      : Server([](const raw_request &Request, int,
+                  const raw_server::writer &Write) {
+          Write("HTTP/1.1 200 OK\r\n" + signature(Request.Id) +
+                "Content-Length: " + std::to_string(LargeBodyBytes) +
+                "\r\n\r\n" + std::string(LargeBodyBytes, 'x'));
+        }) {
+    Fleet.on([&] {
+      Fleet.listAt("plain", "plain-raw", Server.port());
+      for (const char *Old : {"plain-0", "plain-1"})
+        Fleet.Store->remove("servers", Old);
+    });
+    pause(milliseconds(1'500));
+  }
+
+private:
+  raw_server Server;
+};
+
+} // namespace
+
 TEST_CASE("a connection does not rest while its caller still reads the "
           "answer") {
   users_fleet Fleet(1);
   REQUIRE(Fleet.waitReady());
   setIdleLimit(Fleet, 4, IdleLimit);
-  constexpr std::size_t BodyBytes = 30'000;
-  raw_server Server([](const raw_request &Request, int,
-                       const raw_server::writer &Write) {
-    Write("HTTP/1.1 200 OK\r\n" + signature(Request.Id) + "Content-Length: " +
-          std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x'));
-  });
-  Fleet.on([&] {
-    Fleet.listAt("plain", "plain-raw", Server.port());
-    for (const char *Old : {"plain-0", "plain-1"})
-      Fleet.Store->remove("servers", Old);
-  });
-  pause(milliseconds(1'500));
-  constexpr int LittleRoom = 4'096;
+  large_answers Server(Fleet);
   http_connection Kept(Fleet.CallerPorts[0], LittleRoom);
   REQUIRE(Kept.send(requestText(Fleet.call("once", "first"))));
   pause(IdleLimit + milliseconds(1'000));
-  REQUIRE(Kept.readReply(Bound).Body.size() == BodyBytes);
+  REQUIRE(Kept.readReply(Bound).Body.size() == LargeBodyBytes);
   pause(IdleLimit / 2);
   REQUIRE(Kept.send(requestText(Fleet.call("once", "second"))));
   CHECK(Kept.readReply(Bound).Status == 200);
 }
+
+TEST_CASE("a caller that never takes its answer does not keep its connection "
+          "for ever") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  setIdleLimit(Fleet, 4, IdleLimit);
+  large_answers Server(Fleet);
+  http_connection Silent(Fleet.CallerPorts[0], LittleRoom);
+  REQUIRE(Silent.send(requestText(Fleet.call("once", "first"))));
+  // Time to write an answer, the idle limit, and some sweeps.
+  pause(milliseconds(20'000) + IdleLimit + milliseconds(1'500));
+  Silent.readReply(Bound);
+  Silent.send(requestText(Fleet.call("once", "second")));
+  CHECK(Silent.readReply(Bound).Status == 0);
+}
