Judge every plain request that a living host leaves without an answer

Change: a request whose connection ends without a whole answer, later than the users' bound for requests that cross a close, is a broken promise, whether it ran or not; streams are excused only if their server broke off and the host's close names that (211 and 218 `answer_broken`).

--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -28,6 +28,8 @@
 /// A host that was told to stop ends by itself within its grace.
 constexpr std::chrono::seconds StopBound{10};
 constexpr std::size_t CalmRequests = 8;
+/// The users' bound for requests that cross the close of their connection.
+constexpr milliseconds CrossingTime{200};
 /// Bounds of the users' rules: when hosts count again after faults, and when a
 /// configuration is in force.
 constexpr milliseconds StableTime{3'000};
@@ -58,7 +60,8 @@
   std::string Id;
   soak_kind Kind = soak_kind::Read;
   http_reply Reply;
-  /// The host closed the connection without an answer, and its process lived.
+  /// The host's process lived, and the connection ended without a whole answer
+  /// later than a close that crosses the request.
   bool Cut = false;
 };
 
@@ -350,9 +353,10 @@
       steady::time_point Sent = steady::now();
       std::optional<http_reply> Reply =
           Sender.send(callOf(Id, Kind, Host), Own);
-      bool Early = steady::now() - Sent < Bound - std::chrono::seconds(1);
+      steady::duration Took = steady::now() - Sent;
       soak_answer Answer{Id, Kind, Reply.value_or(http_reply())};
-      Answer.Cut = Reply && Reply->Head.empty() && Early && Runs[Host] == Run;
+      Answer.Cut = Reply && !Reply->whole() && Took > CrossingTime &&
+                   Took < Bound - std::chrono::seconds(1) && Runs[Host] == Run;
       {
         std::lock_guard<std::mutex> Lock(AnswersMutex);
         Answers.push_back(std::move(Answer));
@@ -390,8 +394,8 @@
       Report.Served += Status == StatusOk ? 1 : 0;
       Report.Refused += guaranteesNotRun(Status) ? 1 : 0;
       Report.Unanswered += Status == 0 ? 1 : 0;
-      if (Answer.Cut && Times > 0)
-        broken(Answer.Id + " ran and got no answer" + linesAbout(Answer.Id));
+      if (Answer.Cut)
+        judgeCut(Answer, Times);
       if (!mayRepeat(Answer.Kind)) {
         ++Report.AtMostOnce;
         if (Times > 1) {
@@ -411,6 +415,17 @@
     }
   }
 
+  // A stream whose server broke off ends with its connection.
+  void judgeCut(const soak_answer &Answer, std::size_t Ran) {
+    std::string Lines = linesAbout(Answer.Id);
+    bool ByServer = isStream(Answer.Kind) &&
+                    Lines.find("\"event\":211") != std::string::npos &&
+                    Lines.find("answer_broken") != std::string::npos;
+    if (!ByServer)
+      broken(Answer.Id + " ran " + std::to_string(Ran) +
+             " times and got no answer" + Lines);
+  }
+
   void judgeServed(const soak_answer &Answer, std::size_t Ran) {
     if (Ran == 0)
       broken(Answer.Id + " was served, but ran nowhere");
