End the stand-ins of a fleet after their thread, and a process before the next

Cause: two faults of the rig. A host was started while the killed one still held its ports: zone-watchers-test failed in 2 of 68 runs with E106 address_in_use. Change: the thread ends first; the earlier process of a host is gone before the next one starts. That the faults came of this is not shown by a trace.

--- a/packages/testing/processes/src/users_fleet.cc
+++ b/packages/testing/processes/src/users_fleet.cc
@@ -108,15 +108,13 @@
 
 users_fleet::~users_fleet() {
   Processes.clear();
-  // The stand-ins live on their thread and end there.
-  on([this] {
-    Proxies.clear();
-    Backends.clear();
-    Store.reset();
-  });
   Guard.reset();
   Context.stop();
   Thread.join();
+  // Handlers name the stand-ins without holding them: none may run any more.
+  Proxies.clear();
+  Backends.clear();
+  Store.reset();
   std::filesystem::remove_all(Folder);
 }
 
@@ -219,6 +217,8 @@
 }
 
 void users_fleet::startHost(std::size_t Host) {
+  // The process before has to be gone: its ports are used again.
+  Processes[Host].reset();
   Processes[Host] = std::make_unique<child_process>(
       daemonPath(), std::vector<std::string>{"--serve", file(Host, ".json")},
       file(Host, ".err"), file(Host, ".log"));
