Give up servers that a copy of the store lacks in time for the rule on leaving

Cause: what a copy lacks was kept for 2 s from the host's list, which comes after the store's return. Change: 1.5 s: servers write each 1.2 s. Orders to empty a zone are written by the operator and stay for 2 s.

--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -136,7 +136,7 @@
 
   /// Time after the first list of a later era in which what the copy lacked is
   /// written again; what is still missing then is gone.
-  static constexpr core_duration RewriteTime = std::chrono::seconds(2);
+  static constexpr core_duration RewriteTime = std::chrono::milliseconds(1'500);
   /// Time after which an entry that a copy brought back counts as listed: the
   /// platform removes the entries of servers that are silent for less.
   static constexpr core_duration ReturnTime = std::chrono::seconds(5);
--- a/packages/core/include/jasminecroft/core/serving/emptied_zones.h
+++ b/packages/core/include/jasminecroft/core/serving/emptied_zones.h
@@ -50,7 +50,7 @@
 
   /// Time after the first list of a later era for which orders that it lacks
   /// stay in force.
-  static constexpr core_duration RewriteTime = backend_directory::RewriteTime;
+  static constexpr core_duration RewriteTime = std::chrono::seconds(2);
 
   // admission_source
   bool active(core_time) const override { return Emptied != 0; }
