--- a/packages/testing/processes/src/serving_soak.cc
+++ b/packages/testing/processes/src/serving_soak.cc
@@ -30,6 +30,8 @@
 constexpr std::size_t CalmRequests = 8;
 /// The users' bound for requests that cross the close of their connection.
 constexpr milliseconds CrossingTime{200};
+/// What the requests of a users_fleet state.
+constexpr milliseconds Deadline{3'000};
 /// Bounds of the users' rules: when hosts count again after faults, and when a
 /// configuration is in force.
 constexpr milliseconds StableTime{3'000};
@@ -63,6 +65,8 @@
   /// The host's process lived, and the connection ended without a whole answer
   /// later than a close that crosses the request.
   bool Cut = false;
+  /// The caller had waited for as long as it said.
+  bool DeadlineOver = false;
 };
 
 class soak {
@@ -357,6 +361,7 @@
       soak_answer Answer{Id, Kind, Reply.value_or(http_reply())};
       Answer.Cut = Reply && !Reply->whole() && Took > CrossingTime &&
                    Took < Bound - std::chrono::seconds(1) && Runs[Host] == Run;
+      Answer.DeadlineOver = Took >= Deadline;
       {
         std::lock_guard<std::mutex> Lock(AnswersMutex);
         Answers.push_back(std::move(Answer));
@@ -415,11 +420,13 @@
     }
   }
 
-  // A stream whose server broke off ends with its connection.
+  // A stream whose server broke off, or is silent until the deadline, ends with
+  // its connection.
   void judgeCut(const soak_answer &Answer, std::size_t Ran) {
     std::string Lines = linesAbout(Answer.Id);
-    bool ByServer = isStream(Answer.Kind) &&
-                    Lines.find("\"event\":211") != std::string::npos &&
+    bool Ended =
+        Answer.DeadlineOver || Lines.find("\"event\":211") != std::string::npos;
+    bool ByServer = isStream(Answer.Kind) && Ended &&
                     Lines.find("answer_broken") != std::string::npos;
     if (!ByServer)
       broken(Answer.Id + " ran " + std::to_string(Ran) +
