--- a/review/program-2/small_fleet.cc
+++ b/review/program-2/small_fleet.cc
@@ -126,10 +126,22 @@
     onFree(Exchange);
   else if (Target == "/report")
     onReport(Exchange);
+  else if (Exchange->header("X-Model").empty())
+    onPlain(Exchange);
   else
     onStream(Exchange);
 }
 
+void backend::onPlain(const exchange_ptr &Exchange) {
+  std::string Id(Exchange->header("X-Request-Id"));
+  later(Options.Work, [this, Exchange, Id] {
+    Exchange->respond(200, "{}",
+                      "X-Request-Id: " + Id +
+                          "\r\nX-Replica-Stamp: " + Options.Id + "." + Id +
+                          "\r\nX-Replica-Load: 1,0,6\r\n");
+  });
+}
+
 void backend::onReport(const exchange_ptr &Exchange) {
   Exchange->respond(200, json::serialize(json::object{{"busy", Busy},
                                                       {"queued", Calls.size()},
--- a/review/program-2/small_fleet.h
+++ b/review/program-2/small_fleet.h
@@ -121,6 +121,7 @@
   void startCall();
   void onReport(const exchange_ptr &Exchange);
   void onFree(const exchange_ptr &Exchange);
+  void onPlain(const exchange_ptr &Exchange);
   void onStream(const exchange_ptr &Exchange);
   void later(std::chrono::milliseconds Time, std::function<void()> Action);
 
