--- a/review/program-2/lost_inputs.cc
+++ b/review/program-2/lost_inputs.cc
@@ -25,7 +25,7 @@
 constexpr int RoundsAfter = 12;
 /// Rounds after a kill until the process of the host starts again.
 constexpr int RestartRound = 4;
-constexpr int Troubles = 3;
+constexpr int Troubles = 6;
 constexpr int RequestsPerRound = 6;
 /// In the round of the trouble, so that jobs wait.
 constexpr int MostRequests = 16;
@@ -220,7 +220,7 @@
         Next = (Next + 1) % Fleet.Hosts.size();
       }
     };
-    // The same trouble three times, with time to recover: the process of the
+    // The same trouble a few times, with time to recover: the process of the
     // host starts again, and another server comes for the one that crashed.
     for (int Time = 0; Time < Troubles; ++Time) {
       for (int Number = 0; Number < RoundsBefore; ++Number) {
