--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,7 +9,12 @@
 [ -x "$program" ] && [ -x "$daemon" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 3 100 "$program" "$daemon" "$folder" record.txt "${TROUBLE:-1}"
+# A process group of its own, so that nothing outlives the case.
+set -m
+timeout -k 3 110 "$program" "$daemon" "$folder" record.txt "${TROUBLE:-1}" &
+group=$!
+wait "$group"
 code=$?
+kill -KILL -- "-$group" 2>/dev/null
 [ "$code" -le 1 ] || code=2
 exit "$code"
