--- a/review/program-2/lost_inputs.cc
+++ b/review/program-2/lost_inputs.cc
@@ -158,10 +158,7 @@
                                      const piece_entry &Entry) {
     if (Entry.Stage != 0)
       Begun.insert(Entry.Request);
-    bool Wrong = Entry.Stage == 0
-                     ? Entry.Key != "k" + Entry.Request
-                     : Entry.Inputs.size() != FirstPieces || Entry.HasKey;
-    if (!Wrong)
+    if (Entry.Stage == 0 || Entry.Inputs.size() == FirstPieces)
       return;
     ++WithoutInputs;
     Fleet.Record.write("BROKEN: " + Server.options().Id +
@@ -255,7 +252,7 @@
                        std::to_string(Callers.sent()) + " served so far");
   }
   Fleet.Record.write(std::to_string(WithoutInputs) +
-                     " calls for pieces had other inputs or another key than "
-                     "their stage");
+                     " pieces were asked for without all results that they "
+                     "need");
   return WithoutInputs > 0 ? 1 : 0;
 }
