Log when results are made again and when a job goes to another host

Change: events 219 (stages reset) and 220 (job moved, with the reason and the number of results that it names). No behaviour changes.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -39,6 +39,8 @@
   PromisedNotRun = 215,
   SlowReaderEnded = 217,
   CallerConnectionCut = 218,
+  StagesReset = 219,
+  JobMoved = 220,
   ClaimTaken = 301,
   ClaimDuplicate = 302,
   ClaimUndecided = 303,
--- a/packages/core/src/serving/serving_batches.cc
+++ b/packages/core/src/serving/serving_batches.cc
@@ -177,7 +177,7 @@
   active_request *State = find(Found->second.Request);
   std::uint32_t Stage = Found->second.Stage;
   if (State && Failure == piece_failure::OwnerChanged) {
-    assignJob(Id, *State);
+    moveJob(Id, *State, "owner_changed");
     return;
   }
   PendingJobs.erase(Found);
--- a/packages/core/src/serving/serving_results.cc
+++ b/packages/core/src/serving/serving_results.cc
@@ -51,10 +51,28 @@
   if (Now + Needed > State.Deadline || !endsBeforeDrain(State, Needed))
     return false;
   ++State.Recomputations;
+  logReset(State, Lost);
   startReadyStages(State);
   return true;
 }
 
+void serving_impl::logReset(const active_request &State,
+                            const std::vector<std::uint32_t> &Lost) {
+  std::string LostText;
+  for (std::uint32_t Stage : Lost)
+    LostText += (LostText.empty() ? "" : ",") + std::to_string(Stage);
+  std::string Waiting;
+  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
+    if (State.Stages[Stage].Phase == stage_phase::Waiting)
+      Waiting += (Waiting.empty() ? "" : ",") + std::to_string(Stage);
+  log(event_number::StagesReset, event_severity::Info,
+      "results of stages are lost; they are made again",
+      {{"request", State.Request.CallerId.Value},
+       {"lost", LostText},
+       {"waiting", Waiting},
+       {"count", std::to_string(State.Recomputations)}});
+}
+
 // Returns the stages that no other stage depends on.
 std::vector<std::uint32_t>
 serving_impl::finalStages(const active_request &State) const {
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -172,6 +172,27 @@
   submitJob(Id, State);
 }
 
+// Assigns a job to the present owner of its queue after another owner.
+void serving_impl::moveJob(piece_job_id Id, active_request &State,
+                           std::string_view Why) {
+  const job_state Before = PendingJobs[Id];
+  const std::string Request = State.Request.CallerId.Value;
+  std::size_t Inputs = stageInputs(State, Before.Stage).size();
+  assignJob(Id, State);
+  auto Moved = PendingJobs.find(Id);
+  if (Moved == PendingJobs.end())
+    return;
+  log(event_number::JobMoved, event_severity::Info,
+      "job of a stage goes to another host",
+      {{"request", Request},
+       {"stage", std::to_string(Before.Stage)},
+       {"job", std::to_string(Id.Value)},
+       {"from", Before.Owner.Value},
+       {"to", Moved->second.Owner.Value},
+       {"why", std::string(Why)},
+       {"inputs", std::to_string(Inputs)}});
+}
+
 // Submits a job to its assigned owner. Idempotent: an owner that already has
 // the job only replies with the expected wait.
 void serving_impl::submitJob(piece_job_id Id, active_request &State) {
@@ -307,7 +328,7 @@
       continue;
     cancelJobAt(Lost, Id);
     if (active_request *State = find(Found->second.Request))
-      assignJob(Id, *State);
+      moveJob(Id, *State, "owner_lost");
   }
 }
 
@@ -329,7 +350,7 @@
     addTimer(Now + JobAcceptTimeout, timer_kind::JobCheck, Id.Value);
   } else {
     cancelJobAt(Owner, Id);
-    assignJob(Id, *State);
+    moveJob(Id, *State, "owner_lost");
   }
 }
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -161,6 +161,7 @@
   void requestStage(active_request &State, std::size_t Stage);
   void assignJob(piece_job_id Id, active_request &State);
   void submitJob(piece_job_id Id, active_request &State);
+  void moveJob(piece_job_id Id, active_request &State, std::string_view Why);
   // Zones of queues: serving_queue_zones.cc.
   void chooseQueueZone(active_request &State, std::size_t Stage);
   std::optional<queue_report> zoneReport(const active_request &State,
@@ -212,6 +213,8 @@
   void resetStage(active_request &State, std::size_t Stage);
   bool recomputeResults(active_request &State,
                         const std::vector<std::uint32_t> &Lost);
+  void logReset(const active_request &State,
+                const std::vector<std::uint32_t> &Lost);
   std::vector<std::uint32_t> finalStages(const active_request &State) const;
   bool hasSmallResults(const active_request &State, std::size_t Stage) const;
 
