Give a stage's job its inputs once, and withdraw it when they are lost

What callers saw: a 200 with a result that was made from nothing. A server was asked for a piece of a later stage with no inputs and an empty key (MIXED).

Cause: what a job is made from was read anew from the request's state at every submission (`stageInputs`), and nothing checked that the stages before are done. When one later stage reported lost inputs, the stage before was reset, which empties its results; the job of another later stage that needs the same results stayed pending. Whatever submitted that job again meanwhile - a move to another owner, the check of an accepted job, another owner of the queue - sent it with an empty list. The owner and the server's side took that for a stage with a key, as both fields of a job could be empty.

Why this works: the job keeps what it is made from, read once, when all stages before it are done and their results are kept; `stageSource` gives nothing otherwise. Resetting a stage withdraws the jobs that would be made from its results; their stages wait and get new jobs. A piece's source is a key or inputs, in the job, between hosts and towards servers, so that neither can stand for the other. The call of the request itself checks its inputs in `sendCall`, on every path that leads there.

A stage whose earlier stages are all omitted was asked for with an empty key too; it is asked for with an empty list of inputs now, as the users' protocol says.

A loss that several stages report is made good once, as their jobs are withdrawn at the first report.

--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace jasminecroft {
@@ -18,6 +19,27 @@
 /// Handle of a result at the backend server that stores it: "IP:port/name".
 using result_handle = strong_text<struct result_handle_tag>;
 
+/// The caller's key of a request, from which pieces are made.
+using piece_key = strong_text<struct piece_key_tag>;
+
+/// All results of the stages that a stage depends on, in the order of these
+/// stages and of their pieces. Empty only if the request omits these stages.
+struct piece_inputs {
+  std::vector<result_handle> Results;
+  bool operator==(const piece_inputs &) const = default;
+};
+
+/// What a piece is made from: the caller's key in a stage that depends on no
+/// other one, and inputs in all other stages.
+using piece_source = std::variant<piece_key, piece_inputs>;
+
+/// Returns the results that a piece is made from; none if it has a key.
+inline const std::vector<result_handle> &resultsOf(const piece_source &Source) {
+  static const std::vector<result_handle> None;
+  const piece_inputs *Inputs = std::get_if<piece_inputs>(&Source);
+  return Inputs ? Inputs->Results : None;
+}
+
 /// Pieces of one stage of one request.
 struct piece_job {
   piece_job_id Job;
@@ -26,10 +48,9 @@
   /// Index of the stage in its route.
   std::uint32_t Stage = 0;
   std::vector<std::uint32_t> Pieces;
-  /// Input of the pieces in a stage that depends on no other stage.
-  std::string Key;
-  /// Results that are the input of the pieces in all other stages.
-  std::vector<result_handle> Inputs;
+  /// The same whenever the job is submitted: a stage whose inputs are made
+  /// again gets another job.
+  piece_source Source;
   /// Time left until the request's deadline.
   core_duration DeadlineIn{0};
   /// Time left to start this stage for the response to be on time; negative if
@@ -111,8 +132,7 @@
   caller_request_id Request;
   std::uint32_t Stage = 0;
   std::uint32_t Piece = 0;
-  std::string Key;
-  std::vector<result_handle> Inputs;
+  piece_source Source;
   core_duration TimeLeft{0};
 };
 
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -365,8 +365,8 @@
     Batch.Bytes += Job.Job.ResultBytes;
     Queues[Key].Shares[urgencyRank(Job.Job.Priority)].onStarted(
         Job.Job.Workspace, 1, Now);
-    Items.push_back({Job.Job.Request, Job.Job.Stage, Piece.Piece, Job.Job.Key,
-                     Job.Job.Inputs, Job.Deadline - Now});
+    Items.push_back({Job.Job.Request, Job.Job.Stage, Piece.Piece,
+                     Job.Job.Source, Job.Deadline - Now});
   }
   if (!queue(Key).empty()) {
     double Size = static_cast<double>(Started.size());
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -243,7 +243,7 @@
         continue;
       ++Job->second.Fetched;
       bool All = Job->second.Fetched == Job->second.Job.Pieces.size();
-      if (All && !Job->second.Job.Inputs.empty())
+      if (All && !resultsOf(Job->second.Job.Source).empty())
         Fetched.insert(Piece.Job);
     }
     for (const job_key &Key : Fetched)
--- a/packages/core/src/serving/batch_waits.cc
+++ b/packages/core/src/serving/batch_waits.cc
@@ -59,10 +59,10 @@
     Waiting.DeadlineIn = Job.Deadline - Now;
     Waiting.Pieces = Job.Waiting.size();
     Waiting.Priority = Job.Job.Priority;
-    Waiting.HasProgress =
-        !Job.Job.Inputs.empty() || Job.Missing < Job.Job.Pieces.size();
+    Waiting.HasProgress = !resultsOf(Job.Job.Source).empty() ||
+                          Job.Missing < Job.Job.Pieces.size();
     Waiting.Expedited =
-        !Job.Job.Inputs.empty() && Now - Job.Arrived > MaxInputWait;
+        !resultsOf(Job.Job.Source).empty() && Now - Job.Arrived > MaxInputWait;
     Waiting.Workspace = Job.Job.Workspace;
     const share_demands &Known = Recent[urgencyRank(Job.Job.Priority)];
     auto Share = Known.find(Waiting.Workspace);
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -37,7 +37,14 @@
 
 using namespace detail;
 
+// Sends the request to a server if the results that it needs are there;
+// otherwise that happens once they are.
 void serving_impl::sendCall(active_request &State) {
+  std::optional<piece_inputs> Inputs = finalInputs(State);
+  if (!Inputs) {
+    awaitInputs(State);
+    return;
+  }
   if (refuseQuarantined(State) || awaitPromptRoom(State))
     return;
   backend_state *Server = chooseServer(State);
@@ -87,7 +94,7 @@
   Forward.CallerId = State.Request.CallerId;
   Forward.Workspace = State.Workspace;
   Forward.TimeLeft = TimeLeft;
-  Forward.Inputs = finalInputs(State);
+  Forward.Inputs = std::move(Inputs->Results);
   Forward.ResumeAfter = State.LastEvent;
   Forward.Streamed = State.Route->Streamed;
   Forward.Urgency = beginStream(State, Id);
--- a/packages/core/src/serving/serving_prompts.cc
+++ b/packages/core/src/serving/serving_prompts.cc
@@ -244,14 +244,7 @@
          {"book_at", Wait.BookedAt->Value}});
   }
   Wait.Phase = prompt_phase::Ready;
-  sendReady(*State);
-}
-
-// Results of its stages may have been lost meanwhile: then it is sent once they
-// are made again.
-void serving_impl::sendReady(active_request &State) {
-  if (stagesDone(State))
-    sendCall(State);
+  sendCall(*State);
 }
 
 prompt_key serving_impl::promptKey(const active_request &State) const {
@@ -318,7 +311,7 @@
       State->Prompt.Attempt != Body.Attempt)
     return;
   if (!holdPrompt(*State, {Body.Server, Body.In}))
-    sendReady(*State);
+    sendCall(*State);
 }
 
 void serving_impl::on(const host_run &Sender, const prompt_read &Body) {
--- a/packages/core/src/serving/serving_records.h
+++ b/packages/core/src/serving/serving_records.h
@@ -44,7 +44,8 @@
 enum class stage_phase {
   /// Inputs are incomplete or the stage is not yet requested.
   Waiting,
-  /// A job is pending at a queue owner.
+  /// A job is pending at a queue owner. All stages that this one depends on are
+  /// done, and their results are kept.
   Requested,
   /// A job is pending, and the inputs are no longer needed.
   InputsFetched,
@@ -53,6 +54,7 @@
 
 struct stage_state {
   stage_phase Phase = stage_phase::Waiting;
+  /// Empty unless the stage is done.
   std::vector<completed_piece> Results;
   /// Valid while a job is pending.
   piece_job_id Job;
@@ -154,9 +156,12 @@
   bool Trial = false;
 };
 
+/// A job that a queue owner has. Its stage is in the phase Requested or
+/// InputsFetched; in the first one, the results that it is made from are kept.
 struct job_state {
   request_id Request;
   std::uint32_t Stage = 0;
+  piece_source Source;
   /// Host that the job is assigned to.
   entry_host_id Owner;
   zone_id QueueZone;
--- a/packages/core/src/serving/serving_results.cc
+++ b/packages/core/src/serving/serving_results.cc
@@ -19,41 +19,73 @@
 using namespace detail;
 
 // Resets Stage so that it is computed again, and the stages that it depends on
-// if their results were released.
+// if their results were released. Jobs that would be made from its results are
+// withdrawn; those that have fetched them go on.
 void serving_impl::resetStage(active_request &State, std::size_t Stage) {
   if (State.Request.Pieces[Stage] == 0 ||
       State.Stages[Stage].Phase == stage_phase::Waiting)
     return;
+  clearStage(State, Stage);
+  for (std::uint32_t Before : State.Route->Stages[Stage].After)
+    if (State.Stages[Before].Released)
+      resetStage(State, Before);
+  for (std::size_t Next = 0; Next < State.Stages.size(); ++Next) {
+    const std::vector<std::uint32_t> &After = State.Route->Stages[Next].After;
+    bool Follows = std::find(After.begin(), After.end(), Stage) != After.end();
+    if (Follows && State.Stages[Next].Phase == stage_phase::Requested)
+      clearStage(State, Next);
+  }
+}
+
+// Returns a stage to the phase Waiting; its job and its results are given up.
+void serving_impl::clearStage(active_request &State, std::size_t Stage) {
   cancelJob(State.Stages[Stage]);
   releaseStage(State.Stages[Stage]);
   stage_state Reset;
   Reset.QueueZone = State.Stages[Stage].QueueZone;
   Reset.QueueReason = State.Stages[Stage].QueueReason;
   State.Stages[Stage] = std::move(Reset);
-  for (std::uint32_t Before : State.Route->Stages[Stage].After)
-    if (State.Stages[Before].Released)
-      resetStage(State, Before);
 }
 
-// Recomputes the lost results of the stages in Lost. Returns false if the limit
-// is reached or the deadline cannot be met.
+// Recomputes the lost results of the stages in Lost, and starts all stages that
+// are ready. Returns false if the limit is reached or the deadline cannot be
+// met.
 bool serving_impl::recomputeResults(active_request &State,
                                     const std::vector<std::uint32_t> &Lost) {
-  if (State.Recomputations >= MaxRecomputations)
+  if (!Lost.empty() && State.Recomputations >= MaxRecomputations)
     return false;
   for (std::uint32_t Stage : Lost)
     resetStage(State, Stage);
+  if (!canRestart(State))
+    return false;
+  if (!Lost.empty()) {
+    ++State.Recomputations;
+    logReset(State, Lost);
+  }
+  startReadyStages(State);
+  return true;
+}
+
+// Recomputes the results that the call of a request needs if they are released.
+// Other missing ones are being made.
+void serving_impl::awaitInputs(active_request &State) {
+  std::vector<std::uint32_t> Released = finalStages(State);
+  std::erase_if(Released, [&State](std::uint32_t Stage) {
+    return !State.Stages[Stage].Released;
+  });
+  if (!Released.empty() && !recomputeResults(State, Released))
+    failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
+}
+
+// Returns whether the stages that are ready, and what follows them, can end
+// before the deadline.
+bool serving_impl::canRestart(const active_request &State) const {
   core_duration Needed{0};
   for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
     if (stageReady(State, Stage))
       Needed = std::max(Needed, stageTime(State, Stage) +
                                     remainingTimeAfter(State, Stage));
-  if (Now + Needed > State.Deadline || !endsBeforeDrain(State, Needed))
-    return false;
-  ++State.Recomputations;
-  logReset(State, Lost);
-  startReadyStages(State);
-  return true;
+  return Now + Needed <= State.Deadline && endsBeforeDrain(State, Needed);
 }
 
 void serving_impl::logReset(const active_request &State,
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -32,13 +32,11 @@
 
 bool serving_impl::stageReady(const active_request &State,
                               std::size_t Stage) const {
-  if (State.Stages[Stage].Phase != stage_phase::Waiting)
-    return false;
   const std::vector<std::uint32_t> &After = State.Route->Stages[Stage].After;
-  return std::all_of(After.begin(), After.end(), [&](std::uint32_t Before) {
-    return Before < State.Stages.size() &&
-           State.Stages[Before].Phase == stage_phase::Done;
-  });
+  return State.Stages[Stage].Phase == stage_phase::Waiting &&
+         std::all_of(After.begin(), After.end(), [&](std::uint32_t Before) {
+           return holdsResults(State, Before);
+         });
 }
 
 bool serving_impl::stagesDone(const active_request &State) const {
@@ -72,14 +70,29 @@
   sendCall(*State);
 }
 
-// Returns all results of the stages that Stage depends on.
-std::vector<result_handle>
-serving_impl::stageInputs(const active_request &State,
+// Returns whether all results of a stage can be given to others.
+bool serving_impl::holdsResults(const active_request &State,
+                                std::size_t Stage) {
+  return Stage < State.Stages.size() &&
+         State.Stages[Stage].Phase == stage_phase::Done &&
+         !State.Stages[Stage].Released;
+}
+
+// Returns what the pieces of a stage are made from; absent while a stage that
+// it depends on is not done or its results are released.
+std::optional<piece_source>
+serving_impl::stageSource(const active_request &State,
                           std::size_t Stage) const {
-  std::vector<result_handle> Inputs;
-  for (std::uint32_t Before : State.Route->Stages[Stage].After)
+  const std::vector<std::uint32_t> &After = State.Route->Stages[Stage].After;
+  if (After.empty())
+    return piece_key(State.Request.PieceKey);
+  piece_inputs Inputs;
+  for (std::uint32_t Before : After) {
+    if (!holdsResults(State, Before))
+      return std::nullopt;
     for (const completed_piece &Piece : State.Stages[Before].Results)
-      Inputs.push_back(Piece.Result);
+      Inputs.Results.push_back(Piece.Result);
+  }
   return Inputs;
 }
 
@@ -92,14 +105,17 @@
   });
 }
 
-// Returns all results of the stages that no other stage depends on.
-std::vector<result_handle>
+// Returns all results of the stages that no other stage depends on; absent
+// while such a stage is not done or its results are released.
+std::optional<piece_inputs>
 serving_impl::finalInputs(const active_request &State) const {
-  std::vector<result_handle> Inputs;
-  for (std::size_t Stage = 0; Stage < State.Stages.size(); ++Stage)
-    if (isFinalStage(State, Stage))
-      for (const completed_piece &Piece : State.Stages[Stage].Results)
-        Inputs.push_back(Piece.Result);
+  piece_inputs Inputs;
+  for (std::uint32_t Stage : finalStages(State)) {
+    if (!holdsResults(State, Stage))
+      return std::nullopt;
+    for (const completed_piece &Piece : State.Stages[Stage].Results)
+      Inputs.Results.push_back(Piece.Result);
+  }
   return Inputs;
 }
 
@@ -138,6 +154,9 @@
 
 void serving_impl::requestStage(active_request &State, std::size_t Stage) {
   const route_stage &Plan = State.Route->Stages[Stage];
+  std::optional<piece_source> Source = stageSource(State, Stage);
+  if (!Source)
+    return;
   if (Servers.usable(Plan.Pool, Now).empty()) {
     failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
     return;
@@ -151,6 +170,7 @@
   job_state &Job = PendingJobs[Id];
   Job.Request = State.Request.Number;
   Job.Stage = static_cast<std::uint32_t>(Stage);
+  Job.Source = std::move(*Source);
   assignJob(Id, State);
 }
 
@@ -177,7 +197,6 @@
                            std::string_view Why) {
   const job_state Before = PendingJobs[Id];
   const std::string Request = State.Request.CallerId.Value;
-  std::size_t Inputs = stageInputs(State, Before.Stage).size();
   assignJob(Id, State);
   auto Moved = PendingJobs.find(Id);
   if (Moved == PendingJobs.end())
@@ -190,7 +209,7 @@
        {"from", Before.Owner.Value},
        {"to", Moved->second.Owner.Value},
        {"why", std::string(Why)},
-       {"inputs", std::to_string(Inputs)}});
+       {"inputs", std::to_string(resultsOf(Before.Source).size())}});
 }
 
 // Submits a job to its assigned owner. Idempotent: an owner that already has
@@ -206,9 +225,7 @@
   for (std::uint32_t Piece = 0; Piece < State.Request.Pieces[Pending.Stage];
        ++Piece)
     Job.Pieces.push_back(Piece);
-  Job.Inputs = stageInputs(State, Pending.Stage);
-  if (Plan.After.empty())
-    Job.Key = State.Request.PieceKey;
+  Job.Source = Pending.Source;
   Job.DeadlineIn =
       State.Deadline - Now - remainingTimeAfter(State, Pending.Stage);
   Job.StartBy = State.GoalAt - Now - callTime(State, Pending.Stage) -
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -169,9 +169,10 @@
                                          std::size_t ServerCount) const;
   void noteSent(job_state &Job, const active_request &State);
   static std::string describeQueues(const active_request &State);
-  std::vector<result_handle> stageInputs(const active_request &State,
-                                         std::size_t Stage) const;
-  std::vector<result_handle> finalInputs(const active_request &State) const;
+  static bool holdsResults(const active_request &State, std::size_t Stage);
+  std::optional<piece_source> stageSource(const active_request &State,
+                                          std::size_t Stage) const;
+  std::optional<piece_inputs> finalInputs(const active_request &State) const;
   zone_id inputZone(const active_request &State) const;
   core_duration callTime(const active_request &State, std::size_t Stage) const;
   core_duration stageTime(const active_request &State, std::size_t Stage) const;
@@ -211,8 +212,11 @@
   void cancelJob(const stage_state &Stage);
   void cancelJobAt(const entry_host_id &Host, piece_job_id Job);
   void resetStage(active_request &State, std::size_t Stage);
+  void clearStage(active_request &State, std::size_t Stage);
   bool recomputeResults(active_request &State,
                         const std::vector<std::uint32_t> &Lost);
+  bool canRestart(const active_request &State) const;
+  void awaitInputs(active_request &State);
   void logReset(const active_request &State,
                 const std::vector<std::uint32_t> &Lost);
   std::vector<std::uint32_t> finalStages(const active_request &State) const;
@@ -304,7 +308,6 @@
                           const prompt_room_request &Asked);
   bool holdPrompt(active_request &State, const prompt_grant &Grant);
   void onPromptTimer(request_id Request);
-  void sendReady(active_request &State);
   prompt_key promptKey(const active_request &State) const;
   void onPromptSent(active_request &State, const backend_state &Server);
   void onPromptRead(active_request &State);
--- a/packages/core/test/batch-owner-fixture.h
+++ b/packages/core/test/batch-owner-fixture.h
@@ -94,7 +94,7 @@
     Job.Pool = pool_id("pool");
     for (std::uint32_t Piece = 0; Piece < PieceCount; ++Piece)
       Job.Pieces.push_back(Piece);
-    Job.Key = "key";
+    Job.Source = piece_key("key");
     Job.DeadlineIn = std::chrono::seconds(10);
     Job.StartBy = std::chrono::seconds(1);
     Job.ResultBytes = 1'000;
@@ -104,8 +104,7 @@
   /// Returns a job of a later stage, with one result as input.
   static piece_job laterJob(std::uint64_t Number, std::uint32_t PieceCount) {
     piece_job Job = job(Number, PieceCount);
-    Job.Key.clear();
-    Job.Inputs = {result_handle("10.0.1.1:80/input")};
+    Job.Source = piece_inputs{{result_handle("10.0.1.1:80/input")}};
     return Job;
   }
 
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -19,8 +19,7 @@
   REQUIRE(Test.Actions.Pieces.size() == 1);
   const batch_item &First = Test.Actions.Pieces.begin()->second.Items[0];
   CHECK(First.Stage == 0);
-  CHECK(First.Key == "piece-key");
-  CHECK(First.Inputs.empty());
+  CHECK(First.Source == piece_source(piece_key("piece-key")));
   Test.completePieces();
   REQUIRE(Test.Actions.Forwards.size() == 1);
   std::vector<result_handle> Inputs = Test.lastForward().Inputs;
@@ -135,7 +134,7 @@
     Wanted.Request = caller_request_id("peer" + std::to_string(Job));
     Wanted.Pool = pool_id("first");
     Wanted.Pieces = {0, 1};
-    Wanted.Key = "k";
+    Wanted.Source = piece_key("k");
     Wanted.DeadlineIn = seconds(2);
     Wanted.StartBy = seconds(1);
     Test.Core.onPeer({Peer.Host, incarnation(1)}, piece_request{Wanted},
@@ -167,7 +166,7 @@
     Wanted.Request = caller_request_id(Run == 1 ? "old" : "new");
     Wanted.Pool = pool_id("first");
     Wanted.Pieces = {0};
-    Wanted.Key = "k";
+    Wanted.Source = piece_key("k");
     Wanted.DeadlineIn = seconds(2);
     Wanted.StartBy = seconds(1);
     Test.Core.onPeer({Peer.Host, incarnation(Run)}, piece_request{Wanted},
@@ -327,7 +326,7 @@
   Wanted.Request = caller_request_id("peer");
   Wanted.Pool = pool_id("first");
   Wanted.Pieces = {0};
-  Wanted.Key = "k";
+  Wanted.Source = piece_key("k");
   Wanted.DeadlineIn = seconds(2);
   Wanted.StartBy = seconds(1);
   Test.Core.onPeer({Peer.Host, incarnation(1)}, piece_request{Wanted},
--- a/packages/testing/processes/test/cut-heads-test.cc
+++ b/packages/testing/processes/test/cut-heads-test.cc
@@ -282,7 +282,7 @@
   };
   batch_item Item;
   Item.Request = caller_request_id(Id);
-  Item.Key = "k";
+  Item.Source = piece_key("k");
   Item.TimeLeft = Timeout;
   playCuts(
       Context, Server,
--- a/packages/testing/src/serving_world_servers.cc
+++ b/packages/testing/src/serving_world_servers.cc
@@ -266,7 +266,7 @@
       return Result;
     }
     std::vector<serving_book::input> Inputs;
-    for (const result_handle &Handle : Item.Inputs) {
+    for (const result_handle &Handle : resultsOf(Item.Source)) {
       const serving_book::input *Input = World.resultFor(Handle, Entry.Zone);
       if (!Input) {
         Result.Problem = batch_item_problem::InputGone;
--- a/packages/wire/src/peer_codec_pieces.cc
+++ b/packages/wire/src/peer_codec_pieces.cc
@@ -72,10 +72,28 @@
   Reader.id("zone", Piece.Zone);
 }
 
+// A key, or null and the inputs.
+cbor_value writeSource(const piece_source &Source) {
+  if (const piece_key *Key = std::get_if<piece_key>(&Source))
+    return writeRecord(Key->Value);
+  return writeRecord(nullptr, writeList(resultsOf(Source), writeHandle));
+}
+
+void readSource(field_reader &Reader, piece_source &Source) {
+  std::optional<piece_key> Key;
+  Reader.maybeId("key", Key);
+  if (Key) {
+    Source = std::move(*Key);
+    return;
+  }
+  Reader.list("inputs", Source.emplace<piece_inputs>().Results, MaxInputsPerJob,
+              readHandle);
+}
+
 cbor_value writeJob(const piece_job &Job) {
   return writeRecord(Job.Job.Value, Job.Request.Value, Job.Pool.Value,
-                     Job.Stage, writeList(Job.Pieces, writeNumber), Job.Key,
-                     writeList(Job.Inputs, writeHandle), Job.DeadlineIn.count(),
+                     Job.Stage, writeList(Job.Pieces, writeNumber),
+                     writeSource(Job.Source), Job.DeadlineIn.count(),
                      Job.StartBy.count(), Job.Priority, Job.Workspace.Value,
                      Job.ResultBytes, Job.NearZone.Value, Job.InputZone.Value,
                      Job.InputBytes, Job.QueueZone.Value);
@@ -87,8 +105,7 @@
   Reader.id("pool", Job.Pool);
   Job.Stage = Reader.number32("stage");
   Reader.list("pieces", Job.Pieces, MaxPiecesPerJob, readNumber);
-  Job.Key = Reader.text("key");
-  Reader.list("inputs", Job.Inputs, MaxInputsPerJob, readHandle);
+  Reader.record("source", Job.Source, readSource);
   Job.DeadlineIn = core_duration(Reader.signedNumber("deadline_in"));
   Job.StartBy = core_duration(Reader.signedNumber("start_by"));
   Job.Priority = Reader.number32("priority");
--- a/packages/wire/test/peer-codec-test.cc
+++ b/packages/wire/test/peer-codec-test.cc
@@ -198,8 +198,11 @@
   Job.Pool = anyId<pool_id>();
   Job.Stage = any32();
   Job.Pieces = some<std::uint32_t>(4, any32);
-  Job.Key = anyText(20);
-  Job.Inputs = some<result_handle>(4, [] { return anyId<result_handle>(); });
+  if (any32() % 2 == 0)
+    Job.Source = piece_key(anyText(20));
+  else
+    Job.Source = piece_inputs{
+        some<result_handle>(4, [] { return anyId<result_handle>(); })};
   Job.DeadlineIn = anyDuration();
   Job.StartBy = anyDuration();
   Job.Priority = any32();
