Make results again only if the stage that lost them had the present ones

What callers saw: results that were just made, or being made, were thrown away and made once more, and the request was refused sooner, as each time counts towards the limit of recomputations.

Cause: a report of lost inputs reset all stages before, whatever results the job had been made from. A job whose call had fetched its inputs goes on when these are lost; if a server then fails to make its piece, the next try finds them gone and reports a loss that has been made good.

Evidence: stage-inputs-test, "a late report of lost inputs leaves results that were made since": on the code before, the first stage is made a third time and the request is not sent (3 checks).

Why this works: the job keeps what it was made from, and only stages that still hold these results, or have released theirs, are reset (`lostStages`). The others wait for what is being made.

--- a/packages/core/src/serving/serving_batches.cc
+++ b/packages/core/src/serving/serving_batches.cc
@@ -180,6 +180,7 @@
     moveJob(Id, *State, "owner_changed");
     return;
   }
+  const piece_source Source = std::move(Found->second.Source);
   PendingJobs.erase(Found);
   if (!State)
     return;
@@ -192,7 +193,7 @@
                   : Failure == piece_failure::Late    ? "late"
                                                       : "not_made"}});
   if (Failure == piece_failure::InputGone &&
-      recomputeResults(*State, State->Route->Stages[Stage].After))
+      recomputeResults(*State, lostStages(*State, Stage, Source)))
     return;
   refusal_kind Kind = Failure == piece_failure::Late ? refusal_kind::Overloaded
                                                      : refusal_kind::NoBackend;
--- a/packages/core/src/serving/serving_results.cc
+++ b/packages/core/src/serving/serving_results.cc
@@ -47,6 +47,26 @@
   State.Stages[Stage] = std::move(Reset);
 }
 
+// Returns the stages before Stage that have to be made again: those whose
+// results are in Source, which is lost, and those whose results are released.
+// Stages that are being made again, or have been since, are not among them.
+std::vector<std::uint32_t>
+serving_impl::lostStages(const active_request &State, std::size_t Stage,
+                         const piece_source &Source) const {
+  const std::vector<result_handle> &Lost = resultsOf(Source);
+  std::vector<std::uint32_t> Stages;
+  for (std::uint32_t Before : State.Route->Stages[Stage].After) {
+    const stage_state &Made = State.Stages[Before];
+    if (Made.Phase != stage_phase::Done || Made.Results.empty())
+      continue;
+    bool IsSource = std::find(Lost.begin(), Lost.end(),
+                              Made.Results.front().Result) != Lost.end();
+    if (IsSource || Made.Released)
+      Stages.push_back(Before);
+  }
+  return Stages;
+}
+
 // Recomputes the lost results of the stages in Lost, and starts all stages that
 // are ready. Returns false if the limit is reached or the deadline cannot be
 // met.
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -213,6 +213,9 @@
   void cancelJobAt(const entry_host_id &Host, piece_job_id Job);
   void resetStage(active_request &State, std::size_t Stage);
   void clearStage(active_request &State, std::size_t Stage);
+  std::vector<std::uint32_t> lostStages(const active_request &State,
+                                        std::size_t Stage,
+                                        const piece_source &Source) const;
   bool recomputeResults(active_request &State,
                         const std::vector<std::uint32_t> &Lost);
   bool canRestart(const active_request &State) const;
--- a/packages/core/test/stage-inputs-test.cc
+++ b/packages/core/test/stage-inputs-test.cc
@@ -171,6 +171,25 @@
   CHECK(Test.jobsOf(0) == 2);
 }
 
+TEST_CASE("a late report of lost inputs leaves results that were made since") {
+  shared_inputs_fixture Test(2);
+  Test.startLaterStages();
+  // Its call has fetched the first results before they are lost.
+  Test.from(Test.lastJob(2).first, inputs_fetched{Test.lastJob(2).second.Job});
+  Test.fail(1, piece_failure::InputGone);
+  Test.complete(0);
+  REQUIRE(Test.jobsOf(0) == 2);
+  REQUIRE(Test.jobsOf(1) == 2);
+  Test.fail(2, piece_failure::InputGone);
+  CHECK(Test.jobsOf(0) == 2);
+  CHECK(Test.jobsOf(1) == 2);
+  CHECK(Test.jobsOf(2) == 2);
+  Test.checkInputs();
+  Test.complete(1);
+  Test.complete(2);
+  CHECK(Test.Actions.Forwards.size() == 1);
+}
+
 TEST_CASE("a stage after omitted stages has inputs, none of them, and no key") {
   serving_fixture Test;
   Test.addAllPools();
