Make released inputs again before a job goes to another host

What callers saw: an answer later than needed, by one call.

Cause: results are released once the calls that need them have fetched them. If the host that owns the queue is lost after that, the job was submitted to the next one with the released results. A server had to take the call and find them gone before they were made again.

Evidence: stage-inputs-test, "a job that goes to another host is not submitted with released inputs": on the code before, the first stage is not made again and the job goes on with what was released.

Why this works: a job that goes to another host is compared with what its stage would be made from now (`renewJob`). If that differs, the stage gets a new job once its inputs are there, and only released ones are made again. The check of a job at its own host is not changed: it names the same inputs, and a host that has the job only answers.

--- a/packages/core/src/serving/serving_results.cc
+++ b/packages/core/src/serving/serving_results.cc
@@ -67,6 +67,19 @@
   return Stages;
 }
 
+// Withdraws a job whose inputs are released or made again, and lets its stage
+// get another one once it has inputs; ends the request if that takes too long.
+// Returns whether the job was withdrawn.
+bool serving_impl::renewJob(piece_job_id Id, active_request &State) {
+  const job_state Job = PendingJobs[Id];
+  if (stageSource(State, Job.Stage) == Job.Source)
+    return false;
+  clearStage(State, Job.Stage);
+  if (!recomputeResults(State, lostStages(State, Job.Stage, piece_source())))
+    failRequest(State, refusal_kind::NoBackend, NoBackendRetryAfter);
+  return true;
+}
+
 // Recomputes the lost results of the stages in Lost, and starts all stages that
 // are ready. Returns false if the limit is reached or the deadline cannot be
 // met.
--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -192,9 +192,12 @@
   submitJob(Id, State);
 }
 
-// Assigns a job to the present owner of its queue after another owner.
+// Assigns a job to the present owner of its queue after another owner. A job
+// whose call had fetched its inputs gets them made again if they are released.
 void serving_impl::moveJob(piece_job_id Id, active_request &State,
                            std::string_view Why) {
+  if (renewJob(Id, State))
+    return;
   const job_state Before = PendingJobs[Id];
   const std::string Request = State.Request.CallerId.Value;
   assignJob(Id, State);
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -216,6 +216,7 @@
   std::vector<std::uint32_t> lostStages(const active_request &State,
                                         std::size_t Stage,
                                         const piece_source &Source) const;
+  bool renewJob(piece_job_id Job, active_request &State);
   bool recomputeResults(active_request &State,
                         const std::vector<std::uint32_t> &Lost);
   bool canRestart(const active_request &State) const;
--- a/packages/core/test/stage-inputs-test.cc
+++ b/packages/core/test/stage-inputs-test.cc
@@ -190,6 +190,20 @@
   CHECK(Test.Actions.Forwards.size() == 1);
 }
 
+TEST_CASE("a job that goes to another host is not submitted with released "
+          "inputs") {
+  shared_inputs_fixture Test(1);
+  Test.startLaterStages();
+  const std::pair<entry_host_id, piece_job> Job = Test.lastJob(1);
+  Test.from(Job.first, inputs_fetched{Job.second.Job});
+  REQUIRE(Test.released() == FirstPieces);
+  Test.fail(1, piece_failure::OwnerChanged);
+  CHECK(Test.jobsOf(0) == 2);
+  CHECK(Test.jobsOf(1) == 1);
+  Test.checkServed();
+  Test.checkInputs();
+}
+
 TEST_CASE("a stage after omitted stages has inputs, none of them, and no key") {
   serving_fixture Test;
   Test.addAllPools();
