Give the results of a stage once, also if a route names it twice

Evidence: stage-inputs-test, "a stage that a route names twice gives its results once": 4 inputs before, 2 now.

Why this works: inputs are taken per stage, not per mention.

--- a/packages/core/src/serving/serving_stages.cc
+++ b/packages/core/src/serving/serving_stages.cc
@@ -87,7 +87,8 @@
   if (After.empty())
     return piece_key(State.Request.PieceKey);
   piece_inputs Inputs;
-  for (std::uint32_t Before : After) {
+  // A route may name a stage twice.
+  for (std::uint32_t Before : std::set(After.begin(), After.end())) {
     if (!holdsResults(State, Before))
       return std::nullopt;
     for (const completed_piece &Piece : State.Stages[Before].Results)
--- a/packages/core/test/stage-inputs-test.cc
+++ b/packages/core/test/stage-inputs-test.cc
@@ -204,6 +204,19 @@
   Test.checkInputs();
 }
 
+TEST_CASE("a stage that a route names twice gives its results once") {
+  serving_fixture Test;
+  Test.addAllPools();
+  std::shared_ptr<route_config> Config = serving_fixture::config(2);
+  Config->Routes[4].Stages[1].After = {0, 0};
+  Test.Core.onConfig(Config, "text", Test.Now);
+  Test.sendRequest("staged", {2, 1});
+  Test.completeStage(0);
+  REQUIRE(Test.Actions.Pieces.size() == 1);
+  CHECK(resultsOf(Test.Actions.Pieces.begin()->second.Items[0].Source).size() ==
+        2);
+}
+
 TEST_CASE("a stage after omitted stages has inputs, none of them, and no key") {
   serving_fixture Test;
   Test.addAllPools();
