Order the runs of a server by the store's revision

What callers saw: requests went to a server that had said long before that it drains, until it exited (DRAIN). Those in progress then ended with 502.

Cause: an entry whose start time (`born`) is before the known one was dropped as one of an earlier run, whatever its revision. A server states its start by its own clock. If that was ahead at the first start and is right at the second, no change of the entry is seen from then on: neither that it drains nor another address, only its removal.

Why this works: the store is linearizable and numbers its changes; a higher revision is the later one. The start time only tells runs apart. Where two eras of the store make revisions incomparable, an entry of another run that may be only a copy waits like that of a removed server: it counts at once if it was written since, else after ReturnTime. Before, such an entry counted at once if its start time was later, so that a copy could bring back a run as ready beside the one that drains, and never if it was earlier.

--- a/packages/core/include/jasminecroft/core/serving/backend_directory.h
+++ b/packages/core/include/jasminecroft/core/serving/backend_directory.h
@@ -21,7 +21,9 @@
   endpoint Address;
   zone_id Zone;
   bool Draining = false;
-  /// Wall-clock start time of the server; distinguishes runs with the same id.
+  /// Start time of the server by its own clock: tells runs with the same id
+  /// apart, but does not order them, as the clock may have gone back. The
+  /// revision orders them.
   incarnation Run;
   object_version Revision;
   /// Time for which the server stays cold, as of the time at which the entry
@@ -48,8 +50,8 @@
   /// Set while the entry is missing from the lists of a later era, and may be
   /// written again.
   std::optional<core_time> MissingSince;
-  /// Entry of a removed run in a list of a later era than its removal, and the
-  /// time of that list.
+  /// Entry of a removed or another run in a list of a later era than the
+  /// removal or the entry of the present run, and the time of that list.
   std::optional<std::pair<backend_entry, core_time>> Returned;
   /// This host's calls in flight.
   std::uint32_t InFlight = 0;
@@ -107,6 +109,11 @@
 
   backend_state *find(const backend_id &Id);
   const backend_state *find(const backend_id &Id) const;
+  /// Returns false if another run of the server is the present one.
+  bool isPresentRun(const backend_id &Id, incarnation Run) const;
+  /// Returns whether an entry of a list may be only a copy of one that a later
+  /// one has replaced since the copy.
+  bool mayBeCopied(const backend_entry &Entry) const;
   const backend_state *findByAddress(const endpoint &Address) const;
   /// Addresses of the servers that are listed, also of leaving ones.
   std::set<endpoint> listedAddresses() const;
@@ -150,10 +157,6 @@
   void onLoad(const backend_id &Id, const backend_load &Load, core_time Now);
 
 private:
-  /// Returns whether a list's entry may be only a copy of one that was removed
-  /// since the copy.
-  static bool mayBeCopied(const backend_state &State,
-                          const backend_entry &Entry);
   void scheduleSettling(core_time At);
 
   server_limits Limits;
--- a/packages/core/src/serving/backend_directory.cc
+++ b/packages/core/src/serving/backend_directory.cc
@@ -36,11 +36,9 @@
   }
   backend_state &State = Found->second;
   bool Removed = State.UnlistedSince && Entry.Revision < State.ChangedAt;
-  if (Entry.Run < State.Entry.Run || Entry.Revision < State.Entry.Revision ||
-      Removed)
+  if (Entry.Revision < State.Entry.Revision || Removed)
     return;
-  bool NewRun = State.Entry.Run < Entry.Run;
-  if (NewRun) {
+  if (State.Entry.Run != Entry.Run) {
     std::uint32_t InFlight = State.InFlight;
     State = backend_state{};
     State.InFlight = InFlight;
@@ -91,7 +89,9 @@
   for (const backend_entry &Entry : Entries) {
     Listed.insert(Entry.Id);
     backend_state *Known = find(Entry.Id);
-    if (!Known || !mayBeCopied(*Known, Entry)) {
+    bool Waits = Known && Known->Returned &&
+                 Known->Returned->first.Revision == Entry.Revision;
+    if (!Waits && !mayBeCopied(Entry)) {
       update(Entry);
     } else if (IsNewEra || !Known->Returned) {
       Known->Returned = {Entry, Now};
@@ -100,7 +100,7 @@
   }
   for (std::pair<const backend_id, backend_state> &Server : Servers) {
     backend_state &State = Server.second;
-    // Listed if the entry is of an earlier run.
+    // Listed if the entry may be a copy of another run's.
     bool IsUnread = State.Entry.Revision.Era < Revision.Era;
     if (IsUnread && !State.UnlistedSince) {
       if (IsNewEra || !State.MissingSince)
@@ -114,11 +114,11 @@
 
 // The numbers of two eras are the same up to the copy: an entry with a higher
 // number than the last one known was written after the copy.
-bool backend_directory::mayBeCopied(const backend_state &State,
-                                    const backend_entry &Entry) {
-  return State.UnlistedSince && State.Entry.Run == Entry.Run &&
-         State.ChangedAt.Era < Entry.Revision.Era &&
-         Entry.Revision.Value <= State.Entry.Revision.Value;
+bool backend_directory::mayBeCopied(const backend_entry &Entry) const {
+  const backend_state *State = find(Entry.Id);
+  return State && (State->UnlistedSince || State->Entry.Run != Entry.Run) &&
+         State->ChangedAt.Era < Entry.Revision.Era &&
+         Entry.Revision.Value <= State->Entry.Revision.Value;
 }
 
 void backend_directory::scheduleSettling(core_time At) {
@@ -200,6 +200,12 @@
   return Found == Servers.end() ? nullptr : &Found->second;
 }
 
+bool backend_directory::isPresentRun(const backend_id &Id,
+                                     incarnation Run) const {
+  const backend_state *State = find(Id);
+  return !State || State->Entry.Run == Run;
+}
+
 const backend_state *
 backend_directory::findByAddress(const endpoint &Address) const {
   const backend_state *Best = nullptr;
@@ -207,7 +213,7 @@
     const backend_state &State = Server.second;
     if (State.Entry.Address != Address)
       continue;
-    if (!Best || Best->Entry.Run < State.Entry.Run)
+    if (!Best || Best->Entry.Revision < State.Entry.Revision)
       Best = &State;
   }
   return Best;
