Drop the jobs of a host's other runs, not of its lower ones

Cause: the number of a host's run is the time of day at its start. If the clock went back between two runs, the later one has the lower number, and the owner of a queue kept the jobs of the earlier run: calls were made for requests that no longer exist, and a job number that both runs used got the earlier one's results.

Evidence: serving-stages-test, "a restarted host does not get the pieces of its earlier run", with runs 2 and 1: the results of the old request are sent, none of the new one. With runs 1 and 2 it passed.

Why this works: whichever run submits is the present one. The window of sequence numbers of the peers' transport already decides which of two runs is heard, in the same way: the lower one once the higher one is silent.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -273,7 +273,7 @@
   void requeue(const batch_piece &Piece);
   void failJob(const job_key &Key, piece_failure Failure, core_time Now);
   void removeJob(const job_key &Key, core_time Now);
-  void dropEarlierRuns(const host_run &Host, core_time Now);
+  void dropOtherRuns(const host_run &Host, core_time Now);
   void queueFree(const backend_id &Server, const result_handle &Result,
                  core_time Now);
   void flushFrees(const backend_id &Id, tracked_server &Tracked, core_time Now);
--- a/packages/core/src/serving/batch_owner.cc
+++ b/packages/core/src/serving/batch_owner.cc
@@ -76,7 +76,7 @@
   queue_wait Wait = expectedWait(Job.Pool, Job.QueueZone, Now);
   if (Jobs.contains(Key))
     return Wait;
-  dropEarlierRuns(Host, Now);
+  dropOtherRuns(Host, Now);
   job_state State;
   State.Arrived = Now;
   State.Job = Job;
@@ -102,13 +102,15 @@
   removeJob({Host, Job}, Now);
 }
 
-// Drops jobs of earlier runs of a host, as no request waits for their results.
-void batch_owner::dropEarlierRuns(const host_run &Host, core_time Now) {
-  std::vector<job_key> Earlier;
+// Drops jobs of other runs of a host, as no request waits for their results.
+// Runs are numbered by the time of day, which may go back between two of them.
+void batch_owner::dropOtherRuns(const host_run &Host, core_time Now) {
+  std::vector<job_key> Others;
   for (auto It = Jobs.lower_bound({{Host.Host, incarnation()}, piece_job_id()});
-       It != Jobs.end() && It->first.first < Host; ++It)
-    Earlier.push_back(It->first);
-  for (const job_key &Key : Earlier)
+       It != Jobs.end() && It->first.first.Host == Host.Host; ++It)
+    if (It->first.first != Host)
+      Others.push_back(It->first);
+  for (const job_key &Key : Others)
     removeJob(Key, Now);
 }
 
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -157,13 +157,16 @@
   Test.addAllPools();
   batching_host Peer{entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 1};
   Test.Core.onHost(Peer, Test.Now);
+  std::pair<std::uint64_t, std::uint64_t> Runs;
+  SUBCASE("") { Runs = {1, 2}; }
+  SUBCASE("and its clock went back") { Runs = {2, 1}; }
   // Both servers are busy, so that the jobs wait.
   Test.sendRequest("staged", {8, 0});
   Test.sendRequest("staged", {8, 0});
-  for (std::uint64_t Run = 1; Run <= 2; ++Run) {
+  for (std::uint64_t Run : {Runs.first, Runs.second}) {
     piece_job Wanted;
     Wanted.Job = piece_job_id(5);
-    Wanted.Request = caller_request_id(Run == 1 ? "old" : "new");
+    Wanted.Request = caller_request_id(Run == Runs.first ? "old" : "new");
     Wanted.Pool = pool_id("first");
     Wanted.Pieces = {0};
     Wanted.Source = piece_key("k");
