Take what is said of a server for its present run only

Cause: limits, cold times and speeds of servers were kept for the run with the latest start time. After a start with a clock that went back, they stayed those of the run that is over: the present one's limit was not kept, and it was not spared while cold. With clocks that go forward, a reply to a call of the earlier run still spoke for the present one.

Evidence: serving-limits-test ("what an earlier run of a server said of its limit ...", "a reply to a call of an earlier run ...") and cold-servers-test ("a server that starts again is cold ...") fail on the code before.

Why this works: the directory, ordered by the store's revision, says which run is the present one; what is said of another one is not applied, and a record of another run is replaced. The last check of "a limit ends with the run of its server" asked server_limits itself to order runs; the same is asked of the serving core now, in both orders of start times.

--- a/packages/core/src/serving/cold_servers.cc
+++ b/packages/core/src/serving/cold_servers.cc
@@ -59,9 +59,6 @@
   auto Rule = Rules.find(Server.Pool);
   if (Rule == Rules.end() || Left <= core_duration{0})
     return false;
-  auto Known = Records.find(Server.Id);
-  if (Known != Records.end() && Server.Run < Known->second.Run)
-    return false;
   Left = std::min(Left, MaxColdTime);
   record *Same = find(Server);
   bool WasCold = Same && Now < Same->ColdUntil;
@@ -81,9 +78,8 @@
 
 bool cold_servers::onEntry(const backend_entry &Entry,
                            const backend_state *Known, core_time Now) {
-  bool NewRun = !Known || Known->Entry.Run < Entry.Run;
-  if (!NewRun &&
-      (Entry.Run < Known->Entry.Run || Entry.Revision <= Known->Entry.Revision))
+  bool NewRun = !Known || Known->Entry.Run != Entry.Run;
+  if (Known && Entry.Revision <= Known->Entry.Revision)
     return false;
   // A copy repeats what the entry said some time ago.
   if (!NewRun && Known->Entry.Revision.Era < Entry.Revision.Era)
--- a/packages/core/src/serving/engine_model.cc
+++ b/packages/core/src/serving/engine_model.cc
@@ -36,7 +36,7 @@
 engine_model::engine &engine_model::of(const backend_id &Server,
                                        incarnation Run) {
   engine &Engine = Engines[Server];
-  if (Engine.Run < Run)
+  if (Engine.Run != Run)
     Engine = engine{Run, {}, {}, false};
   return Engine;
 }
@@ -54,10 +54,7 @@
 
 void engine_model::observe(const backend_id &Server, incarnation Run,
                            core_duration Mean, bool Reported, core_time Now) {
-  engine &Engine = of(Server, Run);
-  if (Engine.Run != Run)
-    return;
-  add(Engine.Seen, Mean, 1, Now);
+  add(of(Server, Run).Seen, Mean, 1, Now);
   if (!Reported ||
       (Unreported.size() >= MaxEngineTimes && !Unreported.contains(Server)))
     return;
@@ -70,21 +67,17 @@
 
 void engine_model::onSeen(const std::vector<engine_time> &Times,
                           core_time Now) {
-  for (const engine_time &Time : Times) {
-    engine &Engine = of(Time.Server, Time.Run);
-    if (Engine.Run == Time.Run && Time.Streams > 0)
-      add(Engine.Seen, Time.Mean, std::min(Time.Streams, MaxWeight), Now);
-  }
+  for (const engine_time &Time : Times)
+    if (Time.Streams > 0)
+      add(of(Time.Server, Time.Run).Seen, Time.Mean,
+          std::min(Time.Streams, MaxWeight), Now);
 }
 
 void engine_model::onKnown(const std::vector<engine_time> &Times,
                            core_time Now) {
-  for (const engine_time &Time : Times) {
-    engine &Engine = of(Time.Server, Time.Run);
-    if (Engine.Run == Time.Run)
-      Engine.Told = {static_cast<double>(Time.Mean.count()),
-                     std::min(Time.Streams, MaxWeight), Now};
-  }
+  for (const engine_time &Time : Times)
+    of(Time.Server, Time.Run).Told = {static_cast<double>(Time.Mean.count()),
+                                      std::min(Time.Streams, MaxWeight), Now};
 }
 
 std::vector<engine_time> engine_model::takeSeen() {
--- a/packages/core/src/serving/server_limits.cc
+++ b/packages/core/src/serving/server_limits.cc
@@ -119,9 +119,9 @@
   if (!Stated.PerSecond && !find(Server, Run))
     return limit_change::None;
   record *Known = makeRecord(Server);
-  if (!Known || Run < Known->Run)
+  if (!Known)
     return limit_change::None;
-  if (Known->Run < Run) {
+  if (Known->Run != Run) {
     set(*Known, std::nullopt);
     *Known = record{};
     Known->Run = Run;
@@ -146,13 +146,13 @@
 limit_change server_limits::apply(const server_limit_news &News,
                                   core_time Now) {
   record *Known = makeRecord(News.Server);
-  if (!Known || News.Run < Known->Run)
+  if (!Known)
     return limit_change::None;
   core_time ChangedAt = Now - std::max(News.ChangeAge, core_duration{0});
   if (Known->Run == News.Run && ChangedAt <= Known->ChangedAt)
     return limit_change::None;
   bool WasLimited = Known->Run == News.Run && Known->PerSecond;
-  if (Known->Run < News.Run) {
+  if (Known->Run != News.Run) {
     set(*Known, std::nullopt);
     *Known = record{};
     Known->Run = News.Run;
--- a/packages/core/src/serving/serving_engines.cc
+++ b/packages/core/src/serving/serving_engines.cc
@@ -55,6 +55,8 @@
   core_duration Mean =
       (State.LastEventAt - State.CallEventAt) /
       static_cast<std::int64_t>(*State.LastEvent - State.CallEvent);
+  if (!Servers.isPresentRun(State.Server.Id, State.Server.Run))
+    return;
   Engines.observe(State.Server.Id, State.Server.Run, Mean,
                   !Following.isWatcher(), Now);
   applyEngineModel();
@@ -73,8 +75,14 @@
 }
 
 void serving_impl::on(const host_run &, const engine_times &Body) {
-  Engines.onSeen(Body.Seen, Now);
-  Engines.onKnown(Body.Known, Now);
+  auto OfPresentRuns = [this](std::vector<engine_time> Times) {
+    std::erase_if(Times, [this](const engine_time &Time) {
+      return !Servers.isPresentRun(Time.Server, Time.Run);
+    });
+    return Times;
+  };
+  Engines.onSeen(OfPresentRuns(Body.Seen), Now);
+  Engines.onKnown(OfPresentRuns(Body.Known), Now);
   applyEngineModel();
 }
 
--- a/packages/core/src/serving/serving_limits.cc
+++ b/packages/core/src/serving/serving_limits.cc
@@ -35,6 +35,8 @@
   if (Found == Calls.end())
     return;
   const backend_entry &Server = Found->second.Server;
+  if (!Servers.isPresentRun(Server.Id, Server.Run))
+    return;
   limit_change Change = Servers.limits().onReply(Server.Id, Server.Run, Stated,
                                                  Found->second.SentAt, Now);
   if (Change == limit_change::None)
@@ -65,11 +67,18 @@
 }
 
 void serving_impl::on(const host_run &, const server_limit_list &Body) {
-  for (const server_limit_news &News : Body.Limits) {
-    limit_change Change = Servers.limits().apply(News, Now);
-    if (Change != limit_change::None)
-      logLimit(News.Server, Change, "peer");
-  }
+  for (const server_limit_news &News : Body.Limits)
+    applyLimit(News);
+}
+
+// Applies what another host knows of a limit, unless it is of another run than
+// the present one.
+void serving_impl::applyLimit(const server_limit_news &News) {
+  if (!Servers.isPresentRun(News.Server, News.Run))
+    return;
+  limit_change Change = Servers.limits().apply(News, Now);
+  if (Change != limit_change::None)
+    logLimit(News.Server, Change, "peer");
 }
 
 // Returns whether the run was not known to leave.
--- a/packages/core/src/serving/serving_permits.cc
+++ b/packages/core/src/serving/serving_permits.cc
@@ -146,7 +146,7 @@
 
 void serving_impl::on(const host_run &Sender, const send_permit_request &Body) {
   server_limits &Limits = Servers.limits();
-  Limits.apply(Body.Limit, Now);
+  applyLimit(Body.Limit);
   send_permit_reply Reply;
   Reply.Server = Body.Limit.Server;
   Reply.Request = Body.Request;
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -233,6 +233,7 @@
   std::vector<batching_host> limitCounters(const backend_id &Server) const;
   backend_state *unusedLimitedServer(const active_request &State);
   void on(const host_run &Sender, const server_limit_list &Body);
+  void applyLimit(const server_limit_news &News);
   void failUnserved(active_request &State, refusal_kind Kind,
                     core_duration RetryAfter);
   bool refusePaused(active_request &State);
--- a/packages/core/src/serving/serving_warm_up.cc
+++ b/packages/core/src/serving/serving_warm_up.cc
@@ -42,14 +42,16 @@
 void serving_impl::replaceServers(const std::vector<backend_entry> &Entries,
                                   object_version Revision) {
   for (const backend_entry &Entry : Entries)
-    applyEntry(Entry);
+    if (!Servers.mayBeCopied(Entry))
+      applyEntry(Entry);
   Servers.replaceAll(Entries, Revision, Now);
   ColdServers.onListRead();
 }
 
 void serving_impl::onServerCold(const backend_entry &Server,
                                 core_duration Left) {
-  if (!ColdServers.onStated(Server, Left, Now))
+  if (!Servers.isPresentRun(Server.Id, Server.Run) ||
+      !ColdServers.onStated(Server, Left, Now))
     return;
   logCold(Server, "reply");
   cold_server_list List{
--- a/packages/core/test/cold-servers-test.cc
+++ b/packages/core/test/cold-servers-test.cc
@@ -331,6 +331,29 @@
   CHECK(Test.sentTo<cold_server_list>(Peer.Host) == Told);
 }
 
+// Servers state their start by their own clock, which may go back.
+TEST_CASE(
+    "a server that starts again is cold, and its earlier run says nothing "
+    "of it") {
+  for (std::uint64_t Next : {2, 9}) {
+    CAPTURE(Next);
+    warm_up_fixture Test;
+    const backend_entry First = plainEntry("p", 5);
+    Test.Core.onBackendList({First}, First.Revision, Test.Now);
+    REQUIRE(Test.Core.counters().ColdServers == 0);
+    backend_entry Again = plainEntry("p", Next);
+    Again.Revision = object_version(10);
+    Test.Core.onBackend(Again, Test.Now);
+    CHECK(Test.Core.counters().ColdServers == 1);
+    Test.advance(seconds(20));
+    REQUIRE(Test.Core.counters().ColdServers == 0);
+    Test.Core.onServerCold(First, seconds(2), Test.Now);
+    CHECK(Test.Core.counters().ColdServers == 0);
+    Test.Core.onServerCold(Again, seconds(2), Test.Now);
+    CHECK(Test.Core.counters().ColdServers == 1);
+  }
+}
+
 // Load: one request while the only server of its pool is cold and this host has
 // no share of it.
 TEST_CASE("a request that no server may get is told when to come back") {
--- a/packages/core/test/server-limits-test.cc
+++ b/packages/core/test/server-limits-test.cc
@@ -81,7 +81,7 @@
   CHECK_FALSE(Limits.find(Server, incarnation(2)));
   Limits.onReply(Server, incarnation(2), {3.0}, Start, Start);
   CHECK(Limits.find(Server, incarnation(2)) == 3.0);
-  CHECK(state(Limits, 1.0, Start, Start) == limit_change::None);
+  CHECK_FALSE(Limits.find(Server, Run));
   CHECK(Limits.count() == 1);
 }
 
--- a/packages/core/test/serving-limits-test.cc
+++ b/packages/core/test/serving-limits-test.cc
@@ -297,3 +297,52 @@
   REQUIRE(AskedHosts().size() == Before + 1);
   CHECK(AskedHosts().back() != AskedHosts()[0]);
 }
+
+// Servers state their start by their own clock, which may go back.
+TEST_CASE("what an earlier run of a server said of its limit is not taken for "
+          "the present one") {
+  for (std::uint64_t Next : {2, 9}) {
+    CAPTURE(Next);
+    limits_fixture Test;
+    backend_entry Entry = Test.Core.backends().all().begin()->second.Entry;
+    REQUIRE(Entry.Pool == pool_id("engine"));
+    auto Update = [&](std::uint64_t Run, std::uint64_t Revision) {
+      Entry.Run = incarnation(Run);
+      Entry.Revision = object_version(Revision);
+      Test.Core.onBackend(Entry, Test.Now);
+    };
+    auto Tell = [&](std::uint64_t Run, double PerSecond) {
+      server_limit_news News = limits_fixture::limit(0, PerSecond);
+      News.Server = Entry.Id;
+      News.Run = incarnation(Run);
+      Test.Core.onPeer(Peer, server_limit_list{{News}}, Test.Now);
+    };
+    auto Limit = [&](std::uint64_t Run) {
+      return Test.Core.backends().limits().find(Entry.Id, incarnation(Run));
+    };
+    Update(5, 100);
+    Tell(5, 7);
+    CHECK(Limit(5) == 7.0);
+    Update(Next, 101);
+    CHECK_FALSE(Limit(Next));
+    Tell(Next, 3);
+    CHECK(Limit(Next) == 3.0);
+    Tell(5, 9);
+    CHECK(Limit(Next) == 3.0);
+  }
+}
+
+TEST_CASE("a reply to a call of an earlier run says nothing of the present "
+          "one's limit") {
+  for (std::uint64_t Next : {0, 9}) {
+    CAPTURE(Next);
+    limits_fixture Test;
+    Test.sendRequest("plain");
+    backend_entry Entry = Test.lastForward().Server;
+    Entry.Run = incarnation(Next);
+    Entry.Revision = object_version(200);
+    Test.Core.onBackend(Entry, Test.Now);
+    Test.Core.onStatedLimit(Test.Actions.LastForward, {1.0}, Test.Now);
+    CHECK(Test.Core.backends().limits().count() == 0);
+  }
+}
