Let a peer confirm the first configuration of a host

What callers saw: 404 for a route that all other hosts serve, for up to 0.2 s after a host had started while the store held an older copy (CONFIG).

Cause: the store's configuration was used, and the host said that it is ready, before any peer had been heard. A newer version that a peer names was only asked for after the 150 ms in which changes spread by themselves.

Why this works: until a peer that has a configuration names the same version or an older one, the host is not ready and answers 503, as one without a configuration. It asks the seeds and three other hosts, and asks for a newer version at once. Alone is a host whose list of hosts was read and names no other. After a second without an answer the configuration is used (event 405), so that a host that reaches nobody still serves.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -50,6 +50,7 @@
   ConfigStaleIgnored = 402,
   OperatorConfigApplied = 403,
   OperatorConfigUnreadable = 404,
+  ConfigUnconfirmed = 405,
   MemberChanged = 501,
   MemberRefuted = 502,
   HostSuspected = 503,
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -39,9 +39,9 @@
 }
 
 // Sends heartbeats to the seeds until a peer and a configuration are known,
-// from the seeds or from the platform.
+// from the seeds or from the platform, and a peer has confirmed the latter.
 void serving_impl::sendSeedHeartbeats() {
-  bool Enough = View && !Hosts.others().empty();
+  bool Enough = configConfirmed() && !Hosts.others().empty();
   if (Enough || SeedHeartbeats >= MaxSeedHeartbeats) {
     NextSeedHeartbeat = Now + Never;
     return;
@@ -169,9 +169,11 @@
     sendRulingsAndLimits(Body.Self);
   }
   if (!View && Body.Config > config_version()) {
+    PeersConfig = std::max(PeersConfig, Body.Config);
     sendToHost(Sender.Host, operator_config_pull{});
     return;
   }
+  onPeersConfig(Sender.Host, Body.Config);
   Gossip.onPeerMessage(Sender.Host, {Body.Config, Body.Backends}, Now);
   if (Body.Config < Gossip.progress().Config && !Body.WantsReply)
     sendToHost(Sender.Host, makeHeartbeat(false));
@@ -428,7 +430,7 @@
 }
 void serving_core::onHostsRead(core_time Now) {
   event_scope Event(*Impl, Now);
-  Impl->Hosts.onListRead(Now);
+  Impl->onHostListRead();
 }
 void serving_core::onPeer(const host_run &Sender, const peer_body &Body,
                           core_time Now) {
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -127,7 +127,7 @@
 }
 
 bool serving_impl::ready() const {
-  return View && !Leaving && !Servers.empty();
+  return configConfirmed() && !Leaving && !Servers.empty();
 }
 
 void serving_impl::onConfig(std::shared_ptr<const route_config> Config,
@@ -141,9 +141,13 @@
   Owner.configure(Config->Pools);
   ColdServers.configure(Config->Pools);
   BytesInProgress.setBound(Config->Bounds.MaxBodyBytes);
+  bool IsFirst = !View;
   View = std::make_shared<const config_view>(std::move(Config));
   ConfigText = std::move(Text);
   Gossip.onConfig(View->Config->Version, Now);
+  if (IsFirst)
+    onFirstConfig();
+  confirmConfig();
   pushNews();
 }
 
@@ -152,7 +156,7 @@
 const serving_route *serving_impl::admit(const serving_request &Request,
                                          workspace_id &Workspace,
                                          std::uint32_t &Priority) {
-  if (!View) {
+  if (!configConfirmed()) {
     refuseBeforeAdmission(Request, refusal_kind::NotReady, NotReadyRetryAfter);
     return nullptr;
   }
@@ -441,6 +445,7 @@
   if (Now >= NextSeedHeartbeat)
     sendSeedHeartbeats();
   checkStall();
+  confirmConfig();
   processStoreGossip();
   processFollowing();
   processCrashes();
@@ -471,6 +476,8 @@
     Consider(*NextWarm);
   if (PushAt)
     Consider(*PushAt);
+  if (ConfirmBy)
+    Consider(*ConfirmBy);
   if (std::optional<core_time> NextSettling = Servers.nextSettling())
     Consider(*NextSettling);
   if (std::optional<core_time> NextSettling = Emptied.nextSettling())
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -81,6 +81,10 @@
   void onBackendsRead(object_version Revision, object_version Newest);
   void onPeerUnreachable(const entry_host_id &Host);
 
+  // The first configuration: serving_first_config.cc.
+  bool configConfirmed() const;
+  void onHostListRead();
+
   // Zones that the operator empties: serving_zones.cc.
   void onZoneOrder(const zone_order &Order);
   void onZoneList(const std::vector<zone_order> &Listed,
@@ -125,6 +129,11 @@
   /// drains.
   std::optional<core_time> DrainEnd;
   bool CloseWatcher = false;
+  /// Highest version of the configuration that a peer has named.
+  config_version PeersConfig;
+  /// Set while the first configuration is not confirmed: the time from which it
+  /// is used all the same.
+  std::optional<core_time> ConfirmBy;
   /// Time of the event being handled.
   core_time Now;
 
@@ -153,6 +162,13 @@
   void addTimer(core_time Time, timer_kind Kind, std::uint64_t Id);
   void onTimer(const timer &Timer);
 
+  // The first configuration: serving_first_config.cc.
+  bool isAlone() const;
+  void onFirstConfig();
+  void askForConfirmation();
+  void onPeersConfig(const entry_host_id &Peer, config_version Version);
+  void confirmConfig();
+
   // Stages: serving_stages.cc.
   void startReadyStages(active_request &State);
   bool stageReady(const active_request &State, std::size_t Stage) const;
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -101,6 +101,7 @@
   explicit serving_fixture(const std::string &Host = "h0")
       : Core(settings(Host), Actions) {
     Core.start(Now);
+    Core.onHostsRead(Now);
   }
 
   static serving_settings settings(const std::string &Host) {
