Give the jobs of a host's runs different numbers

Cause: jobs were numbered from 1 in each run of a host. Owners report acceptance, fetched inputs and failures with the host's name and the job's number only, so that a late report of a job of the earlier run could meet a job of the later one: it refused a request whose pieces were in a call, or released inputs that were still needed.

Evidence: stage-inputs-test, "a late report of a job of a host's earlier run meets no other job": three runs, one of them after its clock went back, gave their first jobs the same number. Read in the sources; no run of processes has shown the rest.

Why this works: a run is numbered by the millisecond of its start, and its jobs from there on at 2^20 a millisecond, so that runs don't overlap.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -139,7 +139,6 @@
   std::uint64_t piecesStarted() const { return Pieces; }
 
 private:
-  /// Job numbers restart with each run of a host.
   using job_key = std::pair<host_run, piece_job_id>;
 
   struct job_state {
--- a/packages/core/include/jasminecroft/core/serving/pieces.h
+++ b/packages/core/include/jasminecroft/core/serving/pieces.h
@@ -14,7 +14,7 @@
 
 /// Caller-assigned id of a request; unique for each attempt of a caller.
 using caller_request_id = strong_text<struct caller_request_tag>;
-/// Job number, unique within one run of the submitting host.
+/// Job number, unique among those of the submitting host.
 using piece_job_id = strong_number<struct piece_job_tag>;
 /// Handle of a result at the backend server that stores it: "IP:port/name".
 using result_handle = strong_text<struct result_handle_tag>;
--- a/packages/core/src/serving/serving_records.h
+++ b/packages/core/src/serving/serving_records.h
@@ -23,6 +23,10 @@
 inline constexpr core_duration NoBackendRetryAfter =
     std::chrono::milliseconds(700);
 
+/// Runs of hosts are numbered by milliseconds. The numbers of a run's jobs
+/// begin where those of the runs before end, at so many jobs a millisecond.
+inline constexpr std::uint64_t JobsPerMillisecond = 1'048'576;
+
 /// Name of a part of a prompt in logs: as callers send it.
 std::string partName(prompt_part_id Part);
 
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -432,7 +432,9 @@
   std::map<call_id, call_state> Calls;
   std::multimap<core_time, timer> Timers;
   std::uint64_t LastCall = 0;
-  std::uint64_t LastJob = 0;
+  /// Jobs of two runs of a host have different numbers: owners' reports name a
+  /// job, but no run.
+  std::uint64_t LastJob = Settings.Self.Run.Value * JobsPerMillisecond;
   /// Hosts that know this host's address.
   std::set<entry_host_id> HeartbeatSentTo;
   core_time NextSeedHeartbeat;
--- a/packages/core/test/stage-inputs-test.cc
+++ b/packages/core/test/stage-inputs-test.cc
@@ -225,3 +225,44 @@
   CHECK(Test.Actions.Pieces.begin()->second.Items[0].Source ==
         piece_source(piece_inputs()));
 }
+
+// Reports of an owner name the host and the job, not the host's run.
+TEST_CASE("a late report of a job of a host's earlier run meets no other job") {
+  std::set<piece_job_id> Jobs;
+  // The last run's clock went back.
+  for (std::uint64_t Run :
+       std::vector<std::uint64_t>{1'788'349'343'886, 1'788'349'343'887, 41}) {
+    recorded_actions Actions;
+    serving_settings Settings = serving_fixture::settings("h0");
+    Settings.Self.Run = incarnation(Run);
+    core_time Now{seconds(1'000)};
+    serving_core Core(Settings, Actions);
+    Core.start(Now);
+    Core.onHostsRead(Now);
+    Core.onConfig(serving_fixture::config(), "text", Now);
+    for (const char *Pool : {"engine", "first", "second"}) {
+      backend_entry Server;
+      Server.Id = backend_id(Pool);
+      Server.Pool = pool_id(Pool);
+      Core.onBackend(Server, Now);
+    }
+    Core.onHost(
+        {entry_host_id("h1"), zone_id("z0"), endpoint("h1:1"), 1'000'000'000},
+        Now);
+    serving_request Request;
+    Request.Number = request_id(1);
+    Request.CallerId = caller_request_id("r");
+    std::shared_ptr<caller_message> Message =
+        std::make_shared<caller_message>();
+    Message->Hostname = "a.example";
+    Message->Target = "/staged/";
+    Request.Message = std::move(Message);
+    Request.Key = workspace_key("key");
+    Request.Pieces = {1, 1};
+    Core.onRequest(std::move(Request), Now);
+    for (const std::pair<entry_host_id, peer_body> &Sent : Actions.Sent)
+      if (const piece_request *Body = std::get_if<piece_request>(&Sent.second))
+        Jobs.insert(Body->Job.Job);
+  }
+  CHECK(Jobs.size() == 3);
+}
