--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -45,6 +45,7 @@
   Stopping = false;
   Used = config_version();
   Source = store_source::Watch;
+  ZonesRead = false;
   WatchesSince = World.now();
   serving_settings Settings;
   Settings.Self = {Id, Run};
--- a/packages/testing/src/serving_world_parts.h
+++ b/packages/testing/src/serving_world_parts.h
@@ -107,6 +107,8 @@
   bool Stopping = false;
   store_view View = store_view::Live;
   store_source Source = store_source::Watch;
+  /// This run has read the list of emptied zones.
+  bool ZonesRead = false;
   /// Since when this run watches the store itself.
   core_time WatchesSince;
   /// The highest version that this run has used.
