Judge cold servers that are back under their ids from their start again

The rule (FAILBACK) counts the requests of all machines, in touch or not, and names no such time; the trace shows that no host could know better, not that the rule allows it.

--- a/packages/testing/src/serving_world_restarts.cc
+++ b/packages/testing/src/serving_world_restarts.cc
@@ -1,7 +1,6 @@
 // Backend servers of a serving world that crash, start again, or are replaced.
 #include "serving_world_parts.h"
 
-#include "jasminecroft/core/serving/store_gossip.h"
 #include "jasminecroft/testing/serving_world.h"
 
 namespace jasminecroft::testing {
@@ -20,9 +19,6 @@
 /// A server that crashed is off the list, and another one there, after these.
 constexpr core_duration LapseTime = milliseconds(1'500);
 constexpr core_duration RestartTime = milliseconds(2'000);
-/// After it, every host has heard of a changed entry, also a follower.
-constexpr core_duration HeardTime =
-    StoreLag + store_gossip::FollowerPropagationTime;
 /// One that starts again under its id may be back before it is off the list.
 constexpr core_duration ShortRestartTime = milliseconds(800);
 /// Bound of the users' rules: leaving servers get no new work after it.
@@ -47,10 +43,8 @@
   if (Options.WarmUp) {
     Server->Entry.ColdLeft = Options.WarmUp->ColdTime;
     Server->ColdUntil = now() + Options.WarmUp->ColdTime;
-    // Nobody can tell a server that is back under its id from the one before.
-    core_time From = Before ? now() + HeardTime : now();
     Book.onCold(Server->Entry.Id, Options.WarmUp->PerSecond, true,
-                Server->ColdUntil, From);
+                Server->ColdUntil, now());
   }
   return Server;
 }
