Share the counting readers of answers between tests

cut-heads-test is as strict as before: its listeners checked that each failure is call_failure::Broken or exchange_failure::Broken; now they count the failures of that kind, and the cases expect that number to be the number of calls.

--- a/packages/testing/processes/test/cut-heads-test.cc
+++ b/packages/testing/processes/test/cut-heads-test.cc
@@ -1,8 +1,7 @@
 // Heads that end at any byte, with an end or a reset of the connection, on each
 // reader of answers and on that of requests.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "../../../entry/src/http_exchange.h"
-#include "../../../entry/src/serving/serving_backends.h"
+#include "answer-readers.h"
 #include "jasminecroft/platform/object_api.h"
 #include "jasminecroft/processes/users_fleet.h"
 
@@ -18,6 +17,10 @@
 
 using namespace jasminecroft;
 using namespace jasminecroft::detail;
+using processes::callTo;
+using processes::counted_exchange;
+using processes::counted_results;
+using processes::permitFor;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -103,61 +106,6 @@
   tcp::acceptor Acceptor;
 };
 
-/// Counts what serving_backends tells of calls.
-class counted_results final : public backend_results {
-public:
-  void onCompleteReply(call_id, const backend_reply_head &,
-                       std::string) override {
-    ++Whole;
-  }
-  void onStreamHead(call_id, const backend_reply_head &) override { ++Heads; }
-  void onStreamEvents(call_id, std::string, std::uint64_t,
-                      std::uint64_t) override {}
-  void onStreamEnd(call_id) override { ++Whole; }
-  void onStatedLimit(call_id, const stated_limit &) override { ++Statements; }
-  void onServerLeaving(const backend_entry &) override { ++Statements; }
-  void onServerPause(const backend_entry &, const stated_pause &) override {
-    ++Statements;
-  }
-  void onServerCold(const backend_entry &, core_duration) override {
-    ++Statements;
-  }
-  void onCallFailed(call_id, call_failure Failure) override {
-    CHECK(Failure == call_failure::Broken);
-    ++Failed;
-  }
-  void onPiecesAnswered(call_id, const std::vector<batch_item_result> &,
-                        const std::optional<backend_load> &) override {
-    ++Whole;
-  }
-  void onPiecesRefused(call_id, bool) override { ++Whole; }
-  void onServerLoad(const backend_id &,
-                    const std::optional<pieces_load> &Load) override {
-    Whole += Load ? 1 : 0;
-    Failed += Load ? 0 : 1;
-  }
-
-  std::size_t unreadBytes(request_id) const override { return 0; }
-
-  int Whole = 0;
-  int Heads = 0;
-  int Statements = 0;
-  int Failed = 0;
-};
-
-class counted_exchange final : public exchange_listener {
-public:
-  bool onStreamText(std::string_view) override { return true; }
-  void onComplete(unsigned, std::string) override { ++Whole; }
-  void onFailed(exchange_failure Failure) override {
-    CHECK(Failure == exchange_failure::Broken);
-    ++Failed;
-  }
-
-  int Whole = 0;
-  int Failed = 0;
-};
-
 /// An answer, and how many of its bytes are its head.
 struct answer_text {
   std::string Text;
@@ -181,21 +129,6 @@
           joined(Status + Headers, Body)};
 }
 
-backend_entry entryAt(const endpoint &Address) {
-  backend_entry Entry;
-  Entry.Id = backend_id("i-1");
-  Entry.Address = Address;
-  return Entry;
-}
-
-call_permit permitFor(const endpoint &Address, admission_purpose Purpose) {
-  backend_directory Servers;
-  call_admission Admission(Servers, [](const backend_id &) { return true; });
-  backend_entry Entry = entryAt(Address);
-  Servers.update(Entry);
-  return *Admission.admit(Entry.Id, {Purpose}, core_time());
-}
-
 /// Plays each cut of each answer: Ask starts a call, Done tells its end.
 void playCuts(asio::io_context &Context, cutting_server &Server,
               const std::vector<answer_text> &Answers,
@@ -213,20 +146,6 @@
       }
 }
 
-forward_call callTo(const cutting_server &Server, bool Streamed) {
-  std::shared_ptr<caller_message> Message = std::make_shared<caller_message>();
-  Message->Method = "POST";
-  Message->Target = "/a/";
-  Message->Hostname = "a.example";
-  forward_call Call;
-  Call.Server = entryAt(Server.address());
-  Call.Message = std::move(Message);
-  Call.CallerId = caller_request_id(Id);
-  Call.TimeLeft = Timeout;
-  Call.Streamed = Streamed;
-  return Call;
-}
-
 } // namespace
 
 TEST_CASE("a forwarded call whose answer's head is cut at any byte is broken, "
@@ -251,7 +170,7 @@
           Backends.forward(
               call_id(++Call),
               permitFor(Server.address(), admission_purpose::Request),
-              callTo(Server, false));
+              callTo(Server.address(), Id, false));
           while (Results.Whole == Before)
             Context.run_one();
         }
@@ -259,12 +178,12 @@
         Backends.forward(
             call_id(++Call),
             permitFor(Server.address(), admission_purpose::Request),
-            callTo(Server, Streamed));
+            callTo(Server.address(), Id, Streamed));
       };
       playCuts(Context, Server, framings(Signed + Type, Body), Ask, [&] {
         return Results.Failed == Asked || Results.Whole > Asked;
       });
-      CHECK(Results.Failed == Asked);
+      CHECK(Results.Broken == Asked);
       CHECK(Results.Whole == (Kept ? Asked : 0));
       CHECK(Results.Heads == 0);
     }
@@ -305,7 +224,7 @@
       },
       Done);
   CHECK(Results.Whole == 0);
-  CHECK(Results.Failed == Asked);
+  CHECK(Results.Broken == Asked);
   CHECK(Results.Statements == 0);
 }
 
@@ -331,7 +250,7 @@
       },
       [&] { return Listener->Failed + Listener->Whole == Asked; });
   CHECK(Listener->Whole == 0);
-  CHECK(Listener->Failed == Asked);
+  CHECK(Listener->Broken == Asked);
 }
 
 // jasminecroftctl and the product's own path read the platform by it.
