Take an answer without a length as broken if its request could not be written

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The caller got that part as a whole answer, with a length of the host's own; an event stream got its orderly end.

Cause: a socket reports its error once, to whoever asks first. backend_call writes the request, then reads. If the reset comes while it writes, the write takes ECONNRESET; the reads after it give what had arrived and then the end of file, as if the server had ended the connection in order. For an answer without a length that end is the end of the message. The failed write was noted, but only kept the connection from being used again.

Evidence: a socket alone, the same upload: write ECONNRESET, read 500 bytes, read 0 bytes. With the reset after the write has ended: read 500 bytes, read ECONNRESET.

Fix: an answer that only the end of its connection delimits is broken once the write has failed; 502, or sent again if it may repeat. One that says by itself that it is whole counts as before. So does a refusal: the statement that nothing ran is in the head, which came whole, and a refusal's body reaches no caller (needsHeadOnly; the default is no). Without that a refused upload that must not repeat got 502 where another server took it before.

--- a/packages/entry/src/serving/backend_call.cc
+++ b/packages/entry/src/serving/backend_call.cc
@@ -135,7 +135,7 @@
   }
 
   // A server may answer before it has read all and then close: what it said
-  // is still read.
+  // is still read, and counts if it says by itself that it is whole.
   void onWritten(const error &Error) {
     if (!Listener)
       return;
@@ -285,6 +285,16 @@
       return;
     }
     std::string Body = std::move(Parser->get().body());
+    // A socket reports its error once: after a failed write, a connection that
+    // was reset reads like one that its server ended.
+    bool MayBePart = WriteFailed && Parser->need_eof();
+    if (MayBePart) {
+      if (Streaming || !Listener->needsHeadOnly(Head, Connection)) {
+        fail(call_failure::Broken);
+        return;
+      }
+      Body.clear();
+    }
     bool Attributable = AllNamed || naming() == answer_naming::Unnamed;
     if (Wanted.KeepConnection && Attributable && Parser->get().keep_alive() &&
         Buffer.size() == 0 && !WriteFailed)
@@ -350,6 +360,7 @@
   connection_history Connection;
   /// True from just before the first byte is written.
   bool MayHaveLeft = false;
+  /// Reading no longer tells whether the server ended the connection in order.
   bool WriteFailed = false;
   bool Streaming = false;
   /// The socket's buffer is bounded, since reading has waited.
--- a/packages/entry/src/serving/backend_call.h
+++ b/packages/entry/src/serving/backend_call.h
@@ -46,6 +46,12 @@
   virtual ~backend_call_listener() = default;
   virtual void onWhole(const platform::http_head &Head, std::string Body,
                        const connection_history &Connection) = 0;
+  /// Whether the head of an answer is all that counts of it, so that onWhole
+  /// may be told without a body that has been cut.
+  virtual bool needsHeadOnly(const platform::http_head & /*Head*/,
+                             const connection_history & /*Connection*/) const {
+    return false;
+  }
   virtual void onStreamHead(const platform::http_head &Head) = 0;
   virtual void onStreamText(std::string Text) = 0;
   virtual void onStreamEnd(answer_end End) = 0;
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -60,6 +60,13 @@
                             std::move(Body));
   }
 
+  // The body of a refusal does not reach the caller.
+  bool needsHeadOnly(const platform::http_head &Head,
+                     const connection_history &Connection) const override {
+    return provesNotRun(
+        platform::decodeReply(Head, Answered, Connection).verdict());
+  }
+
   void onStreamHead(const platform::http_head &Head) override {
     tellServer(Results, Server, Head);
     tellLimit(Results, Call, Head);
