Take an exchange whose answer has a status below 200 as broken

What operators could see: the store answers a host's registration with status 000, and the host counts itself as registered, since any status below 300 is a success to it; a removal answered so counts as done.

Cause: http_exchange hands on whatever number the status line has as the status of the answer. A status below 200 is that of an interim answer, or of none.

Evidence: odd-heads-test asks each reader of answers for heads with the statuses 000 (with a reason, without, and with a blank instead), 001, 099 and 199. In the same test the other readers (requests, streams, pieces, loads, the object API) and callers of daemons (routes that may repeat, that may not, and streams) passed before.

Fix: such an answer is broken, like one that cannot be read; the listener tries again as after any broken connection.

--- a/packages/entry/src/http_exchange.cc
+++ b/packages/entry/src/http_exchange.cc
@@ -29,6 +29,9 @@
 
 constexpr std::uint64_t MaxAnswerBytes = 33'554'432;
 constexpr unsigned HttpVersion11 = 11;
+/// Lower ones belong to interim answers, which no exchange asks for, or to
+/// none.
+constexpr unsigned FirstFinalStatus = 200;
 
 beast::string_view toBeast(std::string_view Text) {
   return {Text.data(), Text.size()};
@@ -176,7 +179,8 @@
   void onHeader(const error &Error) {
     if (!Listener)
       return;
-    if (Error || !hasClearFraming(Parser->get(), Parser->get().version())) {
+    if (Error || Parser->get().result_int() < FirstFinalStatus ||
+        !hasClearFraming(Parser->get(), Parser->get().version())) {
       fail(exchange_failure::Broken);
       return;
     }
