--- a/packages/testing/processes/test/odd-heads-test.cc
+++ b/packages/testing/processes/test/odd-heads-test.cc
@@ -139,6 +139,13 @@
           Results.Statements};
 }
 
+void checkNoReader(const std::string &StatusLine, const std::string &Line) {
+  asked_readers Asked = askAll(StatusLine, Line);
+  CHECK(Asked.Whole == 0);
+  CHECK(Asked.Heads == 0);
+  CHECK(Asked.Statements == 0);
+}
+
 /// A daemon whose plain servers and engines are one server that answers each
 /// first request of a connection soundly, if it is to, and all others with the
 /// head that the test chose.
@@ -240,10 +247,7 @@
 TEST_CASE("no reader takes an answer with a status below 200 for one") {
   for (const std::string &StatusLine : OddStatusLines) {
     CAPTURE(StatusLine);
-    asked_readers Asked = askAll(StatusLine, "");
-    CHECK(Asked.Whole == 0);
-    CHECK(Asked.Heads == 0);
-    CHECK(Asked.Statements == 0);
+    checkNoReader(StatusLine, "");
   }
   asked_readers Sound = askAll(Ok, "X-Even: value");
   CHECK(Sound.Whole == 7);
@@ -266,10 +270,7 @@
           "or a control byte") {
   for (const std::string &Line : oddNames()) {
     CAPTURE(Line);
-    asked_readers Asked = askAll(Ok, Line);
-    CHECK(Asked.Whole == 0);
-    CHECK(Asked.Heads == 0);
-    CHECK(Asked.Statements == 0);
+    checkNoReader(Ok, Line);
   }
 }
 
@@ -287,10 +288,7 @@
           "a blank") {
   for (const std::string &Line : BlankFirst) {
     CAPTURE(Line);
-    asked_readers Asked = askAll(Ok, Line);
-    CHECK(Asked.Whole == 0);
-    CHECK(Asked.Heads == 0);
-    CHECK(Asked.Statements == 0);
+    checkNoReader(Ok, Line);
   }
 }
 
