--- a/packages/testing/processes/test/reset-answers-test.cc
+++ b/packages/testing/processes/test/reset-answers-test.cc
@@ -183,14 +183,12 @@
 };
 
 /// Answers that only the end of their connection delimits.
-std::vector<std::string> unframedAnswers(const std::string &More = "") {
-  return {
-      signedHead("HTTP/1.1 200 OK", UnitId, More) + Part,
-      signedHead("HTTP/1.1 201 Created", UnitId, More) + Part,
-      signedHead("HTTP/1.1 200 OK", UnitId, More),
-      signedHead("HTTP/1.1 200 OK", UnitId, More + "Connection: close\r\n") +
-          Part,
-      signedHead("HTTP/1.0 200 OK", UnitId, More) + Part};
+std::vector<std::string> unframedAnswers() {
+  const std::string Ok = "HTTP/1.1 200 OK";
+  return {signedHead(Ok, UnitId) + Part, signedHead(Ok, UnitId),
+          signedHead(Ok, UnitId, "Connection: close\r\n") + Part,
+          signedHead("HTTP/1.1 201 Created", UnitId) + Part,
+          signedHead("HTTP/1.0 200 OK", UnitId) + Part};
 }
 
 /// One daemon whose callers may upload, and a resetting server for its pools.
