--- a/review/program-3/kit.h
+++ b/review/program-3/kit.h
@@ -493,14 +493,14 @@
                .count();
     list("ready");
   }
-  void list(const std::string &State) {
-    Store.put("servers", Id,
-              "{\"service\":\"" + Service + "\",\"address\":\"" +
-                  Server.address() + "\",\"az\":\"" + Zone +
-                  "\",\"version\":\"v1\",\"slots\":64,\"state\":\"" + State +
-                  "\",\"cold_left_ms\":0,\"born\":" + std::to_string(Born) +
-                  ",\"seq\":1}");
-  }
+  std::string spec(const std::string &State) const {
+    return "{\"service\":\"" + Service + "\",\"address\":\"" +
+           Server.address() + "\",\"az\":\"" + Zone +
+           "\",\"version\":\"v1\",\"slots\":64,\"state\":\"" + State +
+           "\",\"cold_left_ms\":0,\"born\":" + std::to_string(Born) +
+           ",\"seq\":1}";
+  }
+  void list(const std::string &State) { Store.put("servers", Id, spec(State)); }
   void unlist() { Store.remove("servers", Id); }
   std::string stamp(const message &Request) const {
     return "X-Request-Id: " + Request.get("X-Request-Id") +
