--- a/review/program-3/case-11.cc
+++ b/review/program-3/case-11.cc
@@ -49,8 +49,8 @@
               Id + "\r\nX-Model: m\r\nX-Token-Count: 628," +
               std::to_string(Events * TokensPerEvent) +
               "\r\nX-Prefix-Hash: a1:119,b" + std::to_string(Client.Number) +
-              ":79,c" + std::to_string(Round) + ":430\r\nX-Deadline-Ms: " +
-              std::to_string(DeadlineMs) +
+              ":79,c" + std::to_string(Round) +
+              ":430\r\nX-Deadline-Ms: " + std::to_string(DeadlineMs) +
               "\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\n"
               "body"))
     return false;
@@ -61,9 +61,8 @@
   long StoppedAt = Machine.StoppedAt;
   bool Ran = !runs::of(Id).empty();
   record::line("reply %s from %s sent %ld: status %d, %s%s", Id.c_str(),
-               Machine.Host->Name.c_str(), Sent,
-               HeadRead ? Reply.status() : 0, Complete ? "whole" : "cut",
-               Ran ? ", ran" : "");
+               Machine.Host->Name.c_str(), Sent, HeadRead ? Reply.status() : 0,
+               Complete ? "whole" : "cut", Ran ? ", ran" : "");
   if (Complete) {
     ++(Reply.status() == 200 ? Whole : Refused);
   } else if (Ran && StoppedAt >= 0) {
--- a/review/program-3/case-12.cc
+++ b/review/program-3/case-12.cc
@@ -78,12 +78,12 @@
     judge(Id, Request);
     sleepMs(20);
     std::string Event = "id: 1\ndata: x\n\n";
-    return C.send(
-        answer(200,
-               "Content-Type: text/event-stream\r\nX-Request-Id: " +
-                   Request.get("X-Request-Id") + "\r\nX-Replica-Stamp: " + Id +
-                   "." + Request.get("X-Request-Id") + "\r\n",
-               Event));
+    return C.send(answer(200,
+                         "Content-Type: text/event-stream\r\nX-Request-Id: " +
+                             Request.get("X-Request-Id") +
+                             "\r\nX-Replica-Stamp: " + Id + "." +
+                             Request.get("X-Request-Id") + "\r\n",
+                         Event));
   };
 }
 
@@ -91,8 +91,9 @@
 std::string spoil(const std::string &Handle, int Number) {
   if (Number % 2 == 0)
     return Handle + "\\r\\n";
-  return Handle + "\\r\\nContent-Length: 0\\r\\n\\r\\nPOST /ask/x "
-                  "HTTP/1.1\\r\\nHost: crew.example\\r\\nX-Request-Id: ghost-" +
+  return Handle +
+         "\\r\\nContent-Length: 0\\r\\n\\r\\nPOST /ask/x "
+         "HTTP/1.1\\r\\nHost: crew.example\\r\\nX-Request-Id: ghost-" +
          std::to_string(Number) +
          "\\r\\nX-Model: m\\r\\nX-Token-Count: 1,7\\r\\nX-Inputs: " + Handle;
 }
@@ -140,8 +141,7 @@
       sleepMs(50);
       continue;
     }
-    std::string Id =
-        "c" + std::to_string(Number) + "-" + std::to_string(Round);
+    std::string Id = "c" + std::to_string(Number) + "-" + std::to_string(Round);
     sent_request Request{"m", "628,7",
                          "a1:119,b" + std::to_string(Number) + ":79",
                          "body of " + Id};
@@ -183,7 +183,8 @@
           serviceText("pool", true) +
           ",{\"name\":\"ledger\",\"health_path\":\"/healthz\",\"max_conns\":"
           "270,\"protocol\":\"h1\",\"tls\":false,\"pieces\":{\"slots\":1,"
-          "\"queue\":2,\"batch\":8,\"call_ms\":40.0,\"item_ms\":2.0,\"room_mb\":"
+          "\"queue\":2,\"batch\":8,\"call_ms\":40.0,\"item_ms\":2.0,\"room_"
+          "mb\":"
           "9.6,\"handle_s\":4.0,\"link_mbps\":10000}}]," +
           limitsText() +
           ",\"tenants\":[{\"name\":\"w1\",\"api_keys\":[\"key-1\"]}]}");
--- a/review/program-3/case-13.cc
+++ b/review/program-3/case-13.cc
@@ -1,6 +1,6 @@
 // Another writer puts one entry beside those of the replicas: a copy of one of
-// them, under its id with a line break behind it. Counts bookings that a replica
-// runs with another body or tenant than their clients sent.
+// them, under its id with a line break behind it. Counts bookings that a
+// replica runs with another body or tenant than their clients sent.
 #include "streams.h"
 
 using namespace kit;
@@ -19,8 +19,8 @@
 std::atomic<int> Other{0};
 std::atomic<bool> Stop{false};
 
-/// A sound server: strict in what it takes for a request, and it runs what it is
-/// asked for.
+/// A sound server: strict in what it takes for a request, and it runs what it
+/// is asked for.
 replica::handler deskHandler(const std::string &Id) {
   return [Id](connection &C, const message &Request) {
     std::size_t Version = Request.First.rfind(" HTTP/1.1");
@@ -61,17 +61,17 @@
       sleepMs(50);
       continue;
     }
-    std::string Id =
-        "c" + std::to_string(Number) + "-" + std::to_string(Round);
+    std::string Id = "c" + std::to_string(Number) + "-" + std::to_string(Round);
     std::string Body = "booking " + Id;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
       Sent[Id] = Body;
     }
-    C->send("POST /order/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " +
-            Id + "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer "
-            "key-1\r\nContent-Length: " +
-            std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    C->send(
+        "POST /order/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + Id +
+        "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer "
+        "key-1\r\nContent-Length: " +
+        std::to_string(Body.size()) + "\r\n\r\n" + Body);
     message Reply;
     bool Ended = C->read(Reply, clock::now() + milliseconds(2000));
     record::line("reply %s: status %d, %s", Id.c_str(), Reply.status(),
--- a/review/program-3/kit.h
+++ b/review/program-3/kit.h
@@ -125,8 +125,8 @@
     inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr);
     int Flags = fcntl(Fd, F_GETFL);
     fcntl(Fd, F_SETFL, Flags | O_NONBLOCK);
-    if (::connect(Fd, reinterpret_cast<sockaddr *>(&Address),
-                  sizeof Address) != 0) {
+    if (::connect(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof Address) !=
+        0) {
       if (errno != EINPROGRESS)
         return nullptr;
       pollfd Poll{Fd, POLLOUT, 0};
@@ -197,9 +197,9 @@
       if (Colon == std::string::npos)
         continue;
       std::size_t From = Line.find_first_not_of(' ', Colon + 1);
-      Into.Headers.emplace_back(
-          Line.substr(0, Colon),
-          From == std::string::npos ? "" : Line.substr(From));
+      Into.Headers.emplace_back(Line.substr(0, Colon), From == std::string::npos
+                                                           ? ""
+                                                           : Line.substr(From));
     }
     return true;
   }
@@ -355,9 +355,9 @@
     Object.Revision = ++Revision;
     if (Object.Created == 0)
       Object.Created = Revision;
-    Changes.push_back({Revision, Kind,
-                       "{\"tombstone\":false,\"object\":" +
-                           text(Name, Object) + "}"});
+    Changes.push_back(
+        {Revision, Kind,
+         "{\"tombstone\":false,\"object\":" + text(Name, Object) + "}"});
     Changed.notify_all();
     return Revision;
   }
@@ -366,9 +366,9 @@
     if (Found == Kinds[Kind].end())
       return;
     Found->second.Revision = ++Revision;
-    Changes.push_back({Revision, Kind,
-                       "{\"tombstone\":true,\"object\":" +
-                           text(Name, Found->second) + "}"});
+    Changes.push_back(
+        {Revision, Kind,
+         "{\"tombstone\":true,\"object\":" + text(Name, Found->second) + "}"});
     Kinds[Kind].erase(Found);
     Changed.notify_all();
   }
@@ -403,12 +403,13 @@
       return reply(404, "{}");
     Path = Path.substr(Root.size());
     std::string Kind = Path.substr(0, Path.find('/'));
-    std::string Name =
-        Path.find('/') == std::string::npos ? "" : Path.substr(Path.find('/') + 1);
+    std::string Name = Path.find('/') == std::string::npos
+                           ? ""
+                           : Path.substr(Path.find('/') + 1);
     std::unique_lock<std::mutex> Lock(Mutex);
     if (Request.method() == "GET")
       return Name.empty() ? read(Kind, Target, Lock) : one(Kind, Name);
-    return change_(Request, Kind, Name);
+    return modify(Request, Kind, Name);
   }
   std::string one(const std::string &Kind, const std::string &Name) {
     auto Found = Kinds[Kind].find(Name);
@@ -444,8 +445,8 @@
     return reply(200, "{\"events\":[" + Body + "],\"current_rev\":" +
                           std::to_string(Revision) + "}");
   }
-  std::string change_(const message &Request, const std::string &Kind,
-                      std::string Name) {
+  std::string modify(const message &Request, const std::string &Kind,
+                     std::string Name) {
     if (Request.method() == "DELETE") {
       if (Kinds[Kind].count(Name) == 0)
         return reply(404, "{}");
@@ -557,8 +558,9 @@
                      json::serialize(Entry.at("piece")).c_str(),
                      json::serialize(Entry.at("stage")).c_str(),
                      Entry.at("id").as_string().c_str(), Id.c_str());
-        Entries += (Entries.empty() ? "" : ",") + std::string("{\"handle\":\"") +
-                   *Address + "/" + Handle + "\"}";
+        Entries += (Entries.empty() ? "" : ",") +
+                   std::string("{\"handle\":\"") + *Address + "/" + Handle +
+                   "\"}";
       }
     }
     return C.send(answer(
@@ -650,8 +652,8 @@
       int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(Out, 1);
       ::dup2(Out, 2);
-      ::execl("target/packages/entry/jasminecroftd", "jasminecroftd",
-              "--serve", File.c_str(), static_cast<char *>(nullptr));
+      ::execl("target/packages/entry/jasminecroftd", "jasminecroftd", "--serve",
+              File.c_str(), static_cast<char *>(nullptr));
       ::_exit(127);
     }
     processes::add(Pid);
--- a/review/program-3/streams.h
+++ b/review/program-3/streams.h
@@ -47,38 +47,38 @@
 inline replica::handler engineHandler(const std::string &Id, long FirstMs,
                                       long GapMs) {
   return [=](connection &C, const message &Request) {
-    std::string Request_ = Request.get("X-Request-Id");
+    std::string Name = Request.get("X-Request-Id");
     std::string Tokens = Request.get("X-Token-Count");
-    int Events = std::atoi(Tokens.substr(Tokens.find(',') + 1).c_str()) /
-                 TokensPerEvent;
+    int Events =
+        std::atoi(Tokens.substr(Tokens.find(',') + 1).c_str()) / TokensPerEvent;
     std::string After = Request.get("Last-Event-Id");
     int First = After.empty() ? 1 : std::atoi(After.c_str()) + 1;
-    runs::begin(Request_, Id);
-    record::line("run   %s at %s, events %d to %d", Request_.c_str(),
-                 Id.c_str(), First, Events);
+    runs::begin(Name, Id);
+    record::line("run   %s at %s, events %d to %d", Name.c_str(), Id.c_str(),
+                 First, Events);
     std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: "
                        "text/event-stream\r\nX-Request-Id: " +
-                       Request_ + "\r\nX-Replica-Stamp: " + Id + "." +
-                       Request_ + "\r\nX-Weight-Versions: 1\r\n" +
+                       Name + "\r\nX-Replica-Stamp: " + Id + "." + Name +
+                       "\r\nX-Weight-Versions: 1\r\n" +
                        "Transfer-Encoding: chunked\r\n\r\n";
     for (int Event = First; Event <= Events; ++Event) {
       if (C.closedByPeer(Event == First ? FirstMs : GapMs)) {
-        runs::end(Request_, Event - 1, false);
-        record::line("drop  %s at %s before event %d of %d", Request_.c_str(),
+        runs::end(Name, Event - 1, false);
+        record::line("drop  %s at %s before event %d of %d", Name.c_str(),
                      Id.c_str(), Event, Events);
         return false;
       }
       std::string Text =
-          "id: " + std::to_string(Event) + "\ndata: " + Request_ + "\n\n";
+          "id: " + std::to_string(Event) + "\ndata: " + Name + "\n\n";
       char Size[16];
       std::snprintf(Size, sizeof Size, "%zx\r\n", Text.size());
       if (!C.send((Event == First ? Head : "") + Size + Text + "\r\n")) {
-        runs::end(Request_, Event - 1, false);
+        runs::end(Name, Event - 1, false);
         return false;
       }
     }
-    runs::end(Request_, Events, true);
-    record::line("made  %s at %s", Request_.c_str(), Id.c_str());
+    runs::end(Name, Events, true);
+    record::line("made  %s at %s", Name.c_str(), Id.c_str());
     return C.send((First > Events ? Head : "") + "0\r\n\r\n");
   };
 }
