--- a/review/program-3/kit.h
+++ b/review/program-3/kit.h
@@ -31,6 +31,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -649,6 +650,8 @@
   void start() {
     Pid = ::fork();
     if (Pid == 0) {
+      // Nothing outlives the script.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(Out, 1);
       ::dup2(Out, 2);
