--- a/packages/entry/src/serving/host_environment.cc
+++ b/packages/entry/src/serving/host_environment.cc
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <sys/resource.h>
+#include <utility>
 
 namespace jasminecroft::detail {
 
@@ -53,6 +54,11 @@
   return asio::ip::tcp::endpoint(Ip, Parts->Port);
 }
 
+settings_error cannotListen(std::string Key) {
+  return {settings_problem::AddressInUse, std::move(Key), 0,
+          "an address of this host that is free"};
+}
+
 incarnation thisRun() {
   return incarnation(static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(
--- a/packages/entry/src/serving/host_environment.h
+++ b/packages/entry/src/serving/host_environment.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 
 namespace jasminecroft::detail {
 
@@ -16,6 +17,8 @@
 /// Connections that callers may hold, by the process's limit of descriptors.
 std::size_t maxCallers();
 std::optional<boost::asio::ip::tcp::endpoint> toSocket(const endpoint &Address);
+/// Key: the setting whose address cannot be listened on.
+settings_error cannotListen(std::string Key);
 /// Wall-clock milliseconds: later runs have higher numbers.
 incarnation thisRun();
 
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -107,11 +107,6 @@
     return std::nullopt;
   }
 
-  static settings_error cannotListen(std::string Key) {
-    return {settings_problem::AddressInUse, std::move(Key), 0,
-            "an address of this host that is free"};
-  }
-
   page readinessPage(std::string_view Path) {
     if (Path != platform::ReadinessPath)
       return {404, ""};
@@ -218,20 +213,12 @@
           Clean ? "graceful shutdown finished"
                 : "grace is over with requests in progress",
           {{"in_progress", std::to_string(Core.counters().InProgress)},
-           {"store_calls", storeCalls()}});
+           {"store_calls", Store.describeCalls()}});
     Log.flush();
     Store.stop();
     Context.stop();
   }
 
-  std::string storeCalls() const {
-    std::string Text;
-    for (const std::pair<std::string, std::uint64_t> &Calls : Store.calls())
-      Text += (Text.empty() ? "" : " ") + Calls.first + "=" +
-              std::to_string(Calls.second);
-    return Text;
-  }
-
   // Wake-ups of the core.
 
   void arm() {
--- a/packages/entry/src/serving/serving_store.cc
+++ b/packages/entry/src/serving/serving_store.cc
@@ -106,6 +106,14 @@
   return Result;
 }
 
+std::string serving_store::describeCalls() const {
+  std::string Text;
+  for (const std::pair<std::string, std::uint64_t> &Calls : calls())
+    Text += (Text.empty() ? "" : " ") + Calls.first + "=" +
+            std::to_string(Calls.second);
+  return Text;
+}
+
 void serving_store::addTo(serving_gauges &Gauges) const {
   Gauges.StoreCallsFailed = FailedCalls;
   Gauges.UnreadableObjects = UnreadableObjects;
--- a/packages/entry/src/serving/serving_store.h
+++ b/packages/entry/src/serving/serving_store.h
@@ -40,6 +40,8 @@
   silences() const;
   /// Calls by kind of objects and purpose, since the start.
   std::vector<std::pair<std::string, std::uint64_t>> calls() const;
+  /// The same as one text for the log.
+  std::string describeCalls() const;
   /// Sets what is known of the store.
   void addTo(serving_gauges &Gauges) const;
   /// Decodes a configuration and hands it to the core if it can be read.
