Refuse requests that reach a stopping host too late to be sure of their end

Uploads still arriving at the end got no answer.

Cause: the head of an answer decides whether its connection ends. Behind a head from before the SIGTERM the connection stays open, and the next request on it was admitted if a stream of the mean length of its route ended in time. Ruled out as sufficient: closing sooner, as a request that was sent crosses the close.

Change: after the time in which new connections come, a request is taken only if its own deadline is before the host's last replies; all others get 503 and `Connection: close` at once. Such a request can't be cut by the stop, whatever its route, length or stages; the refused ones have their whole time at another host. Earlier requests, and those that wait, are judged by the mean and four mean deviations (RFC 6298) of their route's streams, by the token where callers state how many they want. A body that still arrives at the time of the last replies is refused; a process ends after refusals were read. 206 and 207 of a stopping host have after_stop_ms, stream_ms and longest_ms.

The old drain test of a plain request 350 ms before the end holds for requests that come with new connections, as it was.

--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -60,6 +60,8 @@
   /// Input of the pieces in stages that depend on no other stage.
   std::string PieceKey;
   std::uint32_t PromptTokens = 0;
+  /// The most tokens that the caller wants; 0: not stated.
+  std::uint32_t OutputTokens = 0;
   /// Parts of the prompt in order; the last one is not shared.
   std::vector<prompt_block> Prefix;
   /// Last stream event that the caller has received; absent for a new stream.
@@ -228,6 +230,14 @@
   bool EmptiedZones = false;
 };
 
+/// Times of a planned stop of a host.
+struct drain_plan {
+  /// New connections may come until then.
+  core_time LastConnection;
+  /// Each request gets its final reply by End at the latest.
+  core_time End;
+};
+
 /// Counters since start; InProgress is a gauge.
 struct serving_counters {
   std::uint64_t Requests = 0;
@@ -360,8 +370,9 @@
   std::optional<core_time> nextWakeup(core_time Now) const;
 
   /// Starts to drain this host: it stops owning queues and notifies its peers.
-  /// Each request gets its final reply by End at the latest.
-  void beginDraining(core_time End, core_time Now);
+  /// A request that arrives after the last new connection is refused unless its
+  /// own deadline is before the end: its caller can send it to another host.
+  void beginDraining(const drain_plan &Plan, core_time Now);
 
   /// Sets the ratio and the slack; the window stays.
   void setRetryLimits(const retry_limits &Limits);
--- a/packages/core/src/serving/serving_choice.cc
+++ b/packages/core/src/serving/serving_choice.cc
@@ -19,8 +19,8 @@
 /// While this host drains, a plain request needs this multiple of the expected
 /// time: a refusal lets its caller go elsewhere, a cut reply does not.
 constexpr int PlainReplyMargin = 2;
-/// Weight of a new sample in the smoothed times of streams.
-constexpr double StreamTimeGain = 0.1;
+/// Weight of a new sample in the smoothed time to the first byte.
+constexpr double FirstByteGain = 0.1;
 
 pool_id drawPool(const std::vector<pool_share> &Shares, std::uint64_t Seed) {
   std::uint64_t Total = 0;
@@ -182,15 +182,15 @@
 void serving_impl::observeFirstByte(const active_request &State) {
   double Micros = static_cast<double>((Now - State.SentAt).count());
   double &Known = FirstByteMicros[State.Pool];
-  Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
+  Known += (Known == 0 ? 1 : FirstByteGain) * (Micros - Known);
 }
 
 void serving_impl::observeStream(const active_request &State) {
-  if (!State.FirstByteAt)
+  // What is left of a resumed stream says nothing of whole ones.
+  if (!State.FirstByteAt || State.Request.LastEvent)
     return;
-  double Micros = static_cast<double>((Now - *State.FirstByteAt).count());
-  double &Known = StreamMicros[State.Route->Name];
-  Known += (Known == 0 ? 1 : StreamTimeGain) * (Micros - Known);
+  StreamTimes[State.Route->Name].observe(Now - *State.FirstByteAt,
+                                         State.Request.OutputTokens);
 }
 
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_forecast.cc
+++ b/packages/core/src/serving/serving_forecast.cc
@@ -113,10 +113,18 @@
 
 // Returns the expected time from the first byte of the response to its end.
 core_duration serving_impl::streamTime(const active_request &State) const {
-  auto Found = StreamMicros.find(State.Route->Name);
-  if (Found == StreamMicros.end())
-    return core_duration{0};
-  return core_duration(static_cast<std::int64_t>(Found->second));
+  auto Found = StreamTimes.find(State.Route->Name);
+  return Found == StreamTimes.end() ? core_duration{0} : Found->second.usual();
+}
+
+// Returns a time from the first byte of the response to its end that few
+// responses exceed.
+core_duration
+serving_impl::longestStreamTime(const active_request &State) const {
+  auto Found = StreamTimes.find(State.Route->Name);
+  return Found == StreamTimes.end()
+             ? core_duration{0}
+             : Found->second.longest(State.Request.OutputTokens);
 }
 
 // Returns the expected time from the end of Stage to the first byte of the
--- a/packages/core/src/serving/serving_peers.cc
+++ b/packages/core/src/serving/serving_peers.cc
@@ -237,18 +237,6 @@
   Owner.release(Body.Results, Now);
 }
 
-void serving_impl::beginDraining(core_time End, core_time) {
-  Leaving = true;
-  DrainEnd = End;
-  for (request_map::value_type &Entry : Requests)
-    limitToDrain(Entry.second);
-  Hosts.setSelfLeaving();
-  for (const batching_host &Host : Hosts.others())
-    if (!Hosts.suspected(Host.Host))
-      Actions.sendToPeer(Host, makeHeartbeat(false));
-  transferQueues();
-}
-
 // Public interface: sets the time, handles the event and runs the queues.
 
 serving_core::serving_core(const serving_settings &Settings,
@@ -448,9 +436,9 @@
   Impl->Budget.setLimits(Limits.Ratio, Limits.Slack);
 }
 
-void serving_core::beginDraining(core_time End, core_time Now) {
+void serving_core::beginDraining(const drain_plan &Plan, core_time Now) {
   event_scope Event(*Impl, Now);
-  Impl->beginDraining(End, Now);
+  Impl->beginDraining(Plan);
 }
 void serving_core::onPeerUnreachable(const entry_host_id &Host, core_time Now) {
   event_scope Event(*Impl, Now);
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -207,6 +207,10 @@
   if (refuseQuarantined(State))
     return;
   limitToDrain(State);
+  if (arrivedTooLate(State)) {
+    failRequest(State, refusal_kind::ShuttingDown, MinRetryAfter);
+    return;
+  }
   State.PlannedZone = Settings.Zone;
   if (!State.Stages.empty())
     if (const backend_state *Planned = chooseServer(State))
@@ -307,6 +311,11 @@
       {"server", State.Server.Id.Value},
       {"sends", std::to_string(State.Attempts)},
       {"calls", State.Ledger.describe()}};
+  if (Drain) {
+    Fields.push_back({"after_stop_ms", inMs(State.Arrived - DrainBegan)});
+    Fields.push_back({"stream_ms", inMs(streamTime(State))});
+    Fields.push_back({"longest_ms", inMs(longestStreamTime(State))});
+  }
   if (State.QuarantinedPart)
     Fields.push_back({"part", partName(*State.QuarantinedPart)});
   if (FirstByte)
@@ -385,28 +394,6 @@
   failRequest(*State, Kind, MinRetryAfter);
 }
 
-// Ends a request that would outlast this host when the host stops.
-void serving_impl::limitToDrain(active_request &State) {
-  if (!DrainEnd || State.Deadline <= *DrainEnd)
-    return;
-  State.Deadline = *DrainEnd;
-  addTimer(State.Deadline, timer_kind::Deadline, State.Request.Number.Value);
-}
-
-// Returns whether the stop of this host ends the request earlier than its
-// caller or route would.
-bool serving_impl::cutByDrain(const active_request &State) const {
-  return DrainEnd && State.Deadline == *DrainEnd;
-}
-
-// Returns whether the reply is expected to be complete before this host stops
-// if its first byte takes FirstByte from now on.
-bool serving_impl::endsBeforeDrain(const active_request &State,
-                                   core_duration FirstByte) const {
-  return !cutByDrain(State) ||
-         Now + FirstByte + streamTime(State) <= State.Deadline;
-}
-
 void serving_impl::addTimer(core_time Time, timer_kind Kind, std::uint64_t Id) {
   Timers.emplace(Time, timer{Kind, Id});
 }
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -14,6 +14,7 @@
 #include "jasminecroft/core/serving/request_bytes.h"
 #include "jasminecroft/core/serving/serving_core.h"
 #include "jasminecroft/core/serving/store_following.h"
+#include "jasminecroft/core/serving/stream_times.h"
 
 #include <map>
 #include <set>
@@ -72,7 +73,6 @@
   void onHost(const batching_host &Host, core_time Now);
   void onHostRemoved(const entry_host_id &Host);
   void onPeer(const host_run &Sender, const peer_body &Body, core_time Now);
-  void beginDraining(core_time End, core_time Now);
   void onStoreRead(store_kind Kind);
   void onStoreLost(store_kind Kind);
   void onStoreEra(store_era Era);
@@ -81,6 +81,9 @@
   void onBackendsRead(object_version Revision, object_version Newest);
   void onPeerUnreachable(const entry_host_id &Host);
 
+  // Planned stop: serving_drain.cc.
+  void beginDraining(const drain_plan &Plan);
+
   // The first configuration: serving_first_config.cc.
   bool configConfirmed() const;
   void onHostListRead();
@@ -125,9 +128,9 @@
   batch_owner Owner;
   serving_counters Counters;
   bool Leaving = false;
-  /// Time by which all requests have their final reply; absent until this host
-  /// drains.
-  std::optional<core_time> DrainEnd;
+  /// Absent until this host drains.
+  std::optional<drain_plan> Drain;
+  core_time DrainBegan;
   bool CloseWatcher = false;
   /// Highest version of the configuration that a peer has named.
   config_version PeersConfig;
@@ -155,12 +158,15 @@
                   unsigned Status);
   void logPromise(const active_request &State, std::string_view Outcome);
   void onDeadline(request_id Request);
+  void addTimer(core_time Time, timer_kind Kind, std::uint64_t Id);
+  void onTimer(const timer &Timer);
+
+  // Planned stop: serving_drain.cc.
   void limitToDrain(active_request &State);
   bool cutByDrain(const active_request &State) const;
+  bool arrivedTooLate(const active_request &State) const;
   bool endsBeforeDrain(const active_request &State,
                        core_duration FirstByte) const;
-  void addTimer(core_time Time, timer_kind Kind, std::uint64_t Id);
-  void onTimer(const timer &Timer);
 
   // The first configuration: serving_first_config.cc.
   bool isAlone() const;
@@ -196,6 +202,7 @@
                                    std::size_t Stage) const;
   core_duration firstByteTime(const active_request &State) const;
   core_duration streamTime(const active_request &State) const;
+  core_duration longestStreamTime(const active_request &State) const;
   entry_host_id queueOwner(const pool_id &Pool, const zone_id &Zone) const;
   void transferQueues();
   void onJobAccepted(piece_job_id Job, const queue_wait &Wait);
@@ -473,9 +480,7 @@
   core_time LastWakeup;
   /// Exponentially smoothed time in which owners accept jobs, in microseconds.
   std::map<entry_host_id, double> AcceptMicros;
-  /// Exponentially smoothed time from the first byte of a route's streams to
-  /// their end, in microseconds.
-  std::map<route_id, double> StreamMicros;
+  std::map<route_id, stream_times> StreamTimes;
   urgency_aging Aging;
   engine_model Engines;
   /// Of the pools and zones that this host keeps the book of.
--- a/packages/core/test/serving-drain-test.cc
+++ b/packages/core/test/serving-drain-test.cc
@@ -13,6 +13,7 @@
 
 /// Below the timeout of the fixture's routes.
 constexpr milliseconds DrainTime{1'000};
+constexpr milliseconds LastConnection{700};
 
 refusal_kind refusalOf(serving_fixture &Test, request_id Request) {
   REQUIRE(Test.Actions.Refusals[Request].size() == 1);
@@ -20,7 +21,8 @@
 }
 
 void drain(serving_fixture &Test) {
-  Test.Core.beginDraining(Test.Now + DrainTime, Test.Now);
+  Test.Core.beginDraining({Test.Now + LastConnection, Test.Now + DrainTime},
+                          Test.Now);
 }
 
 /// Lets a stream of a route take Time from its first event to its end.
@@ -172,9 +174,69 @@
           "not shortened") {
   serving_fixture Test;
   Test.addAllPools();
-  Test.Core.beginDraining(Test.Now + seconds(7), Test.Now);
+  Test.Core.beginDraining({Test.Now + seconds(2), Test.Now + seconds(7)},
+                          Test.Now);
   request_id Request = Test.sendRequest("once");
   CHECK(Test.lastForward().TimeLeft == serving_fixture::Timeout);
   Test.advance(serving_fixture::Timeout + milliseconds(10));
   CHECK(refusalOf(Test, Request) == refusal_kind::TimedOut);
 }
+
+// review/11: streams on connections from before the stop were passed on 3 s
+// into it and cut.
+TEST_CASE("a request that comes after the last new connection is refused if it "
+          "could outlast the stop") {
+  serving_fixture Test;
+  Test.addAllPools();
+  observeStream(Test, "stream", milliseconds(10));
+  drain(Test);
+  Test.advance(LastConnection + milliseconds(10));
+  std::size_t Forwarded = Test.Actions.Forwards.size();
+  for (const char *Route : {"stream", "resumable", "plain", "once"})
+    CHECK(refusalOf(Test, Test.sendRequest(Route)) ==
+          refusal_kind::ShuttingDown);
+  CHECK(refusalOf(Test, Test.sendRequest("staged", {1, 2})) ==
+        refusal_kind::ShuttingDown);
+  CHECK(Test.Actions.Forwards.size() == Forwarded);
+  CHECK(Test.Actions.Pieces.empty());
+}
+
+TEST_CASE("a request that comes after the last new connection is taken if its "
+          "own deadline is before the end of the stop") {
+  serving_fixture Test;
+  Test.addAllPools();
+  drain(Test);
+  Test.advance(LastConnection + milliseconds(10));
+  Test.MaxWait = milliseconds(200);
+  std::size_t Forwarded = Test.Actions.Forwards.size();
+  for (const char *Route : {"stream", "plain", "once"})
+    CHECK(Test.Actions.Refusals[Test.sendRequest(Route)].empty());
+  CHECK(Test.Actions.Forwards.size() == Forwarded + 3);
+}
+
+TEST_CASE("a draining host tells a stream that may outlast it by the tokens "
+          "that its caller wants") {
+  serving_fixture Test;
+  Test.addAllPools();
+  Test.OutputTokens = 100;
+  for (int I = 0; I < 30; ++I)
+    observeStream(Test, "stream", milliseconds(100));
+  drain(Test);
+  Test.OutputTokens = 2'000;
+  CHECK(refusalOf(Test, Test.sendRequest("stream")) ==
+        refusal_kind::ShuttingDown);
+  Test.OutputTokens = 400;
+  CHECK(Test.Actions.Refusals[Test.sendRequest("stream")].empty());
+}
+
+TEST_CASE("a draining host refuses a stream of a route whose streams vary too "
+          "much to be sure of its end") {
+  serving_fixture Test;
+  Test.addAllPools();
+  for (int I = 0; I < 30; ++I)
+    observeStream(Test, "stream", milliseconds(I % 4 == 0 ? 1'000 : 20));
+  drain(Test);
+  // Their mean would end in time.
+  CHECK(refusalOf(Test, Test.sendRequest("stream")) ==
+        refusal_kind::ShuttingDown);
+}
--- a/packages/core/test/serving-fixture.h
+++ b/packages/core/test/serving-fixture.h
@@ -199,6 +199,8 @@
     Request.Pieces = std::move(Pieces);
     Request.PieceKey = "piece-key";
     Request.Prefix = std::move(Prefix);
+    Request.MaxWait = MaxWait;
+    Request.OutputTokens = OutputTokens;
     request_id Number = Request.Number;
     Core.onRequest(std::move(Request), Now);
     reportLoads();
@@ -349,6 +351,9 @@
   core_time Now{std::chrono::seconds(1'000)};
   serving_core Core;
   std::uint64_t LastRequest = 0;
+  /// Of the requests that are sent from then on.
+  std::optional<core_duration> MaxWait;
+  std::uint32_t OutputTokens = 0;
 };
 
 } // namespace jasminecroft
--- a/packages/core/test/serving-stages-test.cc
+++ b/packages/core/test/serving-stages-test.cc
@@ -334,7 +334,8 @@
   Wanted.StartBy = seconds(1);
   Test.Core.onPeer({Peer.Host, incarnation(1)}, piece_request{Wanted},
                    Test.Now);
-  Test.Core.beginDraining(Test.Now + seconds(7), Test.Now);
+  Test.Core.beginDraining({Test.Now + seconds(2), Test.Now + seconds(7)},
+                          Test.Now);
   CHECK_FALSE(Test.Core.ready());
   bool Returned =
       std::any_of(Test.Actions.Sent.begin(), Test.Actions.Sent.end(),
--- a/packages/entry/src/serving/caller_session.cc
+++ b/packages/entry/src/serving/caller_session.cc
@@ -113,8 +113,7 @@
 bool caller_session::busy() const {
   if (ClosingUnused)
     return true;
-  return Phase != phase::Idle && Phase != phase::Closed &&
-         Phase != phase::Lingering;
+  return Phase != phase::Idle && Phase != phase::Closed;
 }
 
 void caller_session::setDeadline(std::chrono::microseconds Time) {
@@ -148,6 +147,11 @@
     closeUnused(close_cause::HostStops);
 }
 
+void caller_session::refuseArriving() {
+  if (Phase == phase::Reading)
+    refuseEarly(Unavailable, "host stops");
+}
+
 // A request may have been read whose handler has not run yet, and bytes may
 // wait in the system: the handler of the read decides.
 void caller_session::closeUnused(close_cause Cause) {
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -93,6 +93,9 @@
   void checkDeadline(clock::time_point Now);
   /// Closes the connection if it waits for a request.
   void closeIfIdle();
+  /// Refuses a request that is still arriving: this host ends before it could
+  /// be served.
+  void refuseArriving();
   bool busy() const;
   /// Bytes of the answer that the caller has not read.
   std::size_t unreadBytes() const { return Unsent.size() + Writing.size(); }
--- a/packages/entry/src/serving/serving_front.cc
+++ b/packages/entry/src/serving/serving_front.cc
@@ -91,6 +91,14 @@
     Session->closeIfIdle();
 }
 
+void serving_front::refuseArriving() {
+  std::vector<std::shared_ptr<caller_session>> All;
+  for (const session_table::value_type &Entry : Sessions)
+    All.push_back(Entry.second);
+  for (const std::shared_ptr<caller_session> &Session : All)
+    Session->refuseArriving();
+}
+
 bool serving_front::idle() const {
   for (const session_table::value_type &Entry : Sessions)
     if (Entry.second->busy())
--- a/packages/entry/src/serving/serving_front.h
+++ b/packages/entry/src/serving/serving_front.h
@@ -36,6 +36,8 @@
   /// Connections end with the answer in progress.
   void closeAfterAnswers() { Closing = true; }
   void closeIdle();
+  /// Refuses requests that are still arriving.
+  void refuseArriving();
   bool idle() const;
   std::size_t connections() const { return Sessions.size(); }
 
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -177,13 +177,17 @@
           "graceful shutdown begun",
           {{"in_progress", std::to_string(Core.counters().InProgress)}});
     Front.closeAfterAnswers();
-    Core.beginDraining(now() + Settings.Grace - GraceMargin - LastReplyLead,
-                       now());
+    Core.beginDraining({now() + BalancerLag, now() + lastReplies()}, now());
     arm();
     Store.leave();
     checkShutdown();
   }
 
+  /// From SIGTERM to the last replies.
+  milliseconds lastReplies() const {
+    return Settings.Grace - GraceMargin - LastReplyLead;
+  }
+
   void checkShutdown() {
     milliseconds Past = std::chrono::duration_cast<milliseconds>(
         std::chrono::steady_clock::now() - StopBegan);
@@ -193,6 +197,8 @@
     }
     if (IdleClosed)
       Front.closeIdle();
+    if (Past >= lastReplies())
+      Front.refuseArriving();
     bool Done = Past >= BalancerLag + IdleCloseLead &&
                 Core.counters().InProgress == 0 && Front.idle() &&
                 Core.queuesIdle();
--- a/packages/testing/processes/test/serving-stop-test.cc
+++ b/packages/testing/processes/test/serving-stop-test.cc
@@ -1,6 +1,7 @@
 // Planned stops of entry hosts with requests that outlast the grace.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "jasminecroft/processes/local_fleet.h"
+#include "jasminecroft/processes/raw_server.h"
 #include "jasminecroft/processes/users_fleet.h"
 
 #include <boost/json/parse.hpp>
@@ -57,6 +58,55 @@
   std::this_thread::sleep_for(milliseconds(1'600));
 }
 
+/// Streams without stages: short ones of one event, and long ones of which the
+/// first ends some seconds after it began and the others outlast the grace.
+class long_streams {
+public:
+  static constexpr milliseconds FirstLong{4'500};
+  static constexpr milliseconds EventPause{50};
+
+  explicit long_streams(users_fleet &Fleet)
+      : Server([this](const raw_request &Request, int,
+                      const raw_server::writer &Write) {
+          bool Long = Request.Id.starts_with("long");
+          milliseconds Time = !Long                    ? milliseconds(0)
+                              : Request.Id == "long-0" ? FirstLong
+                                                       : milliseconds(SlowWork);
+          ++(Long ? Longs : Shorts);
+          Write(eventsHead(Request.Id));
+          int Event = 0;
+          std::string Text;
+          do {
+            Text = "id: " + std::to_string(++Event);
+            Text += "\ndata: x\n\n";
+            if (!Write(chunkOf(Text)))
+              return;
+            std::this_thread::sleep_for(EventPause);
+          } while (Event * EventPause < Time);
+          Write("0\r\n\r\n");
+        }) {
+    Fleet.on([&Fleet, this] {
+      json::value Config = json::parse(usersConfig());
+      Config.as_object()["version"] = 4;
+      for (json::value &Route : Config.at("routes").as_array()) {
+        Route.as_object()["timeout_ms"] = 20'000;
+        Route.as_object().erase("stages");
+      }
+      Fleet.Store->put("config", "main", Config);
+      Fleet.listAt("engine", "engine-raw", Server.port());
+      Fleet.Store->remove("servers", "engine-0");
+    });
+    std::this_thread::sleep_for(milliseconds(1'600));
+  }
+
+  int longs() const { return Longs; }
+
+private:
+  std::atomic<int> Shorts = 0;
+  std::atomic<int> Longs = 0;
+  raw_server Server;
+};
+
 } // namespace
 
 TEST_CASE("a request at a slow server when the grace ends is answered") {
@@ -148,3 +198,55 @@
   CHECK(Cut == 0);
   CHECK(Answered > 0);
 }
+
+// review/11: the head of a stream that began before the SIGTERM leaves its
+// connection open, and the next request on it was passed on and cut.
+TEST_CASE("a request that follows a stream on a connection from before the "
+          "stop is not passed on and cut") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  long_streams Streams(Fleet);
+  // Most streams are short, as an average has it.
+  for (int I = 0; I < 40; ++I) {
+    std::string Id = "short-" + std::to_string(I);
+    REQUIRE(exchange(patient(Fleet.stream("note", Id)), Bound).Status == 200);
+  }
+  http_connection Kept(Fleet.CallerPorts[0]);
+  REQUIRE(Kept.send(requestText(patient(Fleet.stream("note", "long-0")))));
+  REQUIRE(waitUntil([&Streams] { return Streams.longs() == 1; }));
+  std::this_thread::sleep_for(milliseconds(1'000));
+  Fleet.Processes[0]->signal(SIGTERM);
+  CHECK(Kept.readReply(Bound).Status == 200);
+  SUBCASE("a stream") {
+    REQUIRE(Kept.send(requestText(patient(Fleet.stream("note", "long-1")))));
+    http_reply Reply = Kept.readReply(Bound);
+    CHECK(Reply.Status == 503);
+    CHECK(Reply.Head.find("Connection: close") != std::string::npos);
+    CHECK(Streams.longs() == 1);
+  }
+  SUBCASE("a plain request") {
+    REQUIRE(Kept.send(requestText(patient(Fleet.call("once", "late")))));
+    CHECK(Kept.readReply(Bound).Status == 503);
+    CHECK(Fleet.ranTimes("late") == 0);
+  }
+  SUBCASE("a plain request whose own deadline is before the end") {
+    REQUIRE(Kept.send(requestText(Fleet.call("once", "late"))));
+    CHECK(Kept.readReply(Bound).Status == 200);
+    CHECK(Fleet.ranTimes("late") == 1);
+  }
+  CHECK(Fleet.Processes[0]->waitExit(Grace) == 0);
+}
+
+// The process ended beside it, and its caller got no answer.
+TEST_CASE("a request whose body is still arriving when the grace ends is "
+          "refused as not run") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  std::string Text = requestText(patient(Fleet.call("once", "upload")));
+  http_connection Open(Fleet.CallerPorts[0]);
+  REQUIRE(Open.send(Text.substr(0, Text.size() - 1)));
+  Fleet.Processes[0]->signal(SIGTERM);
+  CHECK(Open.readReply(Bound).Status == 503);
+  CHECK(Fleet.Processes[0]->waitExit(Grace) == 0);
+  CHECK(Fleet.ranTimes("upload") == 0);
+}
--- a/packages/testing/src/serving_world_hosts.cc
+++ b/packages/testing/src/serving_world_hosts.cc
@@ -26,6 +26,8 @@
 constexpr core_duration ShortGrace = std::chrono::seconds(4);
 /// Final replies are due this long before the end.
 constexpr core_duration LastReplyLead = milliseconds(300);
+/// New connections come to a stopping host for this long.
+constexpr core_duration BalancerLag = milliseconds(2'600);
 constexpr core_duration StopCheck = milliseconds(50);
 /// A call sent before the first list was handled may still be on its way.
 constexpr core_duration ReadSlack = milliseconds(100);
@@ -108,7 +110,7 @@
       World.now() +
       (ShortStop ? World.Random.between(ShortestGrace, ShortGrace) : Grace);
   handle([this](serving_core &Core, core_time Now) {
-    Core.beginDraining(StopBy - LastReplyLead, Now);
+    Core.beginDraining({Now + BalancerLag, StopBy - LastReplyLead}, Now);
   });
   World.Queue.after(StoreLag, [this] {
     for (const std::unique_ptr<world_host> &Other : World.Hosts)
