Check result handles where they are read, and all texts where heads are written

Cause: a handle of a stage's server was any JSON text, and heads were joined by a function that could not refuse: a line break in the handle ended the head, a comma made one input two, a handle of 200 KB was sent on whole, NUL cut it.

Heads to servers and to callers are written by head_writer alone, which checks methods, targets, names, values and elements of lists. An answer that can't be written becomes 502.

The byte fuzzers require that what was read can be written.

--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -148,6 +148,8 @@
 enum class call_failure {
   /// No byte was sent.
   NotConnected,
+  /// No byte was sent: a text of the call cannot stand in its head.
+  NotWritable,
   /// The connection broke, or the reply was truncated, malformed or not a reply
   /// to this call.
   Broken,
--- a/packages/core/src/serving/serving_calls.cc
+++ b/packages/core/src/serving/serving_calls.cc
@@ -21,6 +21,11 @@
 /// Bound of the prompt parts in one log line.
 constexpr std::size_t MaxLoggedParts = 8;
 
+bool neverSent(call_failure Failure) {
+  return Failure == call_failure::NotConnected ||
+         Failure == call_failure::NotWritable;
+}
+
 std::string_view toText(call_progress Progress) {
   switch (Progress) {
   case call_progress::Sent:
@@ -403,19 +408,26 @@
   if (Found->second.Kind == call_kind::Pieces) {
     batch_id Batch = Found->second.Batch;
     Calls.erase(Found);
-    batch_failure Reason =
-        Failure == call_failure::NotConnected ? batch_failure::NotConnected
-        : Failure == call_failure::TimedOut   ? batch_failure::TimedOut
-                                              : batch_failure::Broken;
+    batch_failure Reason = neverSent(Failure) ? batch_failure::NotConnected
+                           : Failure == call_failure::TimedOut
+                               ? batch_failure::TimedOut
+                               : batch_failure::Broken;
     Owner.onBatchFailed(Batch, Reason, Now);
     return;
   }
   active_request *State = callRequest(Call);
   backend_id Server = Found->second.Server.Id;
   endCall(Call);
-  Servers.onCallFailed(Server, Now);
+  if (Failure != call_failure::NotWritable)
+    Servers.onCallFailed(Server, Now);
   if (!State)
     return;
+  // Another server would get the same text.
+  if (Failure == call_failure::NotWritable) {
+    State->Ledger.end(call_fate::NotConnected);
+    failRequest(*State, refusal_kind::NoBackend, NoBackendRetryAfter);
+    return;
+  }
   if (Failure == call_failure::Broken)
     reportCrash(*State);
   if (Failure == call_failure::NotConnected && !State->HeadRelayed) {
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -304,3 +304,16 @@
     CHECK(Test.Actions.Streams[Request].Aborted);
   }
 }
+
+TEST_CASE("a call that cannot be written ends its request as not run, and "
+          "blames no server") {
+  serving_fixture Test;
+  Test.addAllPools();
+  request_id Request = Test.sendRequest("once");
+  backend_id Server = Test.lastForward().Server.Id;
+  Test.Core.onCallFailed(Test.Actions.LastForward, call_failure::NotWritable,
+                         Test.Now);
+  CHECK(guaranteesNotRun(refusalOf(Test, Request)));
+  CHECK(Test.Actions.Forwards.size() == 1);
+  CHECK(Test.Core.backends().find(Server)->AvoidUntil <= Test.Now);
+}
--- a/packages/entry/src/serving/caller_session.h
+++ b/packages/entry/src/serving/caller_session.h
@@ -149,6 +149,7 @@
   void tellCut(close_cause Cause);
   void giveUpAnswer() override;
   void closeUnread(close_cause Cause);
+  void closeLater(close_cause Cause);
   void endSlowReader(std::string_view Why);
   void countUnread();
   bool willClose() const;
--- a/packages/entry/src/serving/caller_session_answers.cc
+++ b/packages/entry/src/serving/caller_session_answers.cc
@@ -16,6 +16,9 @@
 constexpr std::chrono::seconds LingerTime{1};
 /// Text of one stream that its caller has not read yet.
 constexpr std::size_t MaxUnsentBytes = 2'097'152;
+constexpr unsigned BadGateway = 502;
+constexpr std::string_view UnwritableAnswer =
+    "a text of the answer cannot stand in its head";
 
 std::string chunk(std::string_view Text) {
   constexpr std::string_view Digits = "0123456789abcdef";
@@ -48,19 +51,34 @@
   if (Phase != phase::InProgress)
     return;
   bool Close = willClose();
-  std::string Text = platform::encodeReplyHead(Head, Body.size(), Close);
+  platform::written_head Written =
+      platform::encodeReplyHead(Head, Body.size(), Close);
+  std::string *Text = std::get_if<std::string>(&Written);
+  if (!Text) {
+    Owner.onRefusedEarly(CallerId, BadGateway, UnwritableAnswer);
+    finishAnswer(true);
+    send(platform::encodeError(BadGateway, true));
+    return;
+  }
   if (!HeadOnly)
-    Text += Body;
+    *Text += Body;
   finishAnswer(Close);
-  send(Text);
+  send(*Text);
 }
 
 void caller_session::relayStreamHead(const backend_reply_head &Head) {
   if (Phase != phase::InProgress)
     return;
-  Phase = phase::Streaming;
   CloseWhenWritten = willClose();
-  send(platform::encodeReplyHead(Head, std::nullopt, CloseWhenWritten));
+  platform::written_head Written =
+      platform::encodeReplyHead(Head, std::nullopt, CloseWhenWritten);
+  Phase = phase::Streaming;
+  if (std::string *Text = std::get_if<std::string>(&Written)) {
+    send(*Text);
+    return;
+  }
+  Owner.onRefusedEarly(CallerId, BadGateway, UnwritableAnswer);
+  closeLater(close_cause::AnswerBroken);
 }
 
 void caller_session::relayStreamEvents(std::string_view Text) {
@@ -87,12 +105,16 @@
 
 // The owner may be in the middle of another request.
 void caller_session::giveUpAnswer() {
-  GaveUp = true;
   Owner.onSlowReader(CallerId, unreadBytes(), "memory");
+  closeLater(close_cause::SlowReader);
+}
+
+void caller_session::closeLater(close_cause Cause) {
+  GaveUp = true;
   Unsent.clear();
-  boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+  boost::asio::post(Socket.get_executor(), [Self = shared_from_this(), Cause] {
     if (Self->Phase != phase::Closed)
-      Self->closeUnread(close_cause::SlowReader);
+      Self->closeUnread(Cause);
   });
 }
 
--- a/packages/entry/src/serving/serving_backends.cc
+++ b/packages/entry/src/serving/serving_backends.cc
@@ -4,6 +4,8 @@
 
 #include "platform/replica/replica_calls.h"
 
+#include <boost/asio/post.hpp>
+
 namespace jasminecroft::detail {
 
 namespace {
@@ -177,13 +179,17 @@
     platform::decoded_pieces Decoded =
         platform::decodePieces(Head, Body, Server.Id, Expected);
     if (platform::pieces_reply *Reply =
-            std::get_if<platform::pieces_reply>(&Decoded))
+            std::get_if<platform::pieces_reply>(&Decoded)) {
+      if (Reply->UnusableHandles > 0)
+        Results.onUnusableHandles(Server, Reply->UnusableHandles,
+                                  Reply->FirstUnusable);
       Results.onPiecesAnswered(Call, Reply->Results, Reply->Load);
-    else if (platform::pieces_refusal *Refusal =
-                 std::get_if<platform::pieces_refusal>(&Decoded))
+    } else if (platform::pieces_refusal *Refusal =
+                   std::get_if<platform::pieces_refusal>(&Decoded)) {
       Results.onPiecesRefused(Call, Refusal->WrongServer);
-    else
+    } else {
       Results.onCallFailed(Call, call_failure::Broken);
+    }
   }
   void onStreamHead(const platform::http_head &) override {}
   void onStreamText(std::string) override {}
@@ -245,13 +251,36 @@
 
 } // namespace
 
+// Returns whether the call can be sent.
+bool serving_backends::takeText(platform::written_head Written,
+                                const backend_entry &Server,
+                                backend_call_request &Request) {
+  if (std::string *Text = std::get_if<std::string>(&Written)) {
+    Request.Text = std::move(*Text);
+    return true;
+  }
+  Results.onUnwritable(Server, Request.CallerId,
+                       std::get<platform::unwritable_head>(Written));
+  return false;
+}
+
+// The core is in the middle of the call's request.
+void serving_backends::failLater(call_id Call) {
+  boost::asio::post(Context, [this, Call] {
+    Results.onCallFailed(Call, call_failure::NotWritable);
+  });
+}
+
 void serving_backends::forward(call_id Call, call_permit Permit,
                                const forward_call &Forward) {
   backend_call_request Request;
   Request.Address = Permit.server().Address;
-  Request.Text = platform::encodeForward(Forward);
   Request.Message = Forward.Message;
   Request.CallerId = Forward.CallerId;
+  if (!takeText(platform::encodeForward(Forward), Forward.Server, Request)) {
+    failLater(Call);
+    return;
+  }
   Request.Timeout = Forward.TimeLeft + AnswerSlack;
   Request.MayReuseConnection = Forward.MayReuseConnection;
   Request.Streamed = Forward.Streamed;
@@ -267,7 +296,10 @@
   const backend_entry &Server = Permit.server();
   backend_call_request Request;
   Request.Address = Server.Address;
-  Request.Text = platform::encodePieces(Server, Items);
+  if (!takeText(platform::encodePieces(Server, Items), Server, Request)) {
+    failLater(Call);
+    return;
+  }
   Request.Timeout = Timeout;
   // Answers for pieces do not name their call.
   Request.KeepConnection = false;
@@ -282,7 +314,8 @@
   const backend_entry &Server = Permit.server();
   backend_call_request Request;
   Request.Address = Server.Address;
-  Request.Text = platform::encodeFree(Server, Handles);
+  if (!takeText(platform::encodeFree(Server, Handles), Server, Request))
+    return;
   Request.Timeout = SideCallTimeout;
   startBackendCall(Context, Pool, std::move(Request),
                    std::make_shared<free_listener>(Results, Server));
@@ -292,7 +325,12 @@
   const backend_entry &Server = Permit.server();
   backend_call_request Request;
   Request.Address = Server.Address;
-  Request.Text = platform::encodeLoadQuestion(Server);
+  if (!takeText(platform::encodeLoadQuestion(Server), Server, Request)) {
+    boost::asio::post(Context, [this, Id = Server.Id] {
+      Results.onServerLoad(Id, std::nullopt);
+    });
+    return;
+  }
   Request.Timeout = SideCallTimeout;
   startBackendCall(Context, Pool, std::move(Request),
                    std::make_shared<load_listener>(Results, Server));
--- a/packages/entry/src/serving/serving_backends.h
+++ b/packages/entry/src/serving/serving_backends.h
@@ -4,6 +4,7 @@
 
 #include "backend_call.h"
 #include "jasminecroft/core/serving/serving_core.h"
+#include "platform/head_writer.h"
 
 #include <unordered_map>
 
@@ -32,6 +33,13 @@
   virtual void onPiecesRefused(call_id Call, bool WrongServer) = 0;
   virtual void onServerLoad(const backend_id &Server,
                             const std::optional<pieces_load> &Load) = 0;
+  /// Handles of an answer that cannot be used, and the first of them.
+  virtual void onUnusableHandles(const backend_entry &Server, std::size_t Count,
+                                 const std::string &First) = 0;
+  /// A call was not sent. CallerId is empty for calls of no single request.
+  virtual void onUnwritable(const backend_entry &Server,
+                            const caller_request_id &CallerId,
+                            const platform::unwritable_head &Head) = 0;
   /// Bytes of the answer that the request's caller has not read.
   virtual std::size_t unreadBytes(request_id Request) const = 0;
 };
@@ -57,6 +65,10 @@
   connection_counters counters() const { return Pool->Counters; }
 
 private:
+  bool takeText(platform::written_head Written, const backend_entry &Server,
+                backend_call_request &Request);
+  void failLater(call_id Call);
+
   boost::asio::io_context &Context;
   backend_results &Results;
   std::shared_ptr<connection_pool> Pool;
--- a/packages/entry/src/serving/serving_host.cc
+++ b/packages/entry/src/serving/serving_host.cc
@@ -12,6 +12,7 @@
 #include "serving_front.h"
 #include "serving_metrics.h"
 #include "serving_store.h"
+#include "text_events.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -127,6 +128,8 @@
     Gauges.HeldArrivingBytes = Held.held(held_kind::ArrivingAnswer);
     Gauges.HeldUnreadBytes = Held.held(held_kind::UnreadAnswer);
     Gauges.SlowReadersEnded = SlowReaders;
+    Gauges.UnusableHandles = UnusableHandles;
+    Gauges.UnwritableHeads = UnwritableHeads;
     return Metrics.render(Core.counters(), Gauges);
   }
 
@@ -420,6 +423,17 @@
     arm();
   }
 
+  void onUnusableHandles(const backend_entry &Server, std::size_t Count,
+                         const std::string &First) override {
+    UnusableHandles += Count;
+    Log.write(unusableHandles(Server.Id, Count, First));
+  }
+  void onUnwritable(const backend_entry &Server,
+                    const caller_request_id &CallerId,
+                    const platform::unwritable_head &Head) override {
+    ++UnwritableHeads;
+    Log.write(unwritableCall(Server.Id, CallerId, Head));
+  }
   std::size_t unreadBytes(request_id Request) const override {
     std::shared_ptr<caller_session> Session = Front.session(Request);
     return Session ? Session->unreadBytes() : 0;
@@ -467,6 +481,8 @@
   /// Time that WakeTimer waits for; absent if it does not run.
   std::optional<core_time> ArmedFor;
   std::uint64_t SlowReaders = 0;
+  std::uint64_t UnusableHandles = 0;
+  std::uint64_t UnwritableHeads = 0;
   bool ShuttingDown = false;
   bool IdleClosed = false;
   std::chrono::steady_clock::time_point StopBegan;
--- a/packages/entry/src/serving/serving_metrics.cc
+++ b/packages/entry/src/serving/serving_metrics.cc
@@ -171,6 +171,8 @@
             static_cast<double>(Gauges.HeldArrivingBytes));
   Impl->set("held_unread_bytes", static_cast<double>(Gauges.HeldUnreadBytes));
   Impl->set("slow_readers_ended", static_cast<double>(Gauges.SlowReadersEnded));
+  Impl->set("unusable_handles", static_cast<double>(Gauges.UnusableHandles));
+  Impl->set("unwritable_heads", static_cast<double>(Gauges.UnwritableHeads));
   return prometheus::TextSerializer().Serialize(Impl->Registry.Collect());
 }
 
--- a/packages/entry/src/serving/serving_metrics.h
+++ b/packages/entry/src/serving/serving_metrics.h
@@ -35,6 +35,10 @@
   std::size_t HeldUnreadBytes = 0;
   /// Answers that ended because their callers did not read them.
   std::uint64_t SlowReadersEnded = 0;
+  /// Handles of servers that were not used, and calls that were not sent, as
+  /// their texts cannot stand in a head.
+  std::uint64_t UnusableHandles = 0;
+  std::uint64_t UnwritableHeads = 0;
 };
 
 class serving_metrics {
--- a/packages/testing/bytes/src/replies-target.cc
+++ b/packages/testing/bytes/src/replies-target.cc
@@ -46,8 +46,11 @@
 void checkRelayed(const backend_reply_head &Reply, const std::string &Body) {
   if (Reply.Status < 200 || Reply.Status == 204 || Reply.Status == 304)
     return;
-  std::string Text =
-      platform::encodeReplyHead(Reply, Body.size(), false) + Body;
+  platform::written_head Head =
+      platform::encodeReplyHead(Reply, Body.size(), false);
+  require(std::holds_alternative<std::string>(Head),
+          "an answer that was read can be written");
+  std::string Text = std::get<std::string>(Head) + Body;
   std::optional<read_message> Read = readMessage(Text, message_kind::Answer);
   require(Read && Read->End == Text.size() && Read->Body == Body,
           "a relayed answer is exactly one message with its body");
--- a/packages/testing/bytes/src/requests-target.cc
+++ b/packages/testing/bytes/src/requests-target.cc
@@ -26,7 +26,10 @@
   Call.Message = Request.Message;
   Call.CallerId = Request.CallerId;
   Call.TimeLeft = std::chrono::seconds(1);
-  std::string Text = platform::encodeForward(Call) + Request.Message->Body;
+  platform::written_head Head = platform::encodeForward(Call);
+  require(std::holds_alternative<std::string>(Head),
+          "a request that was read can be written");
+  std::string Text = std::get<std::string>(Head) + Request.Message->Body;
   std::optional<read_message> Read = readMessage(Text, message_kind::Request);
   require(Read && Read->End == Text.size(),
           "a forwarded request is exactly one message");
--- a/packages/testing/processes/test/answer-readers.h
+++ b/packages/testing/processes/test/answer-readers.h
@@ -46,6 +46,12 @@
     Failed += Load ? 0 : 1;
     Broken += Load ? 0 : 1;
   }
+  void onUnusableHandles(const backend_entry &, std::size_t,
+                         const std::string &) override {}
+  void onUnwritable(const backend_entry &, const caller_request_id &,
+                    const platform::unwritable_head &) override {
+    ++Unwritable;
+  }
   std::size_t unreadBytes(request_id) const override { return 0; }
 
   int Whole = 0;
@@ -56,6 +62,7 @@
   /// In any way, and of these the ones that were broken.
   int Failed = 0;
   int Broken = 0;
+  int Unwritable = 0;
 };
 
 class counted_exchange final : public detail::exchange_listener {
