--- a/packages/testing/processes/test/odd-entries-test.cc
+++ b/packages/testing/processes/test/odd-entries-test.cc
@@ -4,6 +4,7 @@
 #include "jasminecroft/processes/local_fleet.h"
 #include "jasminecroft/processes/users_fleet.h"
 
+#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <string>
@@ -177,3 +178,48 @@
   checkFollowsList(Fleet, "hosts");
   CHECK_FALSE(Fleet.Processes[0]->waitExit(std::chrono::seconds(0)));
 }
+
+// review/13: bookings ran without their body and workspace.
+TEST_CASE("an entry whose name would end a head is not used as a server") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  const std::vector<std::string> Names = {
+      "plain-0\r\n", "plain-0\n",         "plain-0\r", "plain-0 ",
+      " plain-0",    "plain-0\r\nX-A: b", "plain,0",   std::string(300, 'x')};
+  Fleet.on([&] {
+    std::string Address =
+        "127.0.0.1:" + std::to_string(Fleet.Backends["plain-0"]->port());
+    for (const std::string &Name : Names)
+      Fleet.Store->putText("servers", Name, entry(Address, ""));
+  });
+  std::this_thread::sleep_for(DrainBound);
+  // Beside each other, so that all servers are used.
+  constexpr std::size_t Callers = 8;
+  constexpr std::size_t CallsEach = 12;
+  constexpr std::size_t Calls = Callers * CallsEach;
+  std::atomic<std::size_t> Served = 0;
+  std::vector<std::thread> Threads;
+  for (std::size_t Caller = 0; Caller < Callers; ++Caller)
+    Threads.emplace_back([&Fleet, &Served, Caller] {
+      for (std::size_t I = 0; I < CallsEach; ++I)
+        Served += served(Fleet, "named-" + std::to_string(Caller) + "-" +
+                                    std::to_string(I))
+                      ? 1
+                      : 0;
+    });
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  CHECK(Served == Calls);
+  Fleet.on([&] {
+    std::size_t Ran = 0;
+    for (const char *Id : {"plain-0", "plain-1"}) {
+      const jasminecroft::standins::users_backend &Server = *Fleet.Backends[Id];
+      Ran += Server.ran().size();
+      for (const std::string &Name : Server.workspaces())
+        CHECK(Name == "w1");
+    }
+    CHECK(Ran == Calls);
+  });
+  std::string Log = Fleet.logOf(0);
+  CHECK(Log.find("\"field\":\"name\"") != std::string::npos);
+}
