Refuse requests of workspaces whose names can't stand in a head

Cause: the name is written into the head of each request, and nothing checked it.

Change: the version is applied, as refusing it would cost all others, and the workspace's requests get 503 as not run; 401 would be untrue and final for its callers. 406 names the workspace at error level, and the check of a configuration has unusable_workspace_name.

--- a/packages/core/include/jasminecroft/core/event_log.h
+++ b/packages/core/include/jasminecroft/core/event_log.h
@@ -52,6 +52,7 @@
   OperatorConfigApplied = 403,
   OperatorConfigUnreadable = 404,
   ConfigUnconfirmed = 405,
+  WorkspaceNameUnusable = 406,
   MemberChanged = 501,
   MemberRefuted = 502,
   HostSuspected = 503,
--- a/packages/core/include/jasminecroft/core/serving/route_config_check.h
+++ b/packages/core/include/jasminecroft/core/serving/route_config_check.h
@@ -40,6 +40,8 @@
   PriorityOutOfRange,
   KeyOfTwoWorkspaces,
   EmptyKey,
+  /// It cannot be told to a backend server: its requests are refused.
+  UnusableWorkspaceName,
   // Entries that can never match.
   HiddenRoute,
   PrefixNeverMatches,
--- a/packages/core/include/jasminecroft/core/serving/serving_core.h
+++ b/packages/core/include/jasminecroft/core/serving/serving_core.h
@@ -74,6 +74,8 @@
   UnknownKey,
   /// This host has no configuration yet.
   NotReady,
+  /// The name of the caller's workspace cannot be told to a backend server.
+  UnusableWorkspace,
   /// No backend server can complete it in time.
   Overloaded,
   /// The pool has no usable backend server.
--- a/packages/core/src/serving/route_config_check.cc
+++ b/packages/core/src/serving/route_config_check.cc
@@ -1,6 +1,8 @@
 // Findings in one configuration. Differences: route_config_difference.cc.
 #include "jasminecroft/core/serving/route_config_check.h"
 
+#include "jasminecroft/core/field_text.h"
+
 #include <algorithm>
 #include <numeric>
 #include <set>
@@ -182,6 +184,8 @@
       At = "workspace " + Workspace.Name.Value;
       if (!Names.insert(Workspace.Name).second)
         add(finding_kind::HiddenWorkspace);
+      if (!isFieldText(Workspace.Name.Value))
+        add(finding_kind::UnusableWorkspaceName);
       if (Workspace.Keys.empty())
         add(finding_kind::WorkspaceWithoutKeys);
       if (Workspace.Priority && *Workspace.Priority > MaxPriority)
@@ -253,6 +257,8 @@
     return "key_of_two_workspaces";
   case finding_kind::EmptyKey:
     return "empty_key";
+  case finding_kind::UnusableWorkspaceName:
+    return "unusable_workspace_name";
   case finding_kind::HiddenRoute:
     return "hidden_route";
   case finding_kind::PrefixNeverMatches:
--- a/packages/core/src/serving/serving_first_config.cc
+++ b/packages/core/src/serving/serving_first_config.cc
@@ -1,7 +1,10 @@
-// The first configuration of a host. The store may hold an older copy than what
-// peers use, so a peer has to confirm it before requests are admitted.
+// The first configuration of a host, and workspaces of any one that cannot be
+// served. The store may hold an older copy than what peers use, so a peer has
+// to confirm the first one before requests are admitted.
 #include "serving_state.h"
 
+#include "jasminecroft/core/field_text.h"
+
 #include <algorithm>
 
 namespace jasminecroft {
@@ -80,4 +83,17 @@
          {"peers", std::to_string(PeersConfig.Value)}});
 }
 
+// Requests of these workspaces are refused; all others are served.
+void serving_impl::logUnusableWorkspaces(const route_config &Config) {
+  std::set<workspace_id> Unusable;
+  for (const std::pair<const workspace_key, key_owner> &Key : Config.Keys)
+    if (!isFieldText(Key.second.Workspace.Value))
+      Unusable.insert(Key.second.Workspace);
+  for (const workspace_id &Workspace : Unusable)
+    log(event_number::WorkspaceNameUnusable, event_severity::Error,
+        "name of a workspace cannot stand in a head; its requests are refused",
+        {{"version", std::to_string(Config.Version.Value)},
+         {"workspace", Workspace.Value.substr(0, MaxNameBytes)}});
+}
+
 } // namespace jasminecroft
--- a/packages/core/src/serving/serving_requests.cc
+++ b/packages/core/src/serving/serving_requests.cc
@@ -2,6 +2,8 @@
 // this host.
 #include "serving_state.h"
 
+#include "jasminecroft/core/field_text.h"
+
 #include <algorithm>
 
 namespace jasminecroft {
@@ -28,6 +30,7 @@
   case refusal_kind::NoRoute:
   case refusal_kind::UnknownKey:
   case refusal_kind::NotReady:
+  case refusal_kind::UnusableWorkspace:
   case refusal_kind::Overloaded:
   case refusal_kind::NoBackend:
   case refusal_kind::ShuttingDown:
@@ -50,6 +53,7 @@
   case refusal_kind::UnknownKey:
     return 401;
   case refusal_kind::NotReady:
+  case refusal_kind::UnusableWorkspace:
   case refusal_kind::Overloaded:
   case refusal_kind::NoBackend:
   case refusal_kind::ShuttingDown:
@@ -74,6 +78,8 @@
     return "unknown_key";
   case refusal_kind::NotReady:
     return "not_ready";
+  case refusal_kind::UnusableWorkspace:
+    return "unusable_workspace";
   case refusal_kind::Overloaded:
     return "overloaded";
   case refusal_kind::NoBackend:
@@ -138,6 +144,7 @@
        {"before", View ? std::to_string(View->Config->Version.Value) : "none"},
        {"routes", std::to_string(Config->Routes.size())},
        {"keys", std::to_string(Config->Keys.size())}});
+  logUnusableWorkspaces(*Config);
   Owner.configure(Config->Pools);
   ColdServers.configure(Config->Pools);
   BytesInProgress.setBound(Config->Bounds.MaxBodyBytes);
@@ -174,6 +181,11 @@
     refuseBeforeAdmission(Request, refusal_kind::UnknownKey, core_duration{0});
     return nullptr;
   }
+  if (!isFieldText(Key->second.Workspace.Value)) {
+    refuseBeforeAdmission(Request, refusal_kind::UnusableWorkspace,
+                          MaxRetryAfter);
+    return nullptr;
+  }
   Workspace = Key->second.Workspace;
   Priority = Key->second.Priority.value_or(Priority);
   return Route;
--- a/packages/core/src/serving/serving_state.h
+++ b/packages/core/src/serving/serving_state.h
@@ -145,6 +145,7 @@
 
   // Requests.
   active_request *find(request_id Request);
+  void logUnusableWorkspaces(const route_config &Config);
   const serving_route *admit(const serving_request &Request,
                              workspace_id &Workspace, std::uint32_t &Priority);
   pool_id selectPool(const serving_route &Route, const caller_request_id &Id);
--- a/packages/core/test/route-config-check-test.cc
+++ b/packages/core/test/route-config-check-test.cc
@@ -86,6 +86,8 @@
      [](declared_config &D) { D.Workspaces[1].Keys = D.Workspaces[0].Keys; }},
     {finding_kind::EmptyKey, "workspace w2",
      [](declared_config &D) { D.Workspaces[1].Keys = {workspace_key()}; }},
+    {finding_kind::UnusableWorkspaceName, "workspace w1\r\n",
+     [](declared_config &D) { D.Workspaces[0].Name = workspace_id("w1\r\n"); }},
     {finding_kind::HiddenRoute, "route draft",
      [](declared_config &D) { D.Config.Routes[1].PathPrefix = "/read/"; }},
     {finding_kind::PrefixNeverMatches, "route read",
--- a/packages/core/test/serving-core-test.cc
+++ b/packages/core/test/serving-core-test.cc
@@ -305,6 +305,33 @@
   }
 }
 
+TEST_CASE("a workspace whose name cannot stand in a head is refused, and no "
+          "other") {
+  for (const std::string &Name :
+       {std::string("w\r\n"), std::string("w\n"), std::string(" w"),
+        std::string(), std::string(300, 'w')}) {
+    serving_fixture Test;
+    Test.addAllPools();
+    std::shared_ptr<route_config> Config = serving_fixture::config(2);
+    Config->Keys[workspace_key("bad")] = {workspace_id(Name), std::nullopt};
+    Config->Keys[workspace_key("long")] = {
+        workspace_id("S\xc3\xa3o Jo\xc3\xa3o"), std::nullopt};
+    REQUIRE(Test.Core.onConfig(Config, "", Test.Now));
+    CHECK(refusalOf(Test, Test.sendRequest("once", {}, "bad")) ==
+          refusal_kind::UnusableWorkspace);
+    CHECK(Test.Actions.Forwards.empty());
+    Test.sendRequest("once");
+    Test.sendRequest("once", {}, "long");
+    CHECK(Test.Actions.Forwards.size() == 2);
+    auto Told = std::find_if(Test.Actions.Log.begin(), Test.Actions.Log.end(),
+                             [](const event_record &Record) {
+                               return Record.Number ==
+                                      event_number::WorkspaceNameUnusable;
+                             });
+    CHECK(Told != Test.Actions.Log.end());
+  }
+}
+
 TEST_CASE("a call that cannot be written ends its request as not run, and "
           "blames no server") {
   serving_fixture Test;
--- a/packages/testing/processes/test/spoiled-texts-test.cc
+++ b/packages/testing/processes/test/spoiled-texts-test.cc
@@ -144,3 +144,37 @@
     return Fleet.logOf(0).find("\"event\":623") != std::string::npos;
   }));
 }
+
+// Servers got the name as it is, and ran bookings without their body.
+TEST_CASE("a workspace whose name would end a head costs no other workspace "
+          "its requests") {
+  users_fleet Fleet(1);
+  REQUIRE(Fleet.waitReady());
+  Fleet.on([&Fleet] {
+    json::value Config = json::parse(usersConfig());
+    Config.as_object()["version"] = 4;
+    json::array &Workspaces = Config.at("tenants").as_array();
+    Workspaces.push_back(
+        json::object{{"name", "w3\r\n"}, {"api_keys", json::array{"key-3"}}});
+    Workspaces.push_back(json::object{{"name", "w1" + Smuggled},
+                                      {"api_keys", json::array{"key-4"}}});
+    Fleet.Store->put("config", "main", Config);
+  });
+  REQUIRE(waitUntil([&Fleet] {
+    return Fleet.logOf(0).find("\"version\":\"4\"") != std::string::npos;
+  }));
+  for (const char *Key : {"key-3", "key-4"}) {
+    CHECK(exchange(Fleet.call("once", Key, Key), Bound).Status == 503);
+    CHECK(Fleet.ranTimes(Key) == 0);
+  }
+  CHECK(exchange(Fleet.call("once", "sound"), Bound).Status == 200);
+  CHECK(exchange(Fleet.call("once", "other", "key-2"), Bound).Status == 200);
+  Fleet.on([&Fleet] {
+    for (const char *Id : {"plain-0", "plain-1"})
+      for (const std::string &Name : Fleet.Backends[Id]->workspaces())
+        CHECK((Name == "w1" || Name == "w2"));
+  });
+  CHECK(waitUntil([&Fleet] {
+    return Fleet.logOf(0).find("\"event\":406") != std::string::npos;
+  }));
+}
