Write log lines as UTF-8 whatever their values hold

What operators saw: a line whose value has bytes that are no UTF-8, such as a caller's id, is no JSON to a strict reader; control characters other than white space reached a terminal through the plain format, DEL through both.

Cause: only bytes below 0x20 were escaped, in the plain format only in values that needed quotes for another reason.

Change: the JSON format escapes bytes that begin no character of UTF-8 as the character of their number, and DEL; the plain format quotes every value with a control character. Tests: serving-parts-test, shell-parts-test; not run against the code before, where the bytes went through as they were.

--- a/packages/entry/src/event_logger.cc
+++ b/packages/entry/src/event_logger.cc
@@ -3,6 +3,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace jasminecroft {
@@ -11,9 +12,15 @@
 
 constexpr std::chrono::seconds WindowLength{1};
 
+bool isControl(char Character) {
+  unsigned char Code = static_cast<unsigned char>(Character);
+  constexpr unsigned char Delete = 0x7f;
+  return Code < 0x20 || Code == Delete;
+}
+
 bool needsQuotes(const std::string &Value) {
-  return Value.empty() ||
-         Value.find_first_of(" \t\r\n\"=") != std::string::npos;
+  return Value.empty() || Value.find_first_of(" \"=") != std::string::npos ||
+         std::any_of(Value.begin(), Value.end(), isControl);
 }
 
 void appendValue(std::string &Line, const std::string &Value) {
@@ -25,8 +32,7 @@
   for (char Character : Value) {
     if (Character == '"' || Character == '\\')
       Line += '\\';
-    bool Printable = static_cast<unsigned char>(Character) >= 0x20;
-    Line += Printable ? Character : ' ';
+    Line += isControl(Character) ? ' ' : Character;
   }
   Line += '"';
 }
--- a/packages/entry/src/serving/line_log.cc
+++ b/packages/entry/src/serving/line_log.cc
@@ -1,6 +1,7 @@
 // Formats events as JSON lines and writes them without blocking.
 #include "line_log.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fcntl.h>
@@ -20,21 +21,49 @@
 /// Lines of promises to callers, as a multiple of those of other events.
 constexpr std::uint32_t PromiseFactor = 10;
 
+// Returns the length of the character of UTF-8 that Text begins with; 0 if it
+// begins with none.
+std::size_t characterLength(std::string_view Text) {
+  auto Byte = [Text](std::size_t Index) {
+    return Index < Text.size() ? static_cast<unsigned char>(Text[Index]) : 0u;
+  };
+  constexpr unsigned FirstTail = 0x80;
+  constexpr unsigned LastTail = 0xbf;
+  unsigned First = Byte(0);
+  std::size_t Length = First < 0x80                    ? 1
+                       : First >= 0xc2 && First < 0xe0 ? 2
+                       : First >= 0xe0 && First < 0xf0 ? 3
+                       : First >= 0xf0 && First < 0xf5 ? 4
+                                                       : 0;
+  // No longer form than needed, no surrogate, nothing above U+10FFFF.
+  if ((First == 0xe0 && Byte(1) < 0xa0) || (First == 0xed && Byte(1) > 0x9f) ||
+      (First == 0xf0 && Byte(1) < 0x90) || (First == 0xf4 && Byte(1) > 0x8f))
+    return 0;
+  for (std::size_t I = 1; I < Length; ++I)
+    if (Byte(I) < FirstTail || Byte(I) > LastTail)
+      return 0;
+  return Length;
+}
+
+// Bytes that are no UTF-8 are written as the characters of their numbers.
 void appendText(std::string &Line, std::string_view Text) {
   constexpr std::string_view Digits = "0123456789abcdef";
+  constexpr unsigned char Delete = 0x7f;
   Line += '"';
-  for (char Character : Text) {
-    unsigned char Code = static_cast<unsigned char>(Character);
-    if (Character == '"' || Character == '\\') {
+  while (!Text.empty()) {
+    unsigned char Code = static_cast<unsigned char>(Text.front());
+    std::size_t Length = characterLength(Text);
+    if (Code == '"' || Code == '\\') {
       Line += '\\';
-      Line += Character;
-    } else if (Code < 0x20) {
+      Line += Text.front();
+    } else if (Code < 0x20 || Code == Delete || Length == 0) {
       Line += "\\u00";
       Line += Digits[Code / 16];
       Line += Digits[Code % 16];
     } else {
-      Line += Character;
+      Line += Text.substr(0, Length);
     }
+    Text.remove_prefix(std::max<std::size_t>(Length, 1));
   }
   Line += '"';
 }
--- a/packages/entry/test/serving-parts-test.cc
+++ b/packages/entry/test/serving-parts-test.cc
@@ -141,6 +141,29 @@
   CHECK_FALSE(Filled("").EmptiedZones);
 }
 
+// Ids of callers may hold any bytes from 0x80 on.
+TEST_CASE("a log line is UTF-8 whatever its values hold") {
+  const std::vector<std::pair<std::string, std::string>> Values = {
+      {"\xc3\xa3 \xe2\x82\xac \xf0\x9f\x8c\xbc", ""},
+      {"\xff", "\\u00ff"},
+      {"a\xc3", "a\\u00c3"},
+      {"\xc0\xaf", "\\u00c0\\u00af"},
+      {"\xed\xa0\x80", "\\u00ed\\u00a0\\u0080"},
+      {"\xe0\x80\x80", "\\u00e0\\u0080\\u0080"},
+      {"\xf4\x90\x80\x80", "\\u00f4\\u0090\\u0080\\u0080"},
+      {"\x1b[2J\x7f", "\\u001b[2J\\u007f"}};
+  for (const std::pair<std::string, std::string> &Value : Values) {
+    event_record Record{event_number::RequestEnded,
+                        event_severity::Info,
+                        "request ended",
+                        {{"request", Value.first}}};
+    std::string Line = detail::formatLine(Record, "edge-1", {});
+    const std::string &Written =
+        Value.second.empty() ? Value.first : Value.second;
+    CHECK(Line.find("\"request\":\"" + Written + "\"") != std::string::npos);
+  }
+}
+
 TEST_CASE("a log line is one JSON object whatever its values hold") {
   event_record Record{event_number::RequestEnded,
                       event_severity::Warning,
--- a/packages/entry/test/shell-parts-test.cc
+++ b/packages/entry/test/shell-parts-test.cc
@@ -179,4 +179,6 @@
                       {{"version", "3"}, {"by", "Ana \"A\"\nB"}}};
   CHECK(formatEvent(Record) == "[E401] configuration applied version=3 "
                                "by=\"Ana \\\"A\\\" B\"");
+  Record.Fields = {{"by", "\x1b[2J\x7f"}};
+  CHECK(formatEvent(Record) == "[E401] configuration applied by=\" [2J \"");
 }
