Keep the record of a result until its free is sent

Cause: release() passed a reference to the id in a stored result to queueFree(), which erased that result before it used the id again.

Change: queueFree() takes the record out of the table and keeps it until it ends.

--- a/packages/core/include/jasminecroft/core/serving/batch_owner.h
+++ b/packages/core/include/jasminecroft/core/serving/batch_owner.h
@@ -293,7 +293,8 @@
   std::map<job_key, job_state> Jobs;
   std::map<batch_id, batch_state> Batches;
   std::map<backend_id, tracked_server> TrackedServers;
-  std::map<result_handle, stored_result> StoredResults;
+  using result_table = std::map<result_handle, stored_result>;
+  result_table StoredResults;
   /// An event occurred that may allow calls to start or jobs to end.
   bool Changed = false;
   /// Time of the next scan of the waiting jobs even without an event, as
--- a/packages/core/src/serving/batch_results.cc
+++ b/packages/core/src/serving/batch_results.cc
@@ -323,12 +323,11 @@
 void batch_owner::queueFree(const backend_id &Server,
                             const result_handle &Result, core_time Now) {
   tracked_server &Tracked = TrackedServers[Server];
-  auto Found = StoredResults.find(Result);
   std::uint64_t Used = Tracked.UsedBytes;
-  if (Found != StoredResults.end()) {
-    Tracked.UsedBytes -= std::min(Tracked.UsedBytes, Found->second.Bytes);
-    StoredResults.erase(Found);
-  }
+  // Kept until the end: Server and Result may be parts of it.
+  result_table::node_type Stored = StoredResults.extract(Result);
+  if (Stored)
+    Tracked.UsedBytes -= std::min(Tracked.UsedBytes, Stored.mapped().Bytes);
   Changed = true;
   if (Tracked.PendingFrees.empty())
     Tracked.FlushAt = Now + FreeDelay;
--- a/packages/core/test/batch-owner-test.cc
+++ b/packages/core/test/batch-owner-test.cc
@@ -196,3 +196,29 @@
   REQUIRE(Test.Actions.Calls.size() == 1);
   CHECK(Test.Owner.idle());
 }
+
+// freed-id: the id of the server was read from a result's record after it was
+// erased, and the frees were dropped.
+TEST_CASE(
+    "frees that fill a call are sent to the server that has the results") {
+  batch_owner_fixture Test(0);
+  backend_entry Server = batch_owner_fixture::server(0);
+  // Not kept within the text's own object.
+  Server.Id = backend_id("server-with-a-name-of-more-than-fifteen-bytes");
+  Test.Servers.update(Server);
+  constexpr std::uint64_t Jobs = 8;
+  constexpr std::uint32_t PiecesPerJob = 8;
+  std::vector<result_handle> Results;
+  for (std::uint64_t Job = 1; Job <= Jobs; ++Job) {
+    Test.submit(Test.job(Job, PiecesPerJob));
+    REQUIRE(Test.Actions.Calls.size() == 1);
+    Test.advance(milliseconds(300));
+    Test.answerAll(Test.onlyCall());
+    for (const completed_piece &Piece :
+         Test.Actions.Completed[piece_job_id(Job)])
+      Results.push_back(Piece.Result);
+  }
+  REQUIRE(Results.size() == Jobs * PiecesPerJob);
+  Test.Owner.release(Results, Test.Now);
+  CHECK(Test.Actions.Freed[Server.Id] == Results);
+}
